Lay out the workspace, the reducer's contracts and the wire formats

Cause: nothing existed yet. Several people are to work side by side, so the seams come first: events, effects, areas and selectors in core, the wire formats of outside systems and the peer protocol in protocol, and the check script. Change: npm workspaces with strict TypeScript, formatter and linter; reduce() with per-area handler tables, loop-back of messages to the own host; proto and generated code; virtual and real scheduler for the stand-ins' models. Conclusion: areas are empty and selectors return nothing; the thin path comes next.

--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,1 @@
+process.exitCode = 1;
--- /dev/null
+++ b/packages/core/src/admission/area.ts
@@ -0,0 +1,8 @@
+import type {Area} from '../area.js';
+
+/** Handlers of the admission area. */
+export const admissionArea: Area = {
+  name: 'admission',
+  handlers: {},
+  messageHandlers: {},
+};
--- /dev/null
+++ b/packages/core/src/admission/index.ts
@@ -0,0 +1,2 @@
+export * from './area.js';
+export * from './state.js';
--- /dev/null
+++ b/packages/core/src/calls/index.ts
@@ -0,0 +1,4 @@
+export * from './area.js';
+export * from './events.js';
+export * from './effects.js';
+export * from './state.js';
--- /dev/null
+++ b/packages/core/src/configuration/messages.ts
@@ -0,0 +1,2 @@
+/** Messages between entry hosts that the configuration area handles. */
+export const configurationMessageSchemas = [] as const;
--- /dev/null
+++ b/packages/core/src/deferred/area.ts
@@ -0,0 +1,8 @@
+import type {Area} from '../area.js';
+
+/** Handlers of the deferred area. */
+export const deferredArea: Area = {
+  name: 'deferred',
+  handlers: {},
+  messageHandlers: {},
+};
--- /dev/null
+++ b/packages/core/src/load-budget/index.ts
@@ -0,0 +1,3 @@
+export * from './area.js';
+export * from './messages.js';
+export * from './state.js';
--- /dev/null
+++ b/packages/core/src/load-budget/messages.ts
@@ -0,0 +1,2 @@
+/** Messages between entry hosts that the load-budget area handles. */
+export const loadBudgetMessageSchemas = [] as const;
--- /dev/null
+++ b/packages/protocol/src/platform/index.ts
@@ -0,0 +1,3 @@
+export * from './engine.js';
+export * from './object-api.js';
+export * from './plain-service.js';
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,1 @@
+export * from './models/scheduler.js';
