--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,2 +1,3 @@
 export * from './generated/basilworks/peer/v1/peer.js';
+export * from './operators/index.js';
 export * from './platform/index.js';
--- /dev/null
+++ b/packages/protocol/src/operators/index.ts
@@ -0,0 +1,3 @@
+export * from './operator-error.js';
+export * from './paths.js';
+export * from './sheet.js';
--- /dev/null
+++ b/packages/protocol/src/operators/operator-error.ts
@@ -0,0 +1,6 @@
+import {refusalSchema} from '@basilworks/core';
+import {z} from 'zod';
+
+/** Body of every operator answer that is not a success. */
+export const operatorErrorSchema = z.object({error: refusalSchema});
+export type OperatorError = z.infer<typeof operatorErrorSchema>;
--- /dev/null
+++ b/packages/protocol/src/operators/paths.ts
@@ -0,0 +1,8 @@
+/**
+ * The operator HTTP API. Every request carries `Authorization: Bearer` with an
+ * operator's token; answers are JSON, failures `operatorErrorSchema`.
+ */
+export const OPERATOR_PATHS = {
+  /** `POST` with `sheetSubmissionSchema`, answered with `sheetAnswerSchema`. */
+  sheet: '/operator/v1/sheet',
+} as const;
