--- a/packages/stand-ins/src/models/engine-execution.ts
+++ b/packages/stand-ins/src/models/engine-execution.ts
@@ -34,7 +34,20 @@
   endedMs: number | undefined;
   end: ExecutionEnd | undefined;
 
-  constructor(readonly request: EngineRequest) {}
+  constructor(
+    readonly request: EngineRequest,
+    readonly receivedMs: number,
+  ) {}
+
+  /** Follows the execution from what it has generated so far. */
+  follow(listener: ExecutionListener): void {
+    listener.onProgress(this.generatedTokens);
+    if (this.end === undefined) {
+      this.listeners.add(listener);
+    } else {
+      listener.onEnd(this.end);
+    }
+  }
 
   progress(tokens: number): void {
     const {request} = this;
--- a/packages/stand-ins/src/models/engine-model.ts
+++ b/packages/stand-ins/src/models/engine-model.ts
@@ -68,9 +68,13 @@
 
 /** One run as the engine knows it. */
 export interface EngineRun extends AdapterVersion {
+  readonly server: ServerId;
   readonly executionId: string;
   readonly requestId: string;
   readonly member: string;
+  /** When the engine took the request. */
+  readonly receivedMs: number;
+  /** Undefined when it never left the queue. */
   readonly startedMs: number | undefined;
   readonly endedMs: number;
   readonly end: ExecutionEnd;
@@ -129,7 +133,7 @@
       return refusal;
     }
     this.sampleIfDue();
-    const execution = new EngineExecution(request);
+    const execution = new EngineExecution(request, this.scheduler.nowMs());
     execution.listeners.add(listener);
     this.executions.set(request.executionId, execution);
     this.batch.add(execution);
@@ -235,11 +239,13 @@
     const {request, startedMs, endedMs, end} = execution;
     const {executionId, requestId, member, adapter, version} = request;
     this.history.push({
+      server: this.options.server,
       executionId,
       requestId,
       member,
       adapter,
       version,
+      receivedMs: execution.receivedMs,
       startedMs,
       endedMs: endedMs ?? this.scheduler.nowMs(),
       end: end ?? 'broken',
--- a/packages/stand-ins/src/models/host-list-model.ts
+++ b/packages/stand-ins/src/models/host-list-model.ts
@@ -10,8 +10,8 @@
 
 /** The platform's host list: each change becomes visible after the lag. */
 export class HostListModel {
-  private latest: HostList = {version: 1, entryHosts: [], servers: []};
-  private visible: HostList = this.latest;
+  private current: HostList = {version: 1, entryHosts: [], servers: []};
+  private visible: HostList = this.current;
 
   constructor(
     private readonly scheduler: Scheduler,
@@ -23,15 +23,20 @@
     return this.visible;
   }
 
+  /** The list with the changes that are not visible yet. */
+  latest(): HostList {
+    return this.current;
+  }
+
   /** Adds an entry host, or replaces the one of the same name. */
   putHost(host: EntryHost): void {
-    const others = this.latest.entryHosts.filter((h) => h.host !== host.host);
+    const others = this.current.entryHosts.filter((h) => h.host !== host.host);
     this.change({entryHosts: [...others, host]});
   }
 
   /** Adds a server, or replaces the one of the same name. */
   putServer(server: ServerDescription): void {
-    const others = this.latest.servers.filter(
+    const others = this.current.servers.filter(
       (s) => s.server !== server.server,
     );
     this.change({servers: [...others, server]});
@@ -39,7 +44,7 @@
 
   setHostState(host: HostId, state: EntryHost['state']): void {
     this.change({
-      entryHosts: this.latest.entryHosts.map((entry) =>
+      entryHosts: this.current.entryHosts.map((entry) =>
         entry.host === host ? {...entry, state} : entry,
       ),
     });
@@ -47,7 +52,7 @@
 
   setServerState(server: ServerId, state: ServerDescription['state']): void {
     this.change({
-      servers: this.latest.servers.map((entry) =>
+      servers: this.current.servers.map((entry) =>
         entry.server === server ? {...entry, state} : entry,
       ),
     });
@@ -55,19 +60,19 @@
 
   removeHost(host: HostId): void {
     this.change({
-      entryHosts: this.latest.entryHosts.filter((h) => h.host !== host),
+      entryHosts: this.current.entryHosts.filter((h) => h.host !== host),
     });
   }
 
   removeServer(server: ServerId): void {
     this.change({
-      servers: this.latest.servers.filter((s) => s.server !== server),
+      servers: this.current.servers.filter((s) => s.server !== server),
     });
   }
 
   private change(part: Partial<Omit<HostList, 'version'>>): void {
-    const list = {...this.latest, ...part, version: this.latest.version + 1};
-    this.latest = list;
+    const list = {...this.current, ...part, version: this.current.version + 1};
+    this.current = list;
     if (this.lagMs === 0) {
       this.visible = list;
       return;
--- a/packages/stand-ins/src/models/plain-service-model.ts
+++ b/packages/stand-ins/src/models/plain-service-model.ts
@@ -30,6 +30,7 @@
 /** Runs of one call; above one, the call was doubled. */
 export interface PlainRunCount extends PlainCall {
   readonly runs: number;
+  readonly lastRunMs: number;
 }
 
 /** A plain service that counts how often each call ran. */
@@ -72,7 +73,7 @@
     }
     const key = JSON.stringify([call.operation, call.member, call.body]);
     const run = (this.runs.get(key)?.runs ?? 0) + 1;
-    this.runs.set(key, {...call, runs: run});
+    this.runs.set(key, {...call, runs: run, lastRunMs: this.scheduler.nowMs()});
     return this.losesAnswer()
       ? {kind: 'answer-lost'}
       : {kind: 'answered', call, run};
--- a/packages/stand-ins/src/test/models/plain-service-model_test.ts
+++ b/packages/stand-ins/src/test/models/plain-service-model_test.ts
@@ -24,5 +24,5 @@
   call();
   call();
   t.deepEqual(ends, ['refused', 'answer-lost', 'answered']);
-  t.deepEqual(service.history(), [{...CALL, runs: 2}]);
+  t.deepEqual(service.history(), [{...CALL, runs: 2, lastRunMs: 10}]);
 });
