--- a/packages/core/src/refusal.ts
+++ b/packages/core/src/refusal.ts
@@ -28,6 +28,7 @@
   'upstream-failed',
   'wrong-echo',
   'outcome-unknown',
+  'answer-not-kept',
   'peer-unreachable',
   'ownership-lost',
   'internal',
