Place, load and dispatch model requests in the reducer

The routing, residency, load budget and admission areas were empty. Ingress asks the adapter's home for a placement; the home names a server and its owner, or holds work that can wait; the owner sends only to confirmed slots, asks the load budget's holder before each load and never evicts a slot in use; an engine's lagging report settles unknown orders and inherited slots. Lost or repeated messages are asked again under the same identity.

--- a/packages/core/src/load-budget/index.ts
+++ b/packages/core/src/load-budget/index.ts
@@ -1,3 +1,4 @@
 export * from './area.js';
 export * from './messages.js';
+export * from './selectors.js';
 export * from './state.js';
--- a/packages/core/src/refusal.ts
+++ b/packages/core/src/refusal.ts
@@ -28,7 +28,6 @@
   'upstream-failed',
   'wrong-echo',
   'outcome-unknown',
-  'answer-not-kept',
   'peer-unreachable',
   'ownership-lost',
   'internal',
--- /dev/null
+++ b/packages/core/src/residency/urgency.ts
@@ -0,0 +1,30 @@
+import {adapterEntry} from '../configuration/selectors.js';
+import type {PriorityClass, RequestDescription} from '../request.js';
+import type {CoreState} from '../state.js';
+
+/** Cost of a second of waiting, by class. */
+const CLASS_WEIGHT: Readonly<Record<PriorityClass, number>> = {
+  urgent: 16,
+  standard: 4,
+  deferrable: 1,
+};
+
+/** Urgency of an adapter that the configuration does not list. */
+const DEFAULT_URGENCY = 10;
+
+/** Classes in the order in which they are served. */
+export const PRIORITY_CLASSES: readonly PriorityClass[] = [
+  'urgent',
+  'standard',
+  'deferrable',
+];
+
+/** Cost of letting a request wait, per unit of time. */
+export const requestWeight = (
+  state: CoreState,
+  request: Pick<RequestDescription, 'adapter' | 'priorityClass'>,
+): number => {
+  const urgency =
+    adapterEntry(state, request.adapter)?.urgency ?? DEFAULT_URGENCY;
+  return CLASS_WEIGHT[request.priorityClass] * urgency;
+};
--- /dev/null
+++ b/packages/core/src/routing/choose-server.ts
@@ -0,0 +1,95 @@
+import type {CoreSettings} from '../settings.js';
+import type {PriorityClass, RequestDescription} from '../request.js';
+import type {ServerView} from './server-view.js';
+
+/** Price of a load beyond its wait: it delays the loads of others. */
+const LOAD_PRICE_MS = 500;
+
+/** Cost of a server in another zone than the home. */
+const ZONE_PRICE_MS = 2;
+
+/** Processing time that a cached prompt prefix saves. */
+const PREFIX_SAVING_MS = 45;
+
+/** Most that a busy server is preferred by, to fill its batch. */
+const PACKING_MS = 100;
+
+/** Where a request could run, and what that would cost. */
+export interface Choice {
+  readonly view: ServerView;
+  /** Expected wait before the first token, with prices, milliseconds. */
+  readonly costMs: number;
+  /** Expected wait for a batch position and a load, without prices. */
+  readonly waitMs: number;
+}
+
+/** What a choice depends on besides the servers. */
+export interface ChoiceContext {
+  readonly settings: CoreSettings;
+  readonly request: RequestDescription;
+  /** Server that may have the prompt's prefix in its cache. */
+  readonly prefixServer: string | undefined;
+}
+
+/** Returns the cheapest server for a request, or undefined without any. */
+export const chooseServer = (
+  views: readonly ServerView[],
+  context: ChoiceContext,
+): Choice | undefined => {
+  let best: Choice | undefined;
+  for (const view of views) {
+    const choice = rateServer(view, context);
+    if (!best || choice.costMs < best.costMs) {
+      best = choice;
+    }
+  }
+  return best;
+};
+
+const rateServer = (view: ServerView, context: ChoiceContext): Choice => {
+  const {settings, request, prefixServer} = context;
+  const {description} = view;
+  const queueMs = queueWaitMs(view, request.priorityClass);
+  const loadMs = loadWaitMs(view, settings);
+  const zoneMs = description.zone === settings.zone ? 0 : ZONE_PRICE_MS;
+  const savedMs = prefixServer === description.server ? PREFIX_SAVING_MS : 0;
+  const priceMs = view.slot === 'absent' ? LOAD_PRICE_MS : 0;
+  const fill = Math.min(1, view.busy / description.batchPositions);
+  const packingMs = settings.objectives.batchEfficiencyWeight * PACKING_MS;
+  const waitMs = queueMs + loadMs;
+  return {
+    view,
+    waitMs,
+    costMs: waitMs + priceMs + zoneMs - savedMs - packingMs * fill,
+  };
+};
+
+/** Expected wait for a batch position behind equal and higher classes. */
+export const queueWaitMs = (
+  view: ServerView,
+  priorityClass: PriorityClass,
+): number => {
+  const {batchPositions} = view.description;
+  const behind = view.waiting
+    .slice(CLASS_RANK[priorityClass] + 1)
+    .reduce((sum, count) => sum + count, 0);
+  const ahead = view.busy - behind - batchPositions + 1;
+  return ahead <= 0 ? 0 : (ahead * view.serviceMs) / batchPositions;
+};
+
+const loadWaitMs = (view: ServerView, settings: CoreSettings): number => {
+  if (view.slot === 'ready') {
+    return 0;
+  }
+  if (view.slot === 'loading') {
+    return settings.weightStore.loadMs;
+  }
+  const slotMs = view.usableSlots > 0 ? 0 : view.serviceMs;
+  return view.loadWaitMs + slotMs;
+};
+
+const CLASS_RANK: Readonly<Record<PriorityClass, number>> = {
+  urgent: 0,
+  standard: 1,
+  deferrable: 2,
+};
--- a/packages/core/src/routing/messages.ts
+++ b/packages/core/src/routing/messages.ts
@@ -1,2 +1,63 @@
+import {z} from 'zod';
+
+import {hostIdSchema, requestIdSchema, serverIdSchema} from '../identifiers.js';
+import {refusalSchema} from '../refusal.js';
+import {requestDescriptionSchema} from '../request.js';
+
+/**
+ * Ingress to home: asks for a server. Repeated under the same placement
+ * identity until it is answered; the home then answers the same again.
+ */
+const placementRequestedSchema = z.object({
+  type: z.literal('placement-requested'),
+  placementId: z.string(),
+  request: requestDescriptionSchema,
+  remainingMs: z.number(),
+  /** Servers that refused this request before. */
+  excluded: z.array(serverIdSchema),
+});
+
+/** Home to ingress: the request is held until it is due. */
+const placementQueuedSchema = z.object({
+  type: z.literal('placement-queued'),
+  placementId: z.string(),
+  requestId: requestIdSchema,
+});
+
+/** Home to ingress: run the request on this server. */
+const placementGrantedSchema = z.object({
+  type: z.literal('placement-granted'),
+  placementId: z.string(),
+  requestId: requestIdSchema,
+  server: serverIdSchema,
+  owner: hostIdSchema,
+});
+
+/** Home to ingress: the request was not placed, so it has not run. */
+const placementRefusedSchema = z.object({
+  type: z.literal('placement-refused'),
+  placementId: z.string(),
+  requestId: requestIdSchema,
+  refusal: refusalSchema,
+});
+
+/** Ingress to home: the placement is no longer in use. */
+const placementFinishedSchema = z.object({
+  type: z.literal('placement-finished'),
+  placementId: z.string(),
+});
+
 /** Messages between entry hosts that the routing area handles. */
-export const routingMessageSchemas = [] as const;
+export const routingMessageSchemas = [
+  placementRequestedSchema,
+  placementQueuedSchema,
+  placementGrantedSchema,
+  placementRefusedSchema,
+  placementFinishedSchema,
+] as const;
+
+export type PlacementRequested = z.infer<typeof placementRequestedSchema>;
+export type PlacementQueued = z.infer<typeof placementQueuedSchema>;
+export type PlacementGranted = z.infer<typeof placementGrantedSchema>;
+export type PlacementRefused = z.infer<typeof placementRefusedSchema>;
+export type PlacementFinished = z.infer<typeof placementFinishedSchema>;
