Add the demo's launcher, load, faults and history check

Cause: the whole path is to be shown on real processes, and its promises are to be checked from what callers and outside systems recorded.

Change: a fleet of daemons and stand-ins on loopback, callers that keep address answers and verify every byte, a table of fault scripts, and a pure checker.

--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export * from './callers/exchange.js';
+export * from './catalogue.js';
+export * from './check-history.js';
+export * from './fleet.js';
+export * from './history.js';
+export * from './launch/child-process.js';
+export * from './launch/entry-host-process.js';
+export * from './launch/free-port.js';
+export * from './launch/platform-client.js';
+export * from './operator.js';
+export * from './report.js';
--- /dev/null
+++ b/packages/demo/src/run-demo.ts
@@ -0,0 +1,105 @@
+import {setInterval} from 'node:timers';
+
+import {type Deployment, seededRandom} from '@basilworks/stand-ins';
+
+import {Catalogue} from './catalogue.js';
+import {checkHistory, type HistoryVerdict} from './check-history.js';
+import {type FaultContext, type FaultName, FAULTS} from './faults.js';
+import {Fleet} from './fleet.js';
+import type {DemoHistory, LeavingServer} from './history.js';
+import {applySheet} from './operator.js';
+import {type DemoSummary, formatReport, summarize} from './report.js';
+import {Workload} from './workload.js';
+
+const PROGRESS_INTERVAL_MS = 2_000;
+
+/** What to run, and for how long. */
+export interface DemoOptions {
+  readonly deployment: Deployment;
+  readonly seconds: number;
+  readonly requestsPerSecond: number;
+  readonly adapters: number;
+  readonly faults: readonly FaultName[];
+  readonly seed: number;
+  /** Keeps settings and logs for inspection. */
+  readonly keepFiles: boolean;
+}
+
+export interface DemoResult {
+  readonly summary: DemoSummary;
+  readonly verdict: HistoryVerdict;
+  readonly report: readonly string[];
+}
+
+/** Runs one deployment under load and checks what happened. */
+export const runDemo = async (
+  options: DemoOptions,
+  report: (message: string) => void,
+): Promise<DemoResult> => {
+  const {deployment, seed} = options;
+  const fleet = await Fleet.start({...deployment, seed});
+  report(
+    `${deployment.name}: ${fleet.hosts.length} entry hosts, ` +
+      `${fleet.platform.addresses.servers.length} servers; ` +
+      `files in ${fleet.directory}`,
+  );
+  const end = () => {
+    void fleet.end(options).then(() => process.exit(1));
+  };
+  process.once('SIGINT', end);
+  process.once('SIGTERM', end);
+  try {
+    const history = await recordHistory(fleet, options, report);
+    const verdict = checkHistory(history);
+    const summary = summarize(history, verdict);
+    const lines = formatReport(summary, verdict, history);
+    return {summary, verdict, report: lines};
+  } finally {
+    await fleet.end(options);
+    process.off('SIGINT', end);
+    process.off('SIGTERM', end);
+  }
+};
+
+const recordHistory = async (
+  fleet: Fleet,
+  {seconds, requestsPerSecond, adapters, faults, seed}: DemoOptions,
+  report: (message: string) => void,
+): Promise<DemoHistory> => {
+  await fleet.waitUntilReady();
+  const catalogue = new Catalogue(fleet.deployment, adapters);
+  const [first] = fleet.hosts;
+  const result = await applySheet(
+    first?.entry.callerAddress ?? '',
+    fleet.operator,
+    catalogue.toSheet(),
+  );
+  report(`sheet of ${adapters} adapters: ${result.kind}`);
+  const random = seededRandom(seed);
+  const workload = new Workload(fleet, catalogue, random, {
+    seconds,
+    requestsPerSecond,
+  });
+  const leaving: LeavingServer[] = [];
+  const context: FaultContext = {
+    fleet,
+    random: seededRandom(seed + 1),
+    seconds,
+    leaving,
+    report,
+  };
+  const progress = setInterval(() => {
+    const {sentCount, records} = workload;
+    report(`${records.length} of ${sentCount} requests are over`);
+  }, PROGRESS_INTERVAL_MS);
+  const scripts = faults.map((fault) => FAULTS[fault](context));
+  const callers = await workload.run();
+  await Promise.all(scripts);
+  clearInterval(progress);
+  return {
+    callers,
+    standIns: await fleet.platform.readHistory(),
+    leaving,
+    enginesRestarted: faults.includes('engine-restart'),
+  };
+};
--- a/packages/stand-ins/src/http/control-protocol.ts
+++ b/packages/stand-ins/src/http/control-protocol.ts
@@ -49,6 +49,8 @@
 
 /** Answer to `GET /history`: what the outside systems saw. */
 export const standInHistorySchema = z.object({
+  /** Added to times of this history, gives milliseconds since the epoch. */
+  clockOriginMs: z.number(),
   runs: z.array(
     z.object({
       server: z.string(),
--- a/packages/stand-ins/src/http/control-routes.ts
+++ b/packages/stand-ins/src/http/control-routes.ts
@@ -91,6 +91,7 @@
   const engines = [...platform.engines.values()];
   const uses = engines.map((engine) => engine.batchUse());
   return {
+    clockOriginMs: performance.timeOrigin,
     runs: engines.flatMap(({history}) => history),
     calls: [...platform.plainServices].flatMap(([server, service]) =>
       service.history().map((call) => ({...call, server})),
