--- a/packages/core/src/calls/area.ts
+++ b/packages/core/src/calls/area.ts
@@ -79,8 +79,8 @@
   'epoch-write': (state, {epoch}, event, turn) => {
     epochWritten(state, epoch, event, turn);
   },
-  'clean-up-list': (state, {shard}, {result}, turn) => {
-    cleanUpListed(state, shard, result, turn);
+  'clean-up-list': (state, _purpose, {result}, turn) => {
+    cleanUpListed(state, result, turn);
   },
   'clean-up-write': () => {
     // A deletion that failed is repeated in the next epoch's pass.
--- a/packages/core/src/calls/events.ts
+++ b/packages/core/src/calls/events.ts
@@ -45,5 +45,17 @@
   readonly response: RecordedResponse | undefined;
 }
 
+/**
+ * Raised when this host learned of a new retention epoch. Epochs last an hour
+ * at least and replace clocks where the age of an object matters.
+ */
+export interface EpochBeganEvent {
+  readonly type: 'epoch-began';
+  readonly epoch: number;
+}
+
 export type CallsEvent =
-  CallSubmittedEvent | CallAbandonedEvent | CallAttemptFinishedEvent;
+  | CallSubmittedEvent
+  | CallAbandonedEvent
+  | CallAttemptFinishedEvent
+  | EpochBeganEvent;
--- a/packages/core/src/calls/retention-state.ts
+++ b/packages/core/src/calls/retention-state.ts
@@ -1,4 +1,6 @@
 import type {Instant} from '../instant.js';
+import {ShardSweep} from '../lib/shard-sweep.js';
+import {CLAIM_KIND} from './claim-record.js';
 
 /** The retention epoch as this host last read it. */
 export interface KnownEpoch {
@@ -10,26 +12,22 @@
   lastSeenAt: Instant;
 }
 
-/** A pass over one shard of the claims. */
-export interface CleanUpPass {
-  readonly shard: string;
-  readonly after: string;
-}
-
 /** What this host knows of the age of claims. */
 export interface RetentionState {
   known: KnownEpoch | undefined;
-  /** Shards that are still to be passed over in this epoch. */
-  readonly passes: CleanUpPass[];
+  /** The pass over the claims that each epoch begins. */
+  readonly sweep: ShardSweep;
   /** Shifts this host's polls against those of the others, milliseconds. */
   readonly phaseMs: number;
 }
 
 const PHASE_RANGE_MS = 60_000;
+/** Claims that one list call returns, and so the deletions per interval. */
+const CLEAN_UP_PAGE = 20;
 
 /** Returns the state at the start of a process. */
 export const createRetentionState = (seed: number): RetentionState => ({
   known: undefined,
-  passes: [],
+  sweep: new ShardSweep(CLAIM_KIND, CLEAN_UP_PAGE),
   phaseMs: Math.abs(seed) % PHASE_RANGE_MS,
 });
--- a/packages/core/src/calls/retention.ts
+++ b/packages/core/src/calls/retention.ts
@@ -21,13 +21,6 @@
 const EPOCH_NAME = 'current';
 
 const CLEAN_UP_INTERVAL_MS = 5_000;
-/** Claims that one list call returns, and so the deletions per interval. */
-const CLEAN_UP_PAGE = 20;
-const SHARD_COUNT = 16;
-/** First hexadecimal digits of the claims' names. */
-const SHARDS = Array.from({length: SHARD_COUNT}, (_, digit) =>
-  digit.toString(SHARD_COUNT),
-);
 
 const epochSchema = z.object({epoch: z.number().int().positive()});
 
@@ -90,42 +83,24 @@
 
 /** Lists the next page of claims of this host's share. */
 export const continueCleanUp = (state: CoreState, turn: Turn): void => {
-  const pass = state.calls.retention.passes[0];
-  if (pass === undefined) {
-    return;
+  const operation = state.calls.retention.sweep.next();
+  if (operation !== undefined) {
+    setCleanUpTimer(turn);
+    state.calls.store.start(turn, {kind: 'clean-up-list'}, operation);
   }
-  setCleanUpTimer(turn);
-  state.calls.store.start(
-    turn,
-    {kind: 'clean-up-list', shard: pass.shard},
-    {
-      type: 'list',
-      kind: CLAIM_KIND,
-      prefix: pass.shard,
-      after: pass.after,
-      limit: CLEAN_UP_PAGE,
-    },
-  );
 };
 
 /** Deletes the expired claims of a page. */
 export const cleanUpListed = (
   state: CoreState,
-  shard: string,
   result: StoreResult,
   turn: Turn,
 ): void => {
-  const {passes} = state.calls.retention;
-  if (result.type !== 'listed' || passes[0]?.shard !== shard) {
-    return;
-  }
-  for (const object of result.objects) {
-    cleanUp(state, object, turn);
-  }
-  const last = result.objects.at(-1);
-  passes.shift();
-  if (last !== undefined && result.objects.length === CLEAN_UP_PAGE) {
-    passes.unshift({shard, after: last.name});
+  if (result.type === 'listed') {
+    state.calls.retention.sweep.listed(result.objects);
+    for (const object of result.objects) {
+      cleanUp(state, object, turn);
+    }
   }
 };
 
@@ -161,11 +136,8 @@
     firstSeenAt: sentAt,
     lastSeenAt: sentAt,
   };
-  const mine = SHARDS.filter(
-    (shard) => homeOf(state, `${CLAIM_KIND}/${shard}`) === state.settings.host,
-  );
-  retention.passes.length = 0;
-  retention.passes.push(...mine.map((shard) => ({shard, after: ''})));
+  retention.sweep.begin(state);
+  turn.raise({type: 'epoch-began', epoch});
   setCleanUpTimer(turn);
 };
 
--- a/packages/core/src/calls/selectors.ts
+++ b/packages/core/src/calls/selectors.ts
@@ -6,3 +6,5 @@
  */
 export const unfinishedCalls = (state: CoreState): number =>
   state.calls.calls.size + state.calls.records.size;
+
+export {currentEpoch, EPOCH_MS} from './retention.js';
--- a/packages/core/src/calls/state.ts
+++ b/packages/core/src/calls/state.ts
@@ -59,7 +59,7 @@
   | {readonly kind: 'record-read'; readonly name: string}
   | {readonly kind: 'epoch-read'}
   | {readonly kind: 'epoch-write'; readonly epoch: number}
-  | {readonly kind: 'clean-up-list'; readonly shard: string}
+  | {readonly kind: 'clean-up-list'}
   | {readonly kind: 'clean-up-write'};
 
 /** State of the calls area. */
