Ask for addresses at another entry host each time

Cause: a loop over the known hosts counted tries in an unused variable.

Change: the known hosts are rotated by one for each question.

--- a/packages/demo/src/callers/address-book.ts
+++ b/packages/demo/src/callers/address-book.ts
@@ -37,8 +37,7 @@
     if (kept !== undefined && performance.now() < kept.untilMs) {
       return kept.addresses;
     }
-    for (let tries = 0; tries < this.seeds.length; tries++) {
-      const seed = this.seeds[this.next++ % this.seeds.length] ?? '';
+    for (const seed of this.rotateSeeds()) {
       const answer = await this.ask(seed, query);
       if (answer !== undefined) {
         const untilMs = performance.now() + answer.keepForMs;
@@ -49,6 +48,12 @@
     return kept?.addresses ?? [];
   }
 
+  /** The seeds, beginning with another one each time. */
+  private rotateSeeds(): readonly string[] {
+    const first = this.next++ % this.seeds.length;
+    return [...this.seeds.slice(first), ...this.seeds.slice(0, first)];
+  }
+
   private async ask(address: string, query: AddressQuery) {
     const search = new URLSearchParams({...query}).toString();
     try {
