--- a/packages/core/src/configuration/area.ts
+++ b/packages/core/src/configuration/area.ts
@@ -1,8 +1,82 @@
 import type {Area} from '../area.js';
+import {CONFIGURATION_HEAD} from '../membership/records.js';
+import type {CoreState} from '../state.js';
+import type {Turn} from '../turn.js';
+import {
+  adoptHead,
+  partReadAnswered,
+  readMissingParts,
+  storedHead,
+} from './adoption.js';
+import {ensureFirstKey} from './first-key.js';
+import {answerWithUpdate, askForUpdates, takeUpdate} from './spread.js';
+import {
+  advanceSubmission,
+  submissionAnswered,
+  submitChange,
+  submitSheet,
+} from './submission.js';
 
-/** Handlers of the configuration area. */
+/** Milliseconds between two asks of peers for a newer revision. */
+const SPREAD_INTERVAL_MS = 1_000;
+
+/**
+ * Handlers of the configuration area: sheets become revisions, of which every
+ * host takes only higher ones.
+ */
 export const configurationArea: Area = {
   name: 'configuration',
-  handlers: {},
-  messageHandlers: {},
+  handlers: {
+    started: (state, _event, turn) => {
+      spread(state, turn);
+    },
+    'timer-fired': (state, _event, turn) => {
+      spread(state, turn);
+    },
+    'record-read': (state, {kind, name, changed}, turn) => {
+      if (kind === CONFIGURATION_HEAD.kind && name === CONFIGURATION_HEAD.name) {
+        if (changed) {
+          adoptHead(state, storedHead(state), turn);
+        }
+        advanceSubmission(state, turn);
+      }
+    },
+    'configuration-applied': (state, _event, turn) => {
+      advanceSubmission(state, turn);
+    },
+    'store-responded': (state, event, turn) => {
+      const handle = event.correlation.startsWith('part/')
+        ? partReadAnswered
+        : submissionAnswered;
+      handle(state, event, turn);
+    },
+    'sheet-submitted': (state, event, turn) => {
+      submitSheet(state, event, turn);
+    },
+    'key-rotation-submitted': (_state, {submission, operator}, turn) => {
+      turn.perform({type: 'create-signing-key', submission, operator});
+    },
+    'signing-key-created': (state, event, turn) => {
+      submitChange(state, {kind: 'key', event}, turn);
+    },
+  },
+  messageHandlers: {
+    'configuration-asked': answerWithUpdate,
+    'configuration-update': takeUpdate,
+  },
+};
+
+const spread = (state: CoreState, turn: Turn): void => {
+  state.configuration.sequence += 1;
+  readMissingParts(state, turn);
+  adoptHead(state, storedHead(state), turn);
+  askForUpdates(state, turn);
+  ensureFirstKey(state, turn);
+  advanceSubmission(state, turn);
+  turn.perform({
+    type: 'set-timer',
+    area: 'configuration',
+    timer: 'spread',
+    delayMs: SPREAD_INTERVAL_MS,
+  });
 };
--- a/packages/core/src/configuration/effects.ts
+++ b/packages/core/src/configuration/effects.ts
@@ -7,4 +7,22 @@
   readonly result: SheetResult;
 }
 
-export type ConfigurationEffect = SheetResultEffect;
+/**
+ * Asks the daemon for a random signing key of 32 bytes. Ends with
+ * `signing-key-created`.
+ */
+export interface CreateSigningKeyEffect {
+  readonly type: 'create-signing-key';
+  readonly submission: string;
+  readonly operator: string;
+}
+
+/** Answers an operator's `key-rotation-submitted`. */
+export interface KeyRotationResultEffect {
+  readonly type: 'key-rotation-result';
+  readonly submission: string;
+  readonly result: SheetResult;
+}
+
+export type ConfigurationEffect =
+  SheetResultEffect | CreateSigningKeyEffect | KeyRotationResultEffect;
--- a/packages/core/src/configuration/events.ts
+++ b/packages/core/src/configuration/events.ts
@@ -20,5 +20,25 @@
   readonly expectedRevision: number | undefined;
 }
 
+/** An operator asks for a new key to sign resume tokens with. */
+export interface KeyRotationSubmittedEvent {
+  readonly type: 'key-rotation-submitted';
+  /** Identifies the operator's request on this host. */
+  readonly submission: string;
+  readonly operator: string;
+}
+
+/** The daemon's answer to `create-signing-key`. */
+export interface SigningKeyCreatedEvent {
+  readonly type: 'signing-key-created';
+  readonly submission: string;
+  readonly operator: string;
+  readonly keyId: string;
+  readonly secretBase64: string;
+}
+
 export type ConfigurationEvent =
-  ConfigurationAppliedEvent | SheetSubmittedEvent;
+  | ConfigurationAppliedEvent
+  | SheetSubmittedEvent
+  | KeyRotationSubmittedEvent
+  | SigningKeyCreatedEvent;
--- a/packages/core/src/configuration/sheet-result.ts
+++ b/packages/core/src/configuration/sheet-result.ts
@@ -49,5 +49,7 @@
     total: z.number().int(),
   }),
   z.object({kind: z.literal('store-unavailable'), retryAfterMs: z.number()}),
+  /** The platform did not tell whether the change was taken. */
+  z.object({kind: z.literal('outcome-unknown')}),
 ]);
 export type SheetResult = z.infer<typeof sheetResultSchema>;
--- /dev/null
+++ b/packages/core/src/configuration/submission.ts
@@ -0,0 +1,442 @@
+import type {CoreState} from '../state.js';
+import {elapsedMs, type Instant} from '../instant.js';
+import {parseJson} from '../lib/parse-json.js';
+import {CONFIGURATION_HEAD} from '../membership/records.js';
+import {recordCopy} from '../membership/selectors.js';
+import type {StoreOperation, StoreRespondedEvent} from '../store.js';
+import type {Turn} from '../turn.js';
+import {storedHead} from './adoption.js';
+import {compareSheet} from './difference.js';
+import type {SheetSubmittedEvent} from './events.js';
+import {
+  type ConfigurationHead,
+  configurationHeadSchema,
+  PART_KIND,
+  type SigningKey,
+} from './head.js';
+import {
+  dayOf,
+  forgottenParts,
+  planHead,
+  type PlannedHead,
+  type RevisionPlan,
+} from './next-head.js';
+import {applyRevision, replaceEntries} from './revision.js';
+import {parseSheet, type SheetRow} from './sheet.js';
+import type {AdapterChange, SheetResult} from './sheet-result.js';
+import type {Submission, SubmittedChange} from './state.js';
+
+/** Milliseconds after which one store call counts as lost. */
+const CALL_TIMEOUT_MS = 3_000;
+
+/** Milliseconds after which a change that did not begin to move is given up. */
+const SUBMISSION_TIMEOUT_MS = 10_000;
+
+/** Milliseconds after which an unsettled change is reported as unknown. */
+const UNSETTLED_TIMEOUT_MS = 30_000;
+
+/** Milliseconds that an operator is told to wait after an outage. */
+const RETRY_AFTER_MS = 2_000;
+
+/** Share of the adapters in force that a sheet retires without being asked. */
+const MASS_RETIREMENT_SHARE = 0.1;
+
+/** Retirements that no guard holds back. */
+const FREE_RETIREMENTS = 5;
+
+/** Checks a sheet and queues it behind earlier changes. */
+export const submitSheet = (
+  state: CoreState,
+  event: SheetSubmittedEvent,
+  turn: Turn,
+): void => {
+  parseSheet(event.text, dayOf(turn.at)).match(
+    (rows) => {
+      submitChange(state, {kind: 'sheet', event, rows}, turn);
+    },
+    (faults) => {
+      turn.perform({
+        type: 'sheet-result',
+        submission: event.submission,
+        result: {kind: 'invalid', faults: [...faults]},
+      });
+    },
+  );
+};
+
+/** Queues a change behind earlier ones of this host. */
+export const submitChange = (
+  state: CoreState,
+  change: SubmittedChange,
+  turn: Turn,
+): void => {
+  state.configuration.waitingChanges.push(change);
+  startNext(state, turn);
+};
+
+/** Goes on with a change after time has passed or a revision was taken. */
+export const advanceSubmission = (state: CoreState, turn: Turn): void => {
+  const {submission, summary} = state.configuration;
+  if (submission === undefined) {
+    return;
+  }
+  const ageMs = elapsedMs(submission.startedAt, turn.at);
+  const head = storedHead(state);
+  if (
+    submission.stage === 'adopting' &&
+    (summary?.revision ?? 0) >= (head?.revision ?? 0)
+  ) {
+    proceed(state, submission, head, turn);
+  } else if (submission.isUncertain) {
+    if (ageMs > UNSETTLED_TIMEOUT_MS) {
+      finish(state, submission, {kind: 'outcome-unknown'}, turn);
+    } else if (submission.correlation === '') {
+      moveHead(state, submission, turn);
+    }
+  } else if (ageMs > SUBMISSION_TIMEOUT_MS && submission.stage !== 'moving-head') {
+    finishUnavailable(state, submission, turn);
+  }
+};
+
+/** Handles the platform's answer to a call of the change under way. */
+export const submissionAnswered = (
+  state: CoreState,
+  event: StoreRespondedEvent,
+  turn: Turn,
+): void => {
+  const {submission} = state.configuration;
+  if (submission === undefined) {
+    return;
+  }
+  if (submission.stage === 'writing-parts') {
+    partWritten(state, submission, event, turn);
+  } else if (event.correlation === submission.correlation) {
+    submission.correlation = '';
+    if (submission.stage === 'reading-head') {
+      headRead(state, submission, event, turn);
+    } else {
+      headMoved(state, submission, event, turn);
+    }
+  }
+};
+
+const startNext = (state: CoreState, turn: Turn): void => {
+  const {configuration, identity} = state;
+  if (configuration.submission !== undefined) {
+    return;
+  }
+  const change = configuration.waitingChanges.shift();
+  if (change === undefined) {
+    return;
+  }
+  configuration.sequence += 1;
+  const submission: Submission = {
+    change,
+    nonce: `${identity.incarnation}/${configuration.sequence}`,
+    startedAt: turn.at,
+    stage: 'reading-head',
+    pendingParts: new Set(),
+    planned: undefined,
+    changes: [],
+    headVersion: 0,
+    isUncertain: false,
+    correlation: '',
+  };
+  configuration.submission = submission;
+  const {kind, name} = CONFIGURATION_HEAD;
+  submission.correlation = call(state, {type: 'get', kind, name}, turn);
+};
+
+const headRead = (
+  state: CoreState,
+  submission: Submission,
+  {result, sentAt}: StoreRespondedEvent,
+  turn: Turn,
+): void => {
+  if (result.type !== 'found' && result.type !== 'missing') {
+    finishUnavailable(state, submission, turn);
+    return;
+  }
+  const {version, value} =
+    result.type === 'found'
+      ? result.object
+      : {version: 0, value: undefined};
+  submission.stage = 'adopting';
+  observeHead(version, value, sentAt, turn);
+};
+
+/** Decides about the change against the head, which is in force here. */
+const proceed = (
+  state: CoreState,
+  submission: Submission,
+  head: ConfigurationHead | undefined,
+  turn: Turn,
+): void => {
+  const {change} = submission;
+  const plan =
+    change.kind === 'key'
+      ? planKey(submission, head)
+      : planSheet(state, submission, change.event, change.rows, head);
+  if ('kind' in plan) {
+    finish(state, submission, plan, turn);
+    return;
+  }
+  submission.changes = plan.changes;
+  const {kind, name} = CONFIGURATION_HEAD;
+  submission.headVersion = recordCopy(state, kind, name)?.version ?? 0;
+  submission.planned = planHead(state, head, plan);
+  writeParts(state, submission, submission.planned, turn);
+};
+
+const planKey = (
+  {change, nonce, startedAt}: Submission,
+  head: ConfigurationHead | undefined,
+): RevisionPlan | SheetResult => {
+  if (change.kind !== 'key') {
+    return {kind: 'unchanged', revision: head?.revision ?? 0};
+  }
+  const {keyId, secretBase64, operator, submission} = change.event;
+  // The first key, which hosts add by themselves, is added only once.
+  if (submission === '' && (head?.keys.length ?? 0) > 0) {
+    return {kind: 'unchanged', revision: head?.revision ?? 0};
+  }
+  const key: SigningKey = {
+    id: keyId,
+    secretBase64,
+    createdWallMs: startedAt.wallMs,
+  };
+  return {operator, nonce, replaced: new Map(), changes: [], key};
+};
+
+const planSheet = (
+  state: CoreState,
+  {nonce}: Submission,
+  event: SheetSubmittedEvent,
+  rows: readonly SheetRow[],
+  head: ConfigurationHead | undefined,
+): RevisionPlan | SheetResult => {
+  const revision = head?.revision ?? 0;
+  const {expectedRevision, operator} = event;
+  if (expectedRevision !== undefined && expectedRevision !== revision) {
+    return conflictWith(head, expectedRevision);
+  }
+  const {entries, changes, retired, total} = compareSheet(
+    state.configuration.entries,
+    rows,
+  );
+  if (changes.length === 0) {
+    return {kind: 'unchanged', revision};
+  }
+  if (event.dryRun) {
+    return {kind: 'difference', revision, changes: [...changes]};
+  }
+  if (
+    !event.allowMassRetirement &&
+    retired > Math.max(FREE_RETIREMENTS, total * MASS_RETIREMENT_SHARE)
+  ) {
+    return {kind: 'mass-retirement', retired, total};
+  }
+  const replaced = replaceEntries(state.configuration, entries);
+  return {operator, nonce, replaced, changes, key: undefined};
+};
+
+/** What others changed after the revision that an operator saw. */
+const conflictWith = (
+  head: ConfigurationHead | undefined,
+  seenRevision: number,
+): SheetResult => {
+  const notes = (head?.history ?? []).filter(
+    ({revision}) => revision > seenRevision,
+  );
+  const byAdapter = new Map<string, AdapterChange>();
+  for (const change of [...notes].reverse().flatMap(({changes}) => changes)) {
+    byAdapter.set(change.adapter, change);
+  }
+  return {
+    kind: 'conflict',
+    revision: head?.revision ?? 0,
+    changes: [...byAdapter.values()],
+    operator: head?.operator ?? '',
+  };
+};
+
+const writeParts = (
+  state: CoreState,
+  submission: Submission,
+  {newParts}: PlannedHead,
+  turn: Turn,
+): void => {
+  submission.stage = 'writing-parts';
+  for (const [name, value] of newParts) {
+    submission.pendingParts.add(name);
+    turn.perform({
+      type: 'store-request',
+      area: 'configuration',
+      correlation: `submission/part/${name}`,
+      operation: {type: 'create', kind: PART_KIND, name, value},
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+  }
+  if (submission.pendingParts.size === 0) {
+    moveHead(state, submission, turn);
+  }
+};
+
+const partWritten = (
+  state: CoreState,
+  submission: Submission,
+  {correlation, result}: StoreRespondedEvent,
+  turn: Turn,
+): void => {
+  const name = correlation.slice('submission/part/'.length);
+  if (!submission.pendingParts.has(name)) {
+    return;
+  }
+  // A part of that name holds the same content, whoever created it.
+  if (result.type !== 'written' && result.type !== 'conflict') {
+    finishUnavailable(state, submission, turn);
+    return;
+  }
+  submission.pendingParts.delete(name);
+  if (submission.pendingParts.size === 0) {
+    moveHead(state, submission, turn);
+  }
+};
+
+const moveHead = (
+  state: CoreState,
+  submission: Submission,
+  turn: Turn,
+): void => {
+  submission.stage = 'moving-head';
+  const {kind, name} = CONFIGURATION_HEAD;
+  const value = JSON.stringify(submission.planned?.head);
+  const expectedVersion = submission.headVersion;
+  submission.correlation = call(
+    state,
+    expectedVersion === 0
+      ? {type: 'create', kind, name, value}
+      : {type: 'update', kind, name, value, expectedVersion},
+    turn,
+  );
+};
+
+/**
+ * A lost answer is settled by repeating the write: it takes effect, or the
+ * conflict's head tells by its nonces whether an earlier attempt did.
+ */
+const headMoved = (
+  state: CoreState,
+  submission: Submission,
+  {result, sentAt}: StoreRespondedEvent,
+  turn: Turn,
+): void => {
+  const {planned} = submission;
+  if (planned === undefined) {
+    return;
+  }
+  if (result.type === 'written') {
+    const value = JSON.stringify(planned.head);
+    observeHead(result.version, value, sentAt, turn);
+    accept(state, submission, planned, turn);
+  } else if (result.type === 'conflict' && result.current !== undefined) {
+    const {version, value} = result.current;
+    observeHead(version, value, sentAt, turn);
+    const current = parseJson(configurationHeadSchema, value);
+    if (current?.history.some(({nonce}) => nonce === submission.nonce)) {
+      accept(state, submission, planned, turn);
+    } else {
+      const basis = planned.head.revision - 1;
+      finish(state, submission, conflictWith(current, basis), turn);
+    }
+  } else if (result.type === 'unavailable' && !submission.isUncertain) {
+    finishUnavailable(state, submission, turn);
+  } else {
+    submission.isUncertain = true;
+  }
+};
+
+const observeHead = (
+  version: number,
+  value: string | undefined,
+  sentAt: Instant,
+  turn: Turn,
+): void => {
+  const head = CONFIGURATION_HEAD;
+  turn.raise({type: 'record-observed', ...head, version, value, sentAt});
+};
+
+/** The head has moved to the submitted revision. */
+const accept = (
+  state: CoreState,
+  submission: Submission,
+  {head, replaced}: PlannedHead,
+  turn: Turn,
+): void => {
+  const {revision, nonce, operator, digest, keys} = head;
+  for (const name of forgottenParts(storedHead(state), head)) {
+    const kind = PART_KIND;
+    call(state, {type: 'delete', kind, name, expectedVersion: 1}, turn);
+  }
+  const summary = {revision, nonce, operator, digest, keys};
+  applyRevision(state, summary, replaced, turn);
+  const changes = [...submission.changes];
+  turn.perform({
+    type: 'audit',
+    entry: {
+      actor: operator,
+      action: 'sheet-applied',
+      subject: 'configuration',
+      revision,
+      before: `revision ${revision - 1}`,
+      after: `${changes.length} adapters changed`,
+    },
+  });
+  finish(state, submission, {kind: 'applied', revision, changes}, turn);
+};
+
+const finishUnavailable = (
+  state: CoreState,
+  submission: Submission,
+  turn: Turn,
+): void => {
+  const result: SheetResult = {
+    kind: 'store-unavailable',
+    retryAfterMs: RETRY_AFTER_MS,
+  };
+  finish(state, submission, result, turn);
+};
+
+const finish = (
+  state: CoreState,
+  {change}: Submission,
+  result: SheetResult,
+  turn: Turn,
+): void => {
+  const {submission} = change.event;
+  state.configuration.submission = undefined;
+  if (change.kind === 'sheet') {
+    turn.perform({type: 'sheet-result', submission, result});
+  } else if (submission !== '') {
+    turn.perform({type: 'key-rotation-result', submission, result});
+  }
+  startNext(state, turn);
+};
+
+/** Performs a store call and returns its correlation. */
+const call = (
+  {configuration}: CoreState,
+  operation: StoreOperation,
+  turn: Turn,
+): string => {
+  configuration.sequence += 1;
+  const correlation = `submission/${configuration.sequence}`;
+  turn.perform({
+    type: 'store-request',
+    area: 'configuration',
+    correlation,
+    operation,
+    timeoutMs: CALL_TIMEOUT_MS,
+  });
+  return correlation;
+};
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -4,3 +4,5 @@
 export * from './messages.js';
 export * from './state.js';
 export * from './selectors.js';
+export {CONFIGURATION_HEAD, ZONE_RECORD_KIND} from './records.js';
+export {zoneReader} from './refresh.js';
--- a/packages/core/src/ownership/events.ts
+++ b/packages/core/src/ownership/events.ts
@@ -1,4 +1,4 @@
-import type {ServerId} from '../identifiers.js';
+import type {AdapterVersion, ServerId} from '../identifiers.js';
 import type {Instant} from '../instant.js';
 
 /** Raised when this host may start to act as the owner of a server. */
@@ -11,6 +11,11 @@
    * itself or never existed, `unknown` when its requests may still run.
    */
   readonly inherited: 'nothing' | 'unknown';
+  /**
+   * Adapter versions that the previous owner named as still in use; empty
+   * where it named none or `inherited` is `unknown`.
+   */
+  readonly inFlight: readonly AdapterVersion[];
 }
 
 /** Raised when this host must send nothing more to a server. */
--- a/packages/core/src/ownership/selectors.ts
+++ b/packages/core/src/ownership/selectors.ts
@@ -1,26 +1,41 @@
 import type {HostId, ServerId} from '../identifiers.js';
 import type {Instant} from '../instant.js';
+import {compareText} from '../lib/compare-text.js';
 import type {CoreState} from '../state.js';
+import {isClaimBeyondDispute, isRecordFresh} from './validity.js';
 
 /** Who owns a server, to this host's knowledge; undefined when nobody does. */
 export const ownerOf = (
-  _state: CoreState,
-  _server: ServerId,
-): HostId | undefined => undefined;
+  {ownership}: CoreState,
+  server: ServerId,
+): HostId | undefined => ownership.owners.get(server);
 
 /**
  * Whether this host may send work and orders to a server at this instant.
  * Checked in the same loop turn as each socket write.
  */
 export const mayAct = (
-  _state: CoreState,
-  _server: ServerId,
-  _at: Instant,
-): boolean => false;
+  state: CoreState,
+  server: ServerId,
+  at: Instant,
+): boolean => {
+  const holding = state.ownership.holdings.get(server);
+  return (
+    holding?.phase.kind === 'active' &&
+    (isRecordFresh(state, holding.zone, at) ||
+      isClaimBeyondDispute(state, server, holding.zone, at))
+  );
+};
 
 /** Fencing number of this host's claim on a server, zero without one. */
-export const fencingNumberOf = (_state: CoreState, _server: ServerId): number =>
-  0;
+export const fencingNumberOf = (
+  {ownership}: CoreState,
+  server: ServerId,
+): number => ownership.holdings.get(server)?.fencingNumber ?? 0;
 
 /** Servers that this host owns, ordered by name. */
-export const ownedServers = (_state: CoreState): readonly ServerId[] => [];
+export const ownedServers = ({ownership}: CoreState): readonly ServerId[] =>
+  [...ownership.holdings.values()]
+    .filter(({phase}) => phase.kind === 'active')
+    .map(({server}) => server)
+    .sort(compareText);
