--- a/packages/command-line/src/commands/sheet.ts
+++ b/packages/command-line/src/commands/sheet.ts
@@ -117,6 +117,7 @@
   conflict: EXIT_CODES.conflict,
   'mass-retirement': EXIT_CODES.guarded,
   'store-unavailable': EXIT_CODES.unavailable,
+  'outcome-unknown': EXIT_CODES.unavailable,
 };
 
 const printResult = (
@@ -155,6 +156,9 @@
   'store-unavailable': ({retryAfterMs}) =>
     `The platform's store is not available; nothing is known to be applied. ` +
     `Retry in ${Math.ceil(retryAfterMs / MILLISECONDS_PER_SECOND)} s.`,
+  'outcome-unknown': () =>
+    'The platform did not tell whether the sheet was applied. Compare the ' +
+    'history before applying it again.',
 };
 
 const MILLISECONDS_PER_SECOND = 1_000;
--- a/packages/core/src/configuration/area.ts
+++ b/packages/core/src/configuration/area.ts
@@ -1,6 +1,7 @@
 import type {Area} from '../area.js';
 import {CONFIGURATION_HEAD} from '../membership/records.js';
 import type {CoreState} from '../state.js';
+import type {StoreRespondedEvent} from '../store.js';
 import type {Turn} from '../turn.js';
 import {
   adoptHead,
@@ -9,6 +10,7 @@
   storedHead,
 } from './adoption.js';
 import {ensureFirstKey} from './first-key.js';
+import {garbageReadAnswered} from './garbage.js';
 import {answerWithUpdate, askForUpdates, takeUpdate} from './spread.js';
 import {
   advanceSubmission,
@@ -34,7 +36,10 @@
       spread(state, turn);
     },
     'record-read': (state, {kind, name, changed}, turn) => {
-      if (kind === CONFIGURATION_HEAD.kind && name === CONFIGURATION_HEAD.name) {
+      if (
+        kind === CONFIGURATION_HEAD.kind &&
+        name === CONFIGURATION_HEAD.name
+      ) {
         if (changed) {
           adoptHead(state, storedHead(state), turn);
         }
@@ -45,10 +50,8 @@
       advanceSubmission(state, turn);
     },
     'store-responded': (state, event, turn) => {
-      const handle = event.correlation.startsWith('part/')
-        ? partReadAnswered
-        : submissionAnswered;
-      handle(state, event, turn);
+      const [call = ''] = event.correlation.split('/');
+      answerHandlers[call]?.(state, event, turn);
     },
     'sheet-submitted': (state, event, turn) => {
       submitSheet(state, event, turn);
@@ -66,6 +69,18 @@
   },
 };
 
+/** Handlers of the platform's answers by the kind of call. */
+const answerHandlers: Readonly<
+  Record<
+    string,
+    (state: CoreState, event: StoreRespondedEvent, turn: Turn) => void
+  >
+> = {
+  part: partReadAnswered,
+  submission: submissionAnswered,
+  garbage: garbageReadAnswered,
+};
+
 const spread = (state: CoreState, turn: Turn): void => {
   state.configuration.sequence += 1;
   readMissingParts(state, turn);
--- a/packages/core/src/configuration/head.ts
+++ b/packages/core/src/configuration/head.ts
@@ -74,7 +74,8 @@
 /** Digest of a part, empty for a part without entries. */
 export const partDigest = (
   entries: ReadonlyMap<AdapterId, AdapterEntry>,
-): string => (entries.size === 0 ? '' : contentDigest(partText(entries.values())));
+): string =>
+  entries.size === 0 ? '' : contentDigest(partText(entries.values()));
 
 /** Digest over all entries, from the parts' digests in their order. */
 export const digestOfParts = (digests: readonly string[]): string =>
--- a/packages/core/src/configuration/sheet.ts
+++ b/packages/core/src/configuration/sheet.ts
@@ -100,7 +100,7 @@
     );
   } catch (error) {
     const problem = error instanceof Error ? error.message : 'cannot be read';
-    const lines: unknown = error instanceof CsvError ? error['lines'] : 1;
+    const lines: unknown = error instanceof CsvError ? error.lines : 1;
     const line = typeof lines === 'number' ? lines : 1;
     return err([{line, column: '', problem}]);
   }
--- a/packages/core/src/configuration/submission.ts
+++ b/packages/core/src/configuration/submission.ts
@@ -6,6 +6,7 @@
 import type {StoreOperation, StoreRespondedEvent} from '../store.js';
 import type {Turn} from '../turn.js';
 import {storedHead} from './adoption.js';
+import {deleteParts} from './garbage.js';
 import {compareSheet} from './difference.js';
 import type {SheetSubmittedEvent} from './events.js';
 import {
@@ -93,7 +94,10 @@
     } else if (submission.correlation === '') {
       moveHead(state, submission, turn);
     }
-  } else if (ageMs > SUBMISSION_TIMEOUT_MS && submission.stage !== 'moving-head') {
+  } else if (
+    ageMs > SUBMISSION_TIMEOUT_MS &&
+    submission.stage !== 'moving-head'
+  ) {
     finishUnavailable(state, submission, turn);
   }
 };
@@ -158,9 +162,7 @@
     return;
   }
   const {version, value} =
-    result.type === 'found'
-      ? result.object
-      : {version: 0, value: undefined};
+    result.type === 'found' ? result.object : {version: 0, value: undefined};
   submission.stage = 'adopting';
   observeHead(version, value, sentAt, turn);
 };
@@ -374,10 +376,7 @@
   turn: Turn,
 ): void => {
   const {revision, nonce, operator, digest, keys} = head;
-  for (const name of forgottenParts(storedHead(state), head)) {
-    const kind = PART_KIND;
-    call(state, {type: 'delete', kind, name, expectedVersion: 1}, turn);
-  }
+  deleteParts(forgottenParts(storedHead(state), head), turn);
   const summary = {revision, nonce, operator, digest, keys};
   applyRevision(state, summary, replaced, turn);
   const changes = [...submission.changes];
--- a/packages/core/src/membership/area.ts
+++ b/packages/core/src/membership/area.ts
@@ -64,16 +64,15 @@
   },
 };
 
-const timers: Readonly<
-  Record<string, (state: CoreState, turn: Turn) => void>
-> = {
-  refresh,
-  'address-grace': (state, turn) => {
-    state.membership.addressGraceOver = true;
-    completeStop(state, turn);
-  },
-  'handover-timeout': (state, turn) => {
-    state.membership.claimsHandedOver = true;
-    completeStop(state, turn);
-  },
-};
+const timers: Readonly<Record<string, (state: CoreState, turn: Turn) => void>> =
+  {
+    refresh,
+    'address-grace': (state, turn) => {
+      state.membership.addressGraceOver = true;
+      completeStop(state, turn);
+    },
+    'handover-timeout': (state, turn) => {
+      state.membership.claimsHandedOver = true;
+      completeStop(state, turn);
+    },
+  };
--- a/packages/core/src/membership/records.ts
+++ b/packages/core/src/membership/records.ts
@@ -103,7 +103,9 @@
   at: Instant,
 ): number => {
   const readAt = membership.records.get(recordKey(kind, name))?.readAt;
-  return readAt === undefined ? Number.POSITIVE_INFINITY : elapsedMs(readAt, at);
+  return readAt === undefined
+    ? Number.POSITIVE_INFINITY
+    : elapsedMs(readAt, at);
 };
 
 const copyOf = (
--- a/packages/core/src/membership/refresh.ts
+++ b/packages/core/src/membership/refresh.ts
@@ -13,12 +13,7 @@
   ZONE_RECORD_KIND,
 } from './records.js';
 import {rankByRendezvous} from './rendezvous.js';
-import {
-  listedZones,
-  liveHosts,
-  recordCopy,
-  silentSince,
-} from './selectors.js';
+import {listedZones, liveHosts, recordCopy, silentSince} from './selectors.js';
 
 /** Milliseconds between two refreshes of the copies of platform state. */
 export const REFRESH_INTERVAL_MS = 1_000;
@@ -150,7 +145,8 @@
       record.failedAt.monotonicMs > record.readAt.monotonicMs);
   const asked = isStoreSilent
     ? neighbours
-    : neighbours.slice(membership.refreshes % Math.max(1, neighbours.length))
+    : neighbours
+        .slice(membership.refreshes % Math.max(1, neighbours.length))
         .slice(0, 1);
   for (const host of asked) {
     askPeer(state, host, turn);
--- a/packages/core/src/ownership/assignment.ts
+++ b/packages/core/src/ownership/assignment.ts
@@ -86,13 +86,16 @@
   owners: ReadonlyMap<ServerId, HostId>,
   candidates: readonly HostId[],
 ): Map<HostId, number> => {
-  const loads = new Map(candidates.map((host) => [host, 0] as const));
+  const loads = new Map<HostId, number>();
+  for (const host of candidates) {
+    loads.set(host, 0);
+  }
   for (const host of owners.values()) {
     if (loads.has(host)) {
       addLoad(loads, host);
     }
   }
-  return loads as Map<HostId, number>;
+  return loads;
 };
 
 const addLoad = (loads: Map<HostId, number>, host: HostId): void => {
--- a/packages/core/src/ownership/review.ts
+++ b/packages/core/src/ownership/review.ts
@@ -18,7 +18,11 @@
 import {activateHoldings} from './claims.js';
 import {offerServers, yieldAccepted, yieldServer} from './handover.js';
 import {repeatWrites, writeRecord} from './writes.js';
-import {type Claim, type ClaimProposal, EMPTY_ZONE_RECORD} from './zone-record.js';
+import {
+  type Claim,
+  type ClaimProposal,
+  EMPTY_ZONE_RECORD,
+} from './zone-record.js';
 
 /** Milliseconds between two reviews of the claims. */
 const REVIEW_INTERVAL_MS = 500;
@@ -57,7 +61,9 @@
   }
   raiseWhenHandedOver(state, turn);
   ownership.sequence += 1;
-  const fraction = hashFraction(`${identity.incarnation}/${ownership.sequence}`);
+  const fraction = hashFraction(
+    `${identity.incarnation}/${ownership.sequence}`,
+  );
   turn.perform({
     type: 'set-timer',
     area: 'ownership',
@@ -90,12 +96,7 @@
   const assignment = assignmentOf(state, zone, turn.at);
   planHandovers(state, assignment, turn);
   const dropped = unlistedServers(state, zone, turn);
-  const handedOver = yieldAccepted(
-    state,
-    zone,
-    MAXIMUM_CLAIMS_PER_WRITE,
-    turn,
-  );
+  const handedOver = yieldAccepted(state, zone, MAXIMUM_CLAIMS_PER_WRITE, turn);
   const released = releasedServers(state, zone, assignment, turn);
   const yielded = [...dropped, ...[...handedOver, ...released].map(serverOf)];
   const taken = assignUnowned(assignment)
--- a/packages/core/src/ownership/validity.ts
+++ b/packages/core/src/ownership/validity.ts
@@ -29,8 +29,7 @@
 export const isValidProof = (
   provedAt: Instant | undefined,
   at: Instant,
-): boolean =>
-  provedAt !== undefined && elapsedMs(provedAt, at) < VALIDITY_MS;
+): boolean => provedAt !== undefined && elapsedMs(provedAt, at) < VALIDITY_MS;
 
 /** Whether the record of the server's zone is known to be in force. */
 export const isRecordFresh = (
@@ -80,8 +79,7 @@
   return (
     hosts.some(({host}) => host === self) &&
     hosts.every(
-      ({host}) =>
-        host === self || isValidProof(answeredAskAt(state, host), at),
+      ({host}) => host === self || isValidProof(answeredAskAt(state, host), at),
     )
   );
 };
--- a/packages/protocol/src/operators/sheet.ts
+++ b/packages/protocol/src/operators/sheet.ts
@@ -26,4 +26,5 @@
   conflict: 409,
   'mass-retirement': 409,
   'store-unavailable': 503,
+  'outcome-unknown': 504,
 } as const satisfies Record<SheetResult['kind'], number>;
