--- a/packages/core/src/ownership/handover.ts
+++ b/packages/core/src/ownership/handover.ts
@@ -1,9 +1,10 @@
 import type {Sender} from '../area.js';
-import type {AdapterVersion, ServerId, ZoneId} from '../identifiers.js';
+import type {ServerId, ZoneId} from '../identifiers.js';
 import {elapsedMs} from '../instant.js';
 import {ZONE_RECORD_KIND} from '../membership/records.js';
 import {describeServer, standingOf} from '../membership/selectors.js';
 import type {PeerMessage} from '../peer-message.js';
+import {inFlightOf} from '../residency/selectors.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import type {Assignment} from './assignment.js';
@@ -111,13 +112,16 @@
 
 /** Stops to act on a server, before a write gives it away. */
 export const yieldServer = (
-  {ownership}: CoreState,
+  state: CoreState,
   server: ServerId,
   turn: Turn,
 ): void => {
-  const holding = ownership.holdings.get(server);
+  const holding = state.ownership.holdings.get(server);
   if (holding !== undefined) {
-    const inFlight: readonly AdapterVersion[] = [];
+    const inFlight = inFlightOf(state, server).map(({adapter, version}) => ({
+      adapter,
+      version,
+    }));
     holding.phase = {kind: 'yielding', inFlight};
     turn.raise({type: 'server-lost', server});
   }
--- a/packages/core/src/ownership/review.ts
+++ b/packages/core/src/ownership/review.ts
@@ -120,8 +120,9 @@
   const claims = claimsOf(state, zone);
   const owners = new Map<ServerId, HostId>();
   const unowned: ServerId[] = [];
-  for (const {server, zone: serverZone} of listedServers(state)) {
-    if (serverZone !== zone) {
+  for (const {server, kind, zone: serverZone} of listedServers(state)) {
+    // Plain services are called by any host; only engines have owners.
+    if (serverZone !== zone || kind !== 'engine') {
       continue;
     }
     const claim = claims[server];
--- /dev/null
+++ b/packages/histories/src/fleet/call-runners.ts
@@ -0,0 +1,63 @@
+import type {SendOutcome} from '@basilworks/core';
+
+import type {EffectRunners} from './effect-runners.js';
+
+/** Runners of calls to plain services. */
+export const callRunners: EffectRunners = {
+  'send-call': (host, {call, attemptId, server, remainingMs}) => {
+    const {network, servers, scheduler} = host.around;
+    const {requestId} = call;
+    let isFinished = false;
+    const finish = (outcome: SendOutcome): void => {
+      if (isFinished) {
+        return;
+      }
+      isFinished = true;
+      const response =
+        outcome.kind === 'answered'
+          ? {status: 200, contentType: 'text/plain', bodyBase64: ''}
+          : undefined;
+      const type = 'call-attempt-finished';
+      host.handle({type, requestId, attemptId, server, outcome, response});
+    };
+    const unknown: SendOutcome = {
+      kind: 'unknown',
+      refusal: {code: 'outcome-unknown', notRun: false, detail: ''},
+      deliveredBytes: 0,
+    };
+    scheduler.schedule(remainingMs, () => {
+      finish(unknown);
+    });
+    network.sendOnce(host.name, server, () => {
+      const {operation, member, idempotencyKey} = call;
+      servers
+        .get(server)
+        ?.plain?.call({operation, member, body: idempotencyKey}, (end) => {
+          network.sendOnce(server, host.name, () => {
+            finish(
+              end.kind === 'answered'
+                ? {kind: 'answered', status: 200}
+                : end.kind === 'refused'
+                  ? {
+                      kind: 'refused-before-run',
+                      refusal: {
+                        code: 'upstream-refused',
+                        notRun: true,
+                        detail: '',
+                      },
+                    }
+                  : unknown,
+            );
+          });
+        });
+    });
+  },
+  'refuse-call': ({around}, {requestId, refusal}) => {
+    const atMs = around.scheduler.nowMs();
+    around.history.calls.push({atMs, key: requestId, refusal});
+  },
+  'reply-call': ({around}, {requestId}) => {
+    const atMs = around.scheduler.nowMs();
+    around.history.calls.push({atMs, key: requestId, refusal: undefined});
+  },
+};
--- /dev/null
+++ b/packages/histories/src/fleet/index.ts
@@ -0,0 +1,6 @@
+export * from './fleet.js';
+export * from './host-clock.js';
+export * from './network.js';
+export * from './outside.js';
+export * from './platform-runners.js';
+export * from './simulated-host.js';
--- /dev/null
+++ b/packages/histories/src/fleet/simulated-host.ts
@@ -0,0 +1,126 @@
+import {
+  type CoreEvent,
+  type CoreSettings,
+  type CoreState,
+  createState,
+  type Instant,
+  reduce,
+} from '@basilworks/core';
+import type {ScheduledCallback} from '@basilworks/stand-ins';
+
+import {runEffect} from './effect-runners.js';
+import type {HostClock} from './host-clock.js';
+import type {Surroundings} from './outside.js';
+
+/** Gap after which a host's loop reports that it did not run. */
+const GAP_THRESHOLD_MS = 1_000;
+
+/** One process of an entry host: its reducer, its clocks and its timers. */
+export class SimulatedHost {
+  readonly name: string;
+  readonly state: CoreState;
+  /** Attempts that this host's data path waits for, by attempt. */
+  readonly attempts = new Map<string, string>();
+  /** Executions that this host received over the data path. */
+  readonly executions = new Map<string, ReceivedExecution>();
+  isRunning = true;
+  hasStopped = false;
+  private pausedSince: number | undefined;
+  private readonly inbox: CoreEvent[] = [];
+  private readonly timers = new Map<string, ScheduledCallback>();
+
+  constructor(
+    readonly settings: CoreSettings,
+    readonly incarnation: string,
+    seed: number,
+    private readonly clock: HostClock,
+    readonly around: Surroundings,
+  ) {
+    this.name = settings.host;
+    this.state = createState(settings, {incarnation, seed});
+  }
+
+  /** Both clocks of the host, now. */
+  now(): Instant {
+    return this.clock.read(this.around.scheduler.nowMs());
+  }
+
+  /** Whether the process runs and is not paused. */
+  get isAwake(): boolean {
+    return this.isRunning && this.pausedSince === undefined;
+  }
+
+  /** Hands an event to the loop, which handles it at once when awake. */
+  handle(event: CoreEvent): void {
+    if (!this.isRunning) {
+      return;
+    }
+    if (this.pausedSince !== undefined) {
+      this.inbox.push(event);
+      return;
+    }
+    const {effects} = reduce(this.state, event, this.now());
+    for (const effect of effects) {
+      runEffect(this, effect);
+    }
+  }
+
+  /** Stops the process's loop; what arrives meanwhile waits. */
+  pause(): void {
+    this.pausedSince ??= this.around.scheduler.nowMs();
+  }
+
+  /** Lets the loop go on: first it sees the gap, then what has waited. */
+  resume(): void {
+    if (this.pausedSince === undefined) {
+      return;
+    }
+    const before = this.clock.read(this.pausedSince);
+    const gapMs = this.around.scheduler.nowMs() - this.pausedSince;
+    this.pausedSince = undefined;
+    if (gapMs >= GAP_THRESHOLD_MS) {
+      this.handle({type: 'clock-gap', before, gapMs});
+    }
+    for (const event of this.inbox.splice(0)) {
+      this.handle(event);
+    }
+  }
+
+  /** Ends the process without a word to anybody. */
+  kill(): void {
+    this.isRunning = false;
+    for (const timer of this.timers.values()) {
+      timer.cancel();
+    }
+    this.timers.clear();
+  }
+
+  setTimer(key: string, delayMs: number, fire: () => void): void {
+    this.timers.get(key)?.cancel();
+    const {scheduler} = this.around;
+    const callback = (): void => {
+      this.timers.delete(key);
+      fire();
+    };
+    this.timers.set(
+      key,
+      scheduler.schedule(this.clock.toTrueMs(delayMs), callback),
+    );
+  }
+
+  cancelTimer(key: string): void {
+    this.timers.get(key)?.cancel();
+    this.timers.delete(key);
+  }
+
+  jumpWall(byMs: number): void {
+    this.clock.jumpWall(byMs);
+  }
+}
+
+/** An execution that arrived at the owner of its server. */
+export interface ReceivedExecution {
+  readonly requestId: string;
+  readonly attemptId: string;
+  readonly from: SimulatedHost;
+}
