Check the decisions' histories under generated faults

Cause: claims, takeovers and configuration revisions had only been seen in healthy runs.

Change: packages/histories runs two or three reducers with the models of the outside systems on virtual time through schedules that fast-check generates from a seed: pauses, kills, planned stops, cut links, outages, slow answers, lost, repeated and reordered messages, wall clock jumps, drifting clocks, racing sheets, engine restarts. Checks: one sender for each server, legal claims, one revision after the other, truthful sheet results and refusals, no eviction in use, no call run twice, everything settled after the faults.

--- a/packages/core/src/configuration/index.ts
+++ b/packages/core/src/configuration/index.ts
@@ -6,5 +6,10 @@
 export * from './sheet-result.js';
 export * from './adapter-entry.js';
 export * from './selectors.js';
-export {type SigningKey, signingKeySchema} from './head.js';
+export {
+  type ConfigurationHead,
+  configurationHeadSchema,
+  type SigningKey,
+  signingKeySchema,
+} from './head.js';
 export {parseSheet, SHEET_COLUMNS, type SheetRow} from './sheet.js';
--- /dev/null
+++ b/packages/histories/src/checks/violation.ts
@@ -0,0 +1,22 @@
+/** The promises that the checks look at. */
+export type BrokenPromise =
+  | 'two-senders'
+  | 'stale-order-accepted'
+  | 'claims-not-linear'
+  | 'head-not-linear'
+  | 'submission-misreported'
+  | 'revision-fell'
+  | 'not-settled'
+  | 'evicted-in-use'
+  | 'false-not-run'
+  | 'wrong-version-ran'
+  | 'ran-twice'
+  | 'no-final-answer';
+
+/** One promise that a run broke. */
+export interface Violation {
+  readonly promise: BrokenPromise;
+  /** True time within the run, milliseconds. */
+  readonly atMs: number;
+  readonly detail: string;
+}
--- a/packages/histories/src/fleet/effect-runners.ts
+++ b/packages/histories/src/fleet/effect-runners.ts
@@ -13,6 +13,9 @@
   ) => void;
 };
 
+/** Milliseconds for which a stopped host's own streams go on at most. */
+const OWN_STREAMS_MS = 8_000;
+
 /** Runs one effect against the models; the others only show what a host did. */
 export const runEffect = (host: SimulatedHost, effect: Effect): void => {
   const run = runners[effect.type] as
@@ -44,5 +47,8 @@
   },
   'stop-completed': (host) => {
     host.hasStopped = true;
+    host.around.scheduler.schedule(OWN_STREAMS_MS, () => {
+      host.kill();
+    });
   },
 };
--- a/packages/histories/src/fleet/fleet.ts
+++ b/packages/histories/src/fleet/fleet.ts
@@ -64,6 +64,7 @@
   readonly requests = new Map<string, RequestDescription>();
   private readonly running = new Map<string, SimulatedHost>();
   private starts = 0;
+  private numbers = 0;
 
   constructor(private readonly options: FleetOptions) {
     this.random = seededRandom(options.seed);
@@ -102,11 +103,22 @@
     return host?.isRunning === true ? host : undefined;
   }
 
+  /** A number that this run has not used yet. */
+  nextNumber(): number {
+    this.numbers += 1;
+    return this.numbers;
+  }
+
+  /** Puts a host on the host list. */
+  listHost(name: string): void {
+    this.hostList.putHost(this.describeHost(hostIndexOf(name)));
+  }
+
   /** Starts a new process under a host's name, as another incarnation. */
   start(name: string): void {
     this.running.get(name)?.kill();
     const {host, zone, peerAddress, callerAddress} = this.describeHost(
-      Number(name.slice('host-'.length)),
+      hostIndexOf(name),
     );
     this.starts += 1;
     const settings = coreSettingsSchema.parse({
@@ -202,3 +214,6 @@
     });
   }
 }
+
+const hostIndexOf = (name: string): number =>
+  Number(name.slice('host-'.length));
--- a/packages/histories/src/main.ts
+++ b/packages/histories/src/main.ts
@@ -1,1 +1,48 @@
-process.exitCode = 1;
+import {stdout} from 'node:process';
+
+import {Command} from 'commander';
+
+import {checkHistories, countViolations} from './check.js';
+
+/** Failed schedules that the report shows whole. */
+const SHOWN_FAILURES = 5;
+
+const writeLine = (line: string): void => {
+  stdout.write(`${line}\n`);
+};
+
+const parseCount = (text: string): number => Number.parseInt(text, 10);
+
+const program = new Command('basilworks-histories').description(
+  'Runs the decisions under generated faults and checks what happened.',
+);
+
+program
+  .command('check')
+  .option('--schedules <number>', 'schedules to run', parseCount, 2_000)
+  .option('--seed <number>', 'seed of the schedules', parseCount, 1)
+  .option('--json', 'print only the last line', false)
+  .action(
+    ({
+      schedules,
+      seed,
+      json,
+    }: {
+      schedules: number;
+      seed: number;
+      json: boolean;
+    }) => {
+      const report = checkHistories(schedules, seed);
+      const violations = countViolations(report);
+      if (!json) {
+        writeLine(`seed ${seed}, ${report.schedules} schedules`);
+        for (const failure of report.failed.slice(0, SHOWN_FAILURES)) {
+          writeLine(JSON.stringify(failure, undefined, 2));
+        }
+      }
+      writeLine(JSON.stringify({schedules: report.schedules, violations}));
+      process.exitCode = violations === 0 ? 0 : 1;
+    },
+  );
+
+await program.parseAsync();
