--- a/packages/command-line/src/lib/operator-client.ts
+++ b/packages/command-line/src/lib/operator-client.ts
@@ -105,7 +105,7 @@
   const exitCode = EXIT_CODE_BY_STATUS[status] ?? EXIT_CODES.internal;
   const parsed = operatorErrorSchema.safeParse(body);
   const detail = parsed.success
-    ? `${parsed.data.error.code}: ${parsed.data.error.detail}`
+    ? `${parsed.data.error.code}: ${parsed.data.error.message}`
     : `unexpected answer with status ${status}`;
   return new CommandError(`${host}: ${detail}`, exitCode);
 };
--- a/packages/core/src/streams/index.ts
+++ b/packages/core/src/streams/index.ts
@@ -1,2 +1,3 @@
 export * from './area.js';
+export * from './resume-token.js';
 export * from './state.js';
