--- /dev/null
+++ b/packages/bench/src/policy/policies.ts
@@ -0,0 +1,27 @@
+import {BasilworksContender} from './basilworks-contender.js';
+import type {Arena, Contender} from './contender.js';
+import {DirectContender} from './direct-contender.js';
+import {
+  baselineStrategy,
+  clairvoyantStrategy,
+  hashStrategy,
+} from './strategies.js';
+
+export const POLICY_NAMES = [
+  'basilworks',
+  'baseline',
+  'hash',
+  'clairvoyant',
+] as const;
+export type PolicyName = (typeof POLICY_NAMES)[number];
+
+/** Makers of the policies that the bench compares. */
+export const POLICIES: Readonly<
+  Record<PolicyName, (arena: Arena) => Contender>
+> = {
+  basilworks: (arena) => new BasilworksContender(arena),
+  baseline: (arena) => new DirectContender(arena, baselineStrategy()),
+  hash: (arena) => new DirectContender(arena, hashStrategy()),
+  clairvoyant: (arena) =>
+    new DirectContender(arena, clairvoyantStrategy(arena)),
+};
--- a/packages/core/src/residency/demand.ts
+++ b/packages/core/src/residency/demand.ts
@@ -1,22 +1,38 @@
-/** Time in which the memory of a request falls to 1/e. */
-const DEMAND_MEMORY_MS = 300_000;
+/** Time in which the memory of a visit falls to 1/e. */
+const VISIT_MEMORY_MS = 600_000;
+
+/** Gap after which a request counts as a new visit. */
+const VISIT_GAP_MS = 5_000;
+
+/** Time in which the chance that a visit goes on falls to 1/e. */
+const SESSION_MEMORY_MS = 20_000;
+
+/** Chance that a request is followed by another of the same visit. */
+const SESSION_CHANCE = 0.6;
 
 /** Entries at which those with the least demand are dropped. */
 const DEMAND_CAPACITY = 20_000;
 
 interface Demand {
-  /** Decayed sum of the weights of requests. */
+  /** Decayed sum of the weights of visits. */
+  visits: number;
+  /** Weight of the last request. */
   weight: number;
-  /** Monotonic time at which `weight` was brought up to date. */
-  atMs: number;
+  /** Monotonic time at which `visits` was brought up to date. */
+  visitsAtMs: number;
+  /** Monotonic time of the last request. */
+  lastMs: number;
 }
 
-/** Exponentially decayed demand for adapter versions. */
+/**
+ * Demand for adapter versions. A visit is a run of requests with short gaps:
+ * it costs one load however many requests it has, so visits are counted.
+ */
 export type DemandTable = Map<string, Demand>;
 
 export const createDemandTable = (): DemandTable => new Map();
 
-/** Adds one request of the given weight. */
+/** Notes one request of the given weight. */
 export const addDemand = (
   table: DemandTable,
   key: string,
@@ -24,29 +40,42 @@
   nowMs: number,
 ): void => {
   const entry = table.get(key);
-  if (entry) {
-    entry.weight = decayed(entry, nowMs) + weight;
-    entry.atMs = nowMs;
+  if (!entry) {
+    if (table.size >= DEMAND_CAPACITY) {
+      dropLeast(table, nowMs);
+    }
+    table.set(key, {visits: weight, weight, visitsAtMs: nowMs, lastMs: nowMs});
     return;
   }
-  if (table.size >= DEMAND_CAPACITY) {
-    dropLeast(table, nowMs);
+  if (nowMs - entry.lastMs > VISIT_GAP_MS) {
+    entry.visits = decayedVisits(entry, nowMs) + weight;
+    entry.visitsAtMs = nowMs;
   }
-  table.set(key, {weight, atMs: nowMs});
+  entry.weight = weight;
+  entry.lastMs = nowMs;
 };
 
-/** Returns the weight of requests within the memory, per memory time. */
+/**
+ * Returns the weighted rate per second at which requests are expected that
+ * need the adapter version: new visits, and the present one going on.
+ */
 export const demandOf = (
   table: DemandTable,
   key: string,
   nowMs: number,
 ): number => {
   const entry = table.get(key);
-  return entry ? decayed(entry, nowMs) : 0;
+  if (!entry) {
+    return 0;
+  }
+  const visitRate = (decayedVisits(entry, nowMs) * 1_000) / VISIT_MEMORY_MS;
+  const chance =
+    SESSION_CHANCE * Math.exp((entry.lastMs - nowMs) / SESSION_MEMORY_MS);
+  return visitRate + (entry.weight * chance * 1_000) / SESSION_MEMORY_MS;
 };
 
-const decayed = ({weight, atMs}: Demand, nowMs: number): number =>
-  weight * Math.exp((atMs - nowMs) / DEMAND_MEMORY_MS);
+const decayedVisits = (entry: Demand, nowMs: number): number =>
+  entry.visits * Math.exp((entry.visitsAtMs - nowMs) / VISIT_MEMORY_MS);
 
 /** Drops the half of the entries with the least demand. */
 const dropLeast = (table: DemandTable, nowMs: number): void => {
--- a/packages/core/src/residency/eviction.ts
+++ b/packages/core/src/residency/eviction.ts
@@ -2,6 +2,56 @@
 import {demandOf} from './demand.js';
 import type {OwnedServer, Slot} from './state.js';
 
+/** Time for which an offer is not worked out again. */
+const OFFER_VALIDITY_MS = 100;
+
+/** What a load on a server would take away. */
+export interface EvictionOffer {
+  /** Monotonic time at which it was worked out. */
+  readonly atMs: number;
+  /** Slots that are free or can be made free. */
+  readonly usableSlots: number;
+  /** Expected cost per second of the cheapest eviction; 0 for a free slot. */
+  readonly costRate: number;
+}
+
+/** Returns what a load on a server would cost its other adapters. */
+export const offerEviction = (
+  state: CoreState,
+  owned: OwnedServer,
+  totalSlots: number,
+  nowMs: number,
+): EvictionOffer => {
+  if (nowMs >= owned.offer.atMs + OFFER_VALIDITY_MS) {
+    owned.offer = workOutOffer(state, owned, totalSlots, nowMs);
+  }
+  return owned.offer;
+};
+
+const workOutOffer = (
+  state: CoreState,
+  owned: OwnedServer,
+  totalSlots: number,
+  nowMs: number,
+): EvictionOffer => {
+  const free = totalSlots - owned.slots.size;
+  let usable = free;
+  let least = Infinity;
+  for (const slot of owned.slots.values()) {
+    if (isEvictable(owned, slot)) {
+      usable += 1;
+      if (free <= 0) {
+        least = Math.min(least, stallCost(state, slot, nowMs));
+      }
+    }
+  }
+  return {
+    atMs: nowMs,
+    usableSlots: usable,
+    costRate: free > 0 || least === Infinity ? 0 : least,
+  };
+};
+
 /**
  * Returns the slot whose eviction costs least, or undefined when all are in
  * use. A slot that serves a request, or may serve one of a previous owner, or
--- a/packages/core/src/residency/executions.ts
+++ b/packages/core/src/residency/executions.ts
@@ -22,7 +22,7 @@
 import {doubtSlot} from './slots.js';
 import type {Execution, OwnedServer} from './state.js';
 import {announceServer} from './summaries.js';
-import {requestWeight} from './urgency.js';
+import {missWeight} from './urgency.js';
 
 /** Share of a new measurement in the mean service time. */
 const SERVICE_TIME_GAIN = 0.05;
@@ -132,7 +132,7 @@
 ): void => {
   const {request, key, resume} = execution;
   if (!resume) {
-    const weight = requestWeight(state, request);
+    const weight = missWeight(state, request);
     addDemand(state.residency.demand, key, weight, turn.at.monotonicMs);
   }
   if (resume || owned.slots.get(key)?.state === 'ready') {
--- a/packages/core/src/residency/messages.ts
+++ b/packages/core/src/residency/messages.ts
@@ -33,6 +33,8 @@
   loadWaitMs: z.number().nonnegative(),
   /** Slots that are free or can be made free. */
   usableSlots: z.number().int().nonnegative(),
+  /** Expected cost per second of the eviction that a load needs. */
+  evictionRate: z.number().nonnegative(),
   slots: z.array(slotSummarySchema),
 });
 export type ServerSummary = z.infer<typeof serverSummarySchema>;
--- a/packages/core/src/residency/owned-servers.ts
+++ b/packages/core/src/residency/owned-servers.ts
@@ -84,5 +84,6 @@
   serviceMs: INITIAL_SERVICE_MS,
   evictedMs: new Map(),
   announcedMs: -Infinity,
+  offer: {atMs: -Infinity, usableSlots: 0, costRate: 0},
   subscribers: new Map(),
 });
--- a/packages/core/src/residency/state.ts
+++ b/packages/core/src/residency/state.ts
@@ -8,6 +8,7 @@
 import type {CoreIdentity, CoreSettings} from '../settings.js';
 import type {DemandTable} from './demand.js';
 import {createDemandTable} from './demand.js';
+import type {EvictionOffer} from './eviction.js';
 
 /** One occupied slot of an engine, as its owner knows it. */
 export interface Slot extends AdapterVersion {
@@ -94,6 +95,8 @@
   readonly evictedMs: Map<string, number>;
   /** Monotonic time of the last summaries. */
   announcedMs: number;
+  /** What a load would take away, as last worked out. */
+  offer: EvictionOffer;
   /** Homes that asked for summaries, and until when. */
   readonly subscribers: Map<HostId, number>;
 }
--- a/packages/core/src/residency/summaries.ts
+++ b/packages/core/src/residency/summaries.ts
@@ -1,7 +1,7 @@
 import {describeServer, homeOf} from '../membership/selectors.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
-import {usableSlots} from './eviction.js';
+import {offerEviction} from './eviction.js';
 import type {ServerSummary, SlotSummary} from './messages.js';
 import type {OwnedServer, Slot} from './state.js';
 
@@ -71,6 +71,7 @@
   state.residency.sequence += 1;
   const {waitingByClass: waiting} = owned;
   const total = describeServer(state, owned.server)?.slots ?? 0;
+  const offer = offerEviction(state, owned, total, turn.at.monotonicMs);
   const message: ServerSummary = {
     type: 'server-summary',
     server: owned.server,
@@ -79,7 +80,8 @@
     waiting: [waiting.urgent, waiting.standard, waiting.deferrable],
     serviceMs: owned.serviceMs,
     loadWaitMs: state.residency.loadWaitMs,
-    usableSlots: usableSlots(owned, total),
+    usableSlots: offer.usableSlots,
+    evictionRate: offer.costRate,
     slots: [...slots],
   };
   turn.perform({type: 'send-peer-message', to: home, message});
--- a/packages/core/src/residency/urgency.ts
+++ b/packages/core/src/residency/urgency.ts
@@ -9,6 +9,16 @@
   deferrable: 1,
 };
 
+/**
+ * Cost of a miss, by class: a load of the shared budget and the stall. Closer
+ * together than the cost of waiting, as a load costs the same for all.
+ */
+const MISS_WEIGHT: Readonly<Record<PriorityClass, number>> = {
+  urgent: 3,
+  standard: 2,
+  deferrable: 1,
+};
+
 /** Urgency of an adapter that the configuration does not list. */
 const DEFAULT_URGENCY = 10;
 
@@ -28,3 +38,13 @@
     adapterEntry(state, request.adapter)?.urgency ?? DEFAULT_URGENCY;
   return CLASS_WEIGHT[request.priorityClass] * urgency;
 };
+
+/** Cost of one visit of an adapter that is not resident. */
+export const missWeight = (
+  state: CoreState,
+  request: Pick<RequestDescription, 'adapter' | 'priorityClass'>,
+): number => {
+  const urgency =
+    adapterEntry(state, request.adapter)?.urgency ?? DEFAULT_URGENCY;
+  return MISS_WEIGHT[request.priorityClass] * Math.sqrt(urgency);
+};
--- a/packages/core/src/routing/choose-server.ts
+++ b/packages/core/src/routing/choose-server.ts
@@ -5,6 +5,9 @@
 /** Price of a load beyond its wait: it delays the loads of others. */
 const LOAD_PRICE_MS = 500;
 
+/** Price of an eviction, per expected miss and second that it causes. */
+const EVICTION_PRICE_MS = 10_000;
+
 /** Cost of a server in another zone than the home. */
 const ZONE_PRICE_MS = 2;
 
@@ -53,7 +56,10 @@
   const loadMs = loadWaitMs(view, settings);
   const zoneMs = description.zone === settings.zone ? 0 : ZONE_PRICE_MS;
   const savedMs = prefixServer === description.server ? PREFIX_SAVING_MS : 0;
-  const priceMs = view.slot === 'absent' ? LOAD_PRICE_MS : 0;
+  const priceMs =
+    view.slot === 'absent'
+      ? LOAD_PRICE_MS + view.evictionRate * EVICTION_PRICE_MS
+      : 0;
   const fill = Math.min(1, view.busy / description.batchPositions);
   const packingMs = settings.objectives.batchEfficiencyWeight * PACKING_MS;
   const waitMs = queueMs + loadMs;
--- a/packages/core/src/routing/placements.ts
+++ b/packages/core/src/routing/placements.ts
@@ -1,5 +1,6 @@
 import type {ServerId} from '../identifiers.js';
 import {ownerOf} from '../ownership/selectors.js';
+import {requestWeight} from '../residency/urgency.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import {candidateServers} from './candidates.js';
@@ -149,8 +150,12 @@
   turn: Turn,
 ): readonly ServerView[] => {
   const views: ServerView[] = [];
+  const context = {
+    nowMs: turn.at.monotonicMs,
+    loadWeight: requestWeight(state, request),
+  };
   for (const description of candidateServers(state, request)) {
-    const view = viewServer(state, description, key);
+    const view = viewServer(state, description, key, context);
     if (view) {
       views.push(view);
       askForSummary(state, view, turn);
--- a/packages/core/src/routing/server-view.ts
+++ b/packages/core/src/routing/server-view.ts
@@ -3,7 +3,7 @@
   loadBudgetHolder,
 } from '../load-budget/selectors.js';
 import {ownerOf} from '../ownership/selectors.js';
-import {usableSlots} from '../residency/eviction.js';
+import {offerEviction} from '../residency/eviction.js';
 import {ownedServer} from '../residency/selectors.js';
 import type {OwnedServer} from '../residency/state.js';
 import type {ServerDescription} from '../server.js';
@@ -20,16 +20,26 @@
   readonly waiting: readonly number[];
   readonly serviceMs: number;
   readonly usableSlots: number;
+  /** Expected cost per second of the eviction that a load needs. */
+  readonly evictionRate: number;
   readonly slot: 'ready' | 'loading' | 'absent';
   /** Expected time of a load on this server, wish to end. */
   readonly loadWaitMs: number;
 }
 
+/** What a view depends on besides the server and the adapter. */
+export interface ViewContext {
+  readonly nowMs: number;
+  /** Weight that a load for the request would have in the load budget. */
+  readonly loadWeight: number;
+}
+
 /** Returns what is known of a server for an adapter version. */
 export const viewServer = (
   state: CoreState,
   description: ServerDescription,
   key: string,
+  context: ViewContext,
 ): ServerView | undefined => {
   const owner = ownerOf(state, description.server);
   if (owner === undefined) {
@@ -37,7 +47,7 @@
   }
   const owned = ownedServer(state, description.server);
   return owned && owner === state.settings.host
-    ? viewOwned(state, description, owned, key)
+    ? viewOwned(state, description, owned, key, context)
     : viewKnown(state, description, owner, key);
 };
 
@@ -46,7 +56,9 @@
   description: ServerDescription,
   owned: OwnedServer,
   key: string,
+  {nowMs, loadWeight}: ViewContext,
 ): ServerView => {
+  const offer = offerEviction(state, owned, description.slots, nowMs);
   const {urgent, standard, deferrable} = owned.waitingByClass;
   return {
     description,
@@ -54,9 +66,10 @@
     busy: owned.running + urgent + standard + deferrable,
     waiting: [urgent, standard, deferrable],
     serviceMs: owned.serviceMs,
-    usableSlots: usableSlots(owned, description.slots),
+    usableSlots: offer.usableSlots,
+    evictionRate: offer.costRate,
     slot: ownedSlot(owned, key),
-    loadWaitMs: loadWaitOf(state),
+    loadWaitMs: loadWaitOf(state, loadWeight),
   };
 };
 
@@ -69,9 +82,9 @@
   return isComing || owned.wants.has(key) ? 'loading' : 'absent';
 };
 
-const loadWaitOf = (state: CoreState): number =>
+const loadWaitOf = (state: CoreState, loadWeight: number): number =>
   loadBudgetHolder(state) === state.settings.host
-    ? expectedLoadWaitMs(state, 0)
+    ? expectedLoadWaitMs(state, loadWeight)
     : state.residency.loadWaitMs;
 
 const viewKnown = (
@@ -93,6 +106,7 @@
     waiting,
     serviceMs: summary?.serviceMs ?? 0,
     usableSlots: summary?.usableSlots ?? description.slots,
+    evictionRate: summary?.evictionRate ?? 0,
     slot: isCurrent ? knownSlot(known, key) : 'absent',
     loadWaitMs: summary?.loadWaitMs ?? state.settings.weightStore.loadMs,
   };
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -2,6 +2,7 @@
 import type {ServerSummary} from '../residency/messages.js';
 import type {RequestDescription} from '../request.js';
 import type {CoreIdentity, CoreSettings} from '../settings.js';
+import type {PoolCandidates} from './candidates.js';
 import type {RetryBudget} from './retry-budget.js';
 import {createRetryBudget} from './retry-budget.js';
 
@@ -64,6 +65,7 @@
   readonly summaryAskedMs: Map<ServerId, number>;
   /** Server that last had a prompt prefix in its cache, by its digest. */
   readonly prefixServers: Map<string, ServerId>;
+  readonly candidates: Map<string, PoolCandidates>;
   readonly retryBudget: RetryBudget;
 }
 
@@ -80,5 +82,6 @@
   knownServers: new Map(),
   summaryAskedMs: new Map(),
   prefixServers: new Map(),
+  candidates: new Map(),
   retryBudget: createRetryBudget(),
 });
