--- a/packages/core/src/admission/admit.ts
+++ b/packages/core/src/admission/admit.ts
@@ -28,11 +28,12 @@
 ): Refusal | undefined => {
   const remainingMs = deadlineMs - turn.at.monotonicMs;
   const allowedMs = remainingMs * WAIT_SHARE[request.priorityClass];
-  const predictedMs = waitMs + view.serviceMs;
+  const {meanMs} = view.serviceTimes[request.priorityClass];
+  const predictedMs = waitMs + meanMs;
   if (predictedMs <= allowedMs) {
     return undefined;
   }
-  if (waitMs === 0 || view.serviceMs > allowedMs) {
+  if (waitMs === 0 || meanMs > allowedMs) {
     return remainingMs > 0 ? undefined : tooShort;
   }
   return {
--- a/packages/core/src/residency/dispatch.ts
+++ b/packages/core/src/residency/dispatch.ts
@@ -67,7 +67,7 @@
   const waiting = owned.waiting.get(slot.key) ?? [];
   owned.waiting.delete(slot.key);
   for (const execution of waiting) {
-    enqueueReady(owned, execution);
+    enqueueReady(owned, execution, turn.at.monotonicMs);
   }
   dispatchWaiting(state, owned, turn);
 };
--- a/packages/core/src/residency/executions.ts
+++ b/packages/core/src/residency/executions.ts
@@ -20,6 +20,7 @@
   toExecution,
 } from './queues.js';
 import {doubtSlot} from './slots.js';
+import {observeServiceTime} from './service-time.js';
 import type {Execution, OwnedServer} from './state.js';
 import {announceServer} from './summaries.js';
 import {missWeight} from './urgency.js';
@@ -97,6 +98,8 @@
   }
   if (outcome.kind === 'answered') {
     const measuredMs = turn.at.monotonicMs - execution.dispatchedMs;
+    const {priorityClass} = execution.request;
+    observeServiceTime(owned.serviceTimes[priorityClass], measuredMs);
     owned.serviceMs += SERVICE_TIME_GAIN * (measuredMs - owned.serviceMs);
   }
   const slot = owned.slots.get(execution.key);
@@ -136,7 +139,7 @@
     addDemand(state.residency.demand, key, weight, turn.at.monotonicMs);
   }
   if (resume || owned.slots.get(key)?.state === 'ready') {
-    enqueueReady(owned, execution);
+    enqueueReady(owned, execution, turn.at.monotonicMs);
     return;
   }
   enqueueStalled(owned, execution);
--- a/packages/core/src/residency/messages.ts
+++ b/packages/core/src/residency/messages.ts
@@ -18,6 +18,11 @@
 });
 export type SlotSummary = z.infer<typeof slotSummarySchema>;
 
+const serviceTimeSchema = z.object({
+  meanMs: z.number().nonnegative(),
+  deviationMs: z.number().nonnegative(),
+});
+
 /** Owner to home: how busy a server is and what it holds of that home. */
 const serverSummarySchema = z.object({
   type: z.literal('server-summary'),
@@ -29,6 +34,12 @@
   waiting: z.array(z.number().int().nonnegative()).length(3),
   /** Mean time for which one request holds a batch position. */
   serviceMs: z.number().nonnegative(),
+  /** The same by class, with its mean absolute deviation. */
+  serviceTimes: z.object({
+    urgent: serviceTimeSchema,
+    standard: serviceTimeSchema,
+    deferrable: serviceTimeSchema,
+  }),
   /** Expected time from a wish for an urgent load to its end. */
   loadWaitMs: z.number().nonnegative(),
   /** Slots that are free or can be made free. */
--- a/packages/core/src/residency/owned-servers.ts
+++ b/packages/core/src/residency/owned-servers.ts
@@ -4,6 +4,7 @@
 import {refuseUnsent} from './dispatch.js';
 import {releaseGrant} from './loads.js';
 import {scheduleReports} from './reports.js';
+import {initialServiceTimes} from './service-time.js';
 import type {OwnedServer} from './state.js';
 
 /** Service time that is assumed before the first measurement. */
@@ -81,6 +82,7 @@
   ready: {urgent: [], standard: [], deferrable: []},
   running: 0,
   waitingByClass: {urgent: 0, standard: 0, deferrable: 0},
+  serviceTimes: initialServiceTimes(),
   serviceMs: INITIAL_SERVICE_MS,
   evictedMs: new Map(),
   announcedMs: -Infinity,
--- a/packages/core/src/residency/queues.ts
+++ b/packages/core/src/residency/queues.ts
@@ -1,9 +1,13 @@
 import {adapterVersionKey} from '../identifiers.js';
+import type {PriorityClass} from '../request.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import type {ExecutionRequestedEvent} from './events.js';
 import type {Execution, OwnedServer} from './state.js';
 
+/** Remaining time below which deferrable work queues as standard. */
+const PRESSED_MS = 60_000;
+
 /** Makes the record of a request that arrived now. */
 export const toExecution = (
   event: ExecutionRequestedEvent,
@@ -17,6 +21,7 @@
   deadlineMs: turn.at.monotonicMs + event.remainingMs,
   arrivedMs: turn.at.monotonicMs,
   resume: event.resumeOffsetBytes !== undefined,
+  queueClass: event.request.priorityClass,
   state: 'waiting',
   dispatchedMs: 0,
   stalled: false,
@@ -27,8 +32,10 @@
 export const enqueueReady = (
   owned: OwnedServer,
   execution: Execution,
+  nowMs: number,
 ): void => {
-  const queue = owned.ready[execution.request.priorityClass];
+  execution.queueClass = queueClassOf(execution, nowMs);
+  const queue = owned.ready[execution.queueClass];
   execution.slot = owned.slots.get(execution.key);
   if (execution.slot) {
     execution.slot.queued += 1;
@@ -75,7 +82,7 @@
   }
   const {priorityClass} = execution.request;
   owned.waitingByClass[priorityClass] -= 1;
-  removeFrom(owned.ready[priorityClass], execution);
+  removeFrom(owned.ready[execution.queueClass], execution);
   const waiting = owned.waiting.get(execution.key);
   if (waiting) {
     removeFrom(waiting, execution);
@@ -94,6 +101,15 @@
   }
 };
 
+/** Work that can wait no longer queues as work that can wait a little. */
+const queueClassOf = (
+  {request, deadlineMs}: Execution,
+  nowMs: number,
+): PriorityClass =>
+  request.priorityClass === 'deferrable' && deadlineMs - nowMs < PRESSED_MS
+    ? 'standard'
+    : request.priorityClass;
+
 const removeFrom = (queue: Execution[], execution: Execution): void => {
   const index = queue.indexOf(execution);
   if (index >= 0) {
--- a/packages/core/src/residency/state.ts
+++ b/packages/core/src/residency/state.ts
@@ -9,6 +9,7 @@
 import type {DemandTable} from './demand.js';
 import {createDemandTable} from './demand.js';
 import type {EvictionOffer} from './eviction.js';
+import type {ServiceTimes} from './service-time.js';
 
 /** One occupied slot of an engine, as its owner knows it. */
 export interface Slot extends AdapterVersion {
@@ -44,6 +45,8 @@
   readonly deadlineMs: number;
   readonly arrivedMs: number;
   readonly resume: boolean;
+  /** Class that it queues as; work short of time queues as a higher one. */
+  queueClass: PriorityClass;
   state: 'waiting' | 'running';
   dispatchedMs: number;
   /** Whether the request found its adapter absent and waits for a load. */
@@ -89,6 +92,7 @@
   running: number;
   /** Waiting executions by class. */
   readonly waitingByClass: Record<PriorityClass, number>;
+  readonly serviceTimes: ServiceTimes;
   /** Mean time for which one request holds a batch position. */
   serviceMs: number;
   /** Monotonic times of recent evictions, by adapter version. */
--- a/packages/core/src/residency/summaries.ts
+++ b/packages/core/src/residency/summaries.ts
@@ -79,6 +79,7 @@
     running: owned.running,
     waiting: [waiting.urgent, waiting.standard, waiting.deferrable],
     serviceMs: owned.serviceMs,
+    serviceTimes: owned.serviceTimes,
     loadWaitMs: state.residency.loadWaitMs,
     usableSlots: offer.usableSlots,
     evictionRate: offer.costRate,
--- a/packages/core/src/routing/held.ts
+++ b/packages/core/src/routing/held.ts
@@ -5,29 +5,34 @@
 import type {Placement} from './state.js';
 
 /** Time between two looks at the held placements. */
-const HELD_INTERVAL_MS = 250;
+const HELD_INTERVAL_MS = 500;
 
-/** Multiple of the expected time that must remain for work to be held. */
-const SLACK_FACTOR = 3;
+/** Deviations of the service time that are kept in reserve. */
+const RESERVED_DEVIATIONS = 5;
 
-/** Time that must remain in any case for work to be held. */
-const MINIMUM_SLACK_MS = 10_000;
+/** Time kept in reserve for waiting, whatever is expected. */
+const RESERVED_MS = 20_000;
 
 /** Share of a server's positions that work which can wait leaves free. */
-const DEFERRABLE_RESERVE = 0.25;
+const DEFERRABLE_RESERVE = 0.2;
+
+/** Held requests of one adapter that are worth a load of an idle store. */
+const WORTHWHILE_GROUP = 4;
+
+/** Wait above one load's time at which the store counts as busy. */
+const IDLE_STORE_MARGIN_MS = 50;
 
 const TIMER = 'held';
 
 /** Whether work that can wait should wait for an idle resident position. */
 export const shouldHold = (
-  _state: CoreState,
+  state: CoreState,
   placement: Placement,
   choice: Choice,
   turn: Turn,
 ): boolean =>
   placement.request.priorityClass === 'deferrable' &&
-  hasSlack(placement, choice, turn) &&
-  !hasIdlePosition(choice);
+  !isDue(state, placement, choice, turn);
 
 /** Keeps a placement until it is due. */
 export const holdPlacement = (
@@ -39,10 +44,12 @@
   const group = held.get(placement.key);
   if (group) {
     group.push(placement);
-  } else {
-    held.set(placement.key, [placement]);
+    return;
+  }
+  held.set(placement.key, [placement]);
+  if (held.size === 1) {
+    setHeldTimer(turn);
   }
-  setHeldTimer(turn);
 };
 
 /** Grants the held placements that are due or fill idle positions. */
@@ -61,14 +68,11 @@
   key: string,
   turn: Turn,
 ): void => {
-  const group = state.routing.held.get(key) ?? [];
-  while (group.length > 0) {
+  const group = state.routing.held.get(key);
+  while (group && group.length > 0) {
     const [placement] = group;
     const choice = placement && chooseFor(state, placement, turn);
-    if (
-      !choice ||
-      (hasSlack(placement, choice, turn) && !hasIdlePosition(choice))
-    ) {
+    if (!choice || !isDue(state, placement, choice, turn)) {
       return;
     }
     group.shift();
@@ -77,19 +81,44 @@
   state.routing.held.delete(key);
 };
 
-const hasSlack = (
+const isDue = (
+  state: CoreState,
+  placement: Placement,
+  choice: Choice,
+  turn: Turn,
+): boolean =>
+  isShortOfTime(placement, choice, turn) ||
+  (hasIdlePosition(choice) &&
+    (choice.view.slot !== 'absent' || isWorthALoad(state, placement, choice)));
+
+/** Whether the work may be late if it is held any longer. */
+const isShortOfTime = (
   {deadlineMs}: Placement,
   {waitMs, view}: Choice,
   turn: Turn,
-): boolean =>
-  deadlineMs - turn.at.monotonicMs >
-  Math.max(MINIMUM_SLACK_MS, SLACK_FACTOR * (waitMs + view.serviceMs));
-
-/** Whether the adapter is ready on a server with idle positions. */
-const hasIdlePosition = ({view}: Choice): boolean => {
-  const {batchPositions} = view.description;
-  const limit = batchPositions * (1 - DEFERRABLE_RESERVE);
-  return view.slot === 'ready' && view.busy < limit;
+): boolean => {
+  const {meanMs, deviationMs} = view.serviceTimes.deferrable;
+  const neededMs =
+    waitMs + meanMs + RESERVED_DEVIATIONS * deviationMs + RESERVED_MS;
+  return deadlineMs - turn.at.monotonicMs <= neededMs;
+};
+
+const hasIdlePosition = ({view}: Choice): boolean =>
+  view.busy < view.description.batchPositions * (1 - DEFERRABLE_RESERVE);
+
+/** Whether an idle weight store should load an adapter for held work. */
+const isWorthALoad = (
+  state: CoreState,
+  {key}: Placement,
+  {view}: Choice,
+): boolean => {
+  const {loadMs} = state.settings.weightStore;
+  const count = state.routing.held.get(key)?.length ?? 0;
+  return (
+    count >= WORTHWHILE_GROUP &&
+    view.usableSlots > 0 &&
+    view.loadWaitMs <= loadMs + IDLE_STORE_MARGIN_MS
+  );
 };
 
 const setHeldTimer = (turn: Turn): void => {
--- a/packages/core/src/routing/server-view.ts
+++ b/packages/core/src/routing/server-view.ts
@@ -5,11 +5,17 @@
 import {ownerOf} from '../ownership/selectors.js';
 import {offerEviction} from '../residency/eviction.js';
 import {ownedServer} from '../residency/selectors.js';
+import {
+  initialServiceTimes,
+  type ServiceTimes,
+} from '../residency/service-time.js';
 import type {OwnedServer} from '../residency/state.js';
 import type {ServerDescription} from '../server.js';
 import type {CoreState} from '../state.js';
 import type {KnownServer} from './state.js';
 
+const ASSUMED_SERVICE_TIMES = initialServiceTimes();
+
 /** A server as a home sees it: exact when it is its own, else as told. */
 export interface ServerView {
   readonly description: ServerDescription;
@@ -19,6 +25,7 @@
   /** Requests that wait, by class, urgent first. */
   readonly waiting: readonly number[];
   readonly serviceMs: number;
+  readonly serviceTimes: Readonly<ServiceTimes>;
   readonly usableSlots: number;
   /** Expected cost per second of the eviction that a load needs. */
   readonly evictionRate: number;
@@ -66,6 +73,7 @@
     busy: owned.running + urgent + standard + deferrable,
     waiting: [urgent, standard, deferrable],
     serviceMs: owned.serviceMs,
+    serviceTimes: owned.serviceTimes,
     usableSlots: offer.usableSlots,
     evictionRate: offer.costRate,
     slot: ownedSlot(owned, key),
@@ -105,6 +113,7 @@
     busy: Math.max(granted, (summary?.running ?? 0) + told),
     waiting,
     serviceMs: summary?.serviceMs ?? 0,
+    serviceTimes: summary?.serviceTimes ?? ASSUMED_SERVICE_TIMES,
     usableSlots: summary?.usableSlots ?? description.slots,
     evictionRate: summary?.evictionRate ?? 0,
     slot: isCurrent ? knownSlot(known, key) : 'absent',
