Measure control at several sizes

Cause: docs/CAPACITY.md needs slopes per role, and nothing measured them. Change: an observer on the histories' fleet (turns, messages), and bench/capacity, which settles a deployment on virtual time and measures control without requests in series of hosts, servers, adapters and zones.

--- /dev/null
+++ b/packages/bench/src/capacity/index.ts
@@ -0,0 +1,1 @@
+export * from './capacity-command.js';
--- a/packages/histories/src/fleet/effect-runners.ts
+++ b/packages/histories/src/fleet/effect-runners.ts
@@ -36,6 +36,7 @@
     host.cancelTimer(`${area}/${timer}`);
   },
   'send-peer-message': ({name, incarnation, around}, {to, message}) => {
+    around.observer?.sent(name, to, message);
     around.network.send(name, to, () => {
       around.host(to)?.handle({
         type: 'peer-message',
--- a/packages/histories/src/fleet/fleet.ts
+++ b/packages/histories/src/fleet/fleet.ts
@@ -23,7 +23,7 @@
 import {sendToServer} from './engine-runners.js';
 import {HostClock} from './host-clock.js';
 import {Network} from './network.js';
-import type {SimulatedServer, Surroundings} from './outside.js';
+import type {FleetObserver, SimulatedServer, Surroundings} from './outside.js';
 import {SimulatedHost} from './simulated-host.js';
 
 /** Size and manners of a simulated deployment. */
@@ -61,6 +61,7 @@
   readonly hostList: HostListModel;
   readonly servers = new Map<string, SimulatedServer>();
   readonly history: History = emptyHistory();
+  observer: FleetObserver | undefined;
   readonly requests = new Map<string, RequestDescription>();
   private readonly running = new Map<string, SimulatedHost>();
   private starts = 0;
--- a/packages/histories/src/fleet/index.ts
+++ b/packages/histories/src/fleet/index.ts
@@ -4,3 +4,4 @@
 export * from './outside.js';
 export * from './platform-runners.js';
 export * from './simulated-host.js';
+export * from './sample-servers.js';
--- a/packages/histories/src/fleet/outside.ts
+++ b/packages/histories/src/fleet/outside.ts
@@ -1,4 +1,10 @@
-import type {RequestDescription, ServerDescription} from '@basilworks/core';
+import type {
+  CoreEvent,
+  HostId,
+  PeerMessage,
+  RequestDescription,
+  ServerDescription,
+} from '@basilworks/core';
 import type {
   EngineModel,
   HostListModel,
@@ -19,6 +25,14 @@
   readonly plain: PlainServiceModel | undefined;
 }
 
+/** Watches what the hosts of a fleet do, for measurements. */
+export interface FleetObserver {
+  /** A turn of a host's reducer ended. */
+  reduced(host: HostId, event: CoreEvent, elapsedNs: bigint): void;
+  /** A host sent a message to another one. */
+  sent(from: HostId, to: HostId, message: PeerMessage): void;
+}
+
 /** Everything around one simulated host. */
 export interface Surroundings {
   readonly scheduler: VirtualScheduler;
@@ -28,6 +42,8 @@
   readonly hostList: HostListModel;
   readonly servers: ReadonlyMap<string, SimulatedServer>;
   readonly history: History;
+  /** Undefined while nothing is measured. */
+  readonly observer: FleetObserver | undefined;
   /** The running process under a host name. */
   host(name: string): SimulatedHost | undefined;
   /** Requests by identity, as their callers made them. */
--- a/packages/histories/src/fleet/simulated-host.ts
+++ b/packages/histories/src/fleet/simulated-host.ts
@@ -3,6 +3,7 @@
   type CoreSettings,
   type CoreState,
   createState,
+  type Effect,
   type Instant,
   reduce,
 } from '@basilworks/core';
@@ -59,12 +60,20 @@
       this.inbox.push(event);
       return;
     }
-    const {effects} = reduce(this.state, event, this.now());
+    const effects = this.reduce(event);
     for (const effect of effects) {
       runEffect(this, effect);
     }
   }
 
+  private reduce(event: CoreEvent): readonly Effect[] {
+    const {observer} = this.around;
+    const startedNs = observer === undefined ? 0n : process.hrtime.bigint();
+    const {effects} = reduce(this.state, event, this.now());
+    observer?.reduced(this.name, event, process.hrtime.bigint() - startedNs);
+    return effects;
+  }
+
   /** Stops the process's loop; what arrives meanwhile waits. */
   pause(): void {
     this.pausedSince ??= this.around.scheduler.nowMs();
