Add the daemon's frame: loop, effect runners, callers' and peers' listeners

The reducer had nothing that runs it. The daemon now reads both clocks at each turn, reduces one event and runs its effects through a table that the compiler checks to cover every effect type. Model requests, address answers, peers over gRPC, the platform's clients and the settings are in place; calls, work that can wait and the operators' interface have their parts in the table, with nothing behind them yet. Checked by hand: settings check, health, metrics, and refusals of a host that is not ready.

--- /dev/null
+++ b/packages/daemon/src/calls/index.ts
@@ -0,0 +1,1 @@
+export * from './calls-part.js';
--- /dev/null
+++ b/packages/daemon/src/deferred/index.ts
@@ -0,0 +1,1 @@
+export * from './deferred-part.js';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * from './clock.js';
+export * from './context.js';
+export * from './daemon.js';
+export * from './exit-code.js';
+export * from './loop.js';
+export * from './platform/index.js';
+export * from './settings-schema.js';
+export * from './settings.js';
+export * from './timer-service.js';
--- /dev/null
+++ b/packages/daemon/src/ingress/http-requester.ts
@@ -0,0 +1,142 @@
+import type {ServerResponse} from 'node:http';
+
+import type {Refusal, RequestId} from '@basilworks/core';
+
+import type {DaemonContext} from '../context.js';
+import {refuseEarly, toErrorAnswer} from '../http/errors.js';
+import type {AnswerHead} from '../lib/answer.js';
+import type {AttemptPlace, Ingress, Requester} from './ingress.js';
+
+/** What identifies the answer to a caller. */
+export interface HttpAnswerIdentity {
+  readonly requestId: RequestId;
+  readonly member: string;
+  readonly priorityClass: string;
+}
+
+/**
+ * Writes an answer to a caller's connection as its bytes arrive. A caller that
+ * closes the connection, or takes no bytes for `limits.stalledCallerMs`,
+ * abandons the request.
+ */
+export class HttpRequester implements Requester {
+  private readonly startedMs: number;
+  private finished = false;
+
+  constructor(
+    private readonly context: DaemonContext,
+    private readonly ingress: Ingress,
+    private readonly response: ServerResponse,
+    private readonly identity: HttpAnswerIdentity,
+  ) {
+    this.startedMs = context.loop.now().monotonicMs;
+    response.on('drain', () => {
+      context.timers.cancel(this.stallTimer);
+      ingress.resume(identity.requestId);
+    });
+    response.on('close', () => {
+      this.closed();
+    });
+  }
+
+  head(head: AnswerHead, _place: AttemptPlace): void {
+    const {requestId, priorityClass} = this.identity;
+    this.response.writeHead(head.status, {
+      'content-type': head.contentType,
+      'cache-control': 'no-store',
+      'x-request-id': requestId,
+      'x-adapter': head.adapter,
+      'x-version': head.version,
+    });
+    const {loop, metrics} = this.context;
+    metrics.firstByteSeconds.observe(
+      {priority_class: priorityClass},
+      (loop.now().monotonicMs - this.startedMs) / 1_000,
+    );
+  }
+
+  data(chunk: Buffer): boolean {
+    this.context.metrics.relayedBytes.inc(chunk.length);
+    if (this.response.write(chunk)) {
+      return true;
+    }
+    const {timers, settings} = this.context;
+    timers.after(this.stallTimer, settings.limits.stalledCallerMs, () => {
+      this.response.destroy();
+    });
+    return false;
+  }
+
+  finish(status: number): void {
+    this.finished = true;
+    if (this.response.headersSent) {
+      this.response.end();
+      this.log('answered', {status});
+      return;
+    }
+    const refused = status >= 400 && status < 500;
+    this.refuse({
+      code: refused ? 'upstream-refused' : 'upstream-failed',
+      notRun: false,
+      detail: `the engine answered ${status}`,
+    });
+  }
+
+  refuse(refusal: Refusal): void {
+    this.finished = true;
+    this.context.metrics.countRefusal(refusal.code);
+    const {code, notRun, detail} = refusal;
+    this.log('refused', {code, notRun, detail});
+    writeRefusal(this.response, refusal, this.identity.requestId);
+  }
+
+  private get stallTimer(): string {
+    return `stalled-caller/${this.identity.requestId}`;
+  }
+
+  private closed(): void {
+    this.context.timers.cancel(this.stallTimer);
+    if (!this.finished) {
+      this.finished = true;
+      this.log('abandoned by its caller', {});
+      this.ingress.abandon(this.identity.requestId);
+    }
+  }
+
+  private log(
+    message: string,
+    fields: Readonly<Record<string, string | number | boolean>>,
+  ): void {
+    const {requestId, member} = this.identity;
+    this.context.logger.info(message, {requestId, member, ...fields});
+  }
+}
+
+/**
+ * Tells a caller of a refusal: as an error answer, or, when the answer has
+ * begun, as a last event of its stream. An answer of any other type is cut, as
+ * a clean end would make it look whole.
+ */
+export const writeRefusal = (
+  response: ServerResponse,
+  refusal: Refusal,
+  requestId: RequestId,
+): void => {
+  const {status, headers, body} = toErrorAnswer(refusal, requestId);
+  const text = JSON.stringify(body);
+  if (!response.headersSent) {
+    const contentType = {'content-type': 'application/json'};
+    response.writeHead(status, {...contentType, ...headers}).end(text);
+    return;
+  }
+  const contentType = String(response.getHeader('content-type') ?? '');
+  if (contentType.startsWith('text/event-stream')) {
+    response.end(`\n\nevent: error\ndata: ${text}\n\n`);
+  } else {
+    response.destroy();
+  }
+};
+
+/** Refusal of a request above the number that this host holds at once. */
+export const tooManyRequests = (): Refusal =>
+  refuseEarly('overloaded', 'too many requests at this host', 1_000);
--- /dev/null
+++ b/packages/daemon/src/operators/index.ts
@@ -0,0 +1,1 @@
+export * from './operators-part.js';
