--- a/packages/core/src/routing/ingress.ts
+++ b/packages/core/src/routing/ingress.ts
@@ -342,7 +342,7 @@
     type: 'observe-metric',
     metric: 'refusals_total',
     value: 1,
-    labels: {reason: refusal.code},
+    labels: {code: refusal.code},
   });
   end(state, entry, turn);
 };
--- a/packages/daemon/src/http/errors.ts
+++ b/packages/daemon/src/http/errors.ts
@@ -14,6 +14,7 @@
   'idempotency-key-missing': 400,
   'idempotency-key-reused': 422,
   'in-progress': 409,
+  'answer-not-kept': 410,
   'deadline-too-short': 429,
   overloaded: 429,
   'load-failed': 503,
--- a/packages/daemon/src/ingress/address-routes.ts
+++ b/packages/daemon/src/ingress/address-routes.ts
@@ -12,7 +12,7 @@
 import {answerRefusal} from './model-routes.js';
 
 /** How long a caller may use an address answer, milliseconds. */
-export const ADDRESS_KEEP_MS = 5_000;
+export const ADDRESS_KEEP_MS = 2_000;
 
 /** Addresses to try in order, and how long they may be kept. */
 export interface AddressAnswer {
--- a/packages/daemon/src/ingress/http-requester.ts
+++ b/packages/daemon/src/ingress/http-requester.ts
@@ -50,7 +50,7 @@
     });
     const {loop, metrics} = this.context;
     metrics.firstByteSeconds.observe(
-      {priority_class: priorityClass},
+      {class: priorityClass},
       (loop.now().monotonicMs - this.startedMs) / 1_000,
     );
   }
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -63,7 +63,7 @@
   readonly firstByteSeconds = this.histogram(
     'first_byte_seconds',
     'Time from a request to the first byte of its answer.',
-    ['priority_class'],
+    ['class'],
     WAIT_BUCKETS_SECONDS,
   );
   private readonly observers: Readonly<
@@ -77,7 +77,7 @@
         this.histogram(
           'load_stall_seconds',
           'Time that requests waited for an adapter to load.',
-          ['priority_class'],
+          ['class'],
           WAIT_BUCKETS_SECONDS,
         ),
       ),
@@ -96,19 +96,18 @@
         this.counter('refusals_total', 'Refused requests by code.', ['code']),
       ),
       requests_total: observeCounter(
-        this.counter('requests_total', 'Requests of callers by outcome.', [
-          'outcome',
+        this.counter('requests_total', 'Requests of callers by kind.', [
+          'kind',
+          'pool',
         ]),
       ),
       adapter_loads_total: observeCounter(
-        this.counter('adapter_loads_total', 'Adapter loads by outcome.', [
-          'outcome',
+        this.counter('adapter_loads_total', 'Adapter loads by result.', [
+          'result',
         ]),
       ),
       adapter_evictions_total: observeCounter(
-        this.counter('adapter_evictions_total', 'Adapter evictions.', [
-          'outcome',
-        ]),
+        this.counter('adapter_evictions_total', 'Adapter evictions.', []),
       ),
       owned_servers: observeGauge(
         this.gauge('owned_servers', 'Servers that this host owns.', []),
@@ -121,13 +120,16 @@
         ),
       ),
       retries_total: observeCounter(
-        this.counter('retries_total', 'Repeated sends by reason.', ['reason']),
+        this.counter('retries_total', 'Repeated sends by reason.', [
+          'reason',
+          'pool',
+        ]),
       ),
       call_replays_total: observeCounter(
         this.counter(
           'call_replays_total',
           'Repeats of calls that were given a recorded answer.',
-          [],
+          ['pool'],
         ),
       ),
     };
--- a/packages/daemon/src/platform/engine.ts
+++ b/packages/daemon/src/platform/engine.ts
@@ -78,7 +78,8 @@
   constructor(private readonly client: HttpClient) {}
 
   execute(execution: EngineExecution, sink: AnswerSink): AnswerSource {
-    const listener = new ExecutionListener(sink, execution.mayWrite);
+    const isResume = execution.resumeOffsetBytes !== undefined;
+    const listener = new ExecutionListener(sink, execution.mayWrite, isResume);
     return this.client.start(
       {
         origin: `http://${execution.address}`,
@@ -187,6 +188,7 @@
   constructor(
     private readonly sink: AnswerSink,
     readonly mayWrite: () => boolean,
+    private readonly isResume: boolean,
   ) {}
 
   onHead(status: number, headers: IncomingHttpHeaders): void {
@@ -214,10 +216,14 @@
   }
 
   onEnd(): void {
+    const {status} = this;
+    const body = Buffer.concat(this.errorBody);
     this.sink.end(
-      this.status === 200
-        ? {kind: 'answered', status: 200}
-        : toErrorOutcome(this.status, Buffer.concat(this.errorBody)),
+      status === 200
+        ? {kind: 'answered', status}
+        : this.isResume
+          ? toFailedResume(status, body)
+          : toErrorOutcome(status, body),
     );
   }
 
@@ -240,6 +246,16 @@
   return {kind: 'refused-before-run', refusal};
 };
 
+/** A resume that the engine refuses says nothing of the run itself. */
+const toFailedResume = (status: number, body: Buffer): SendOutcome => {
+  const error = engineErrorSchema.safeParse(parseJson(body.toString('utf8')));
+  const isGone = error.data?.error.code === 'unknown-stream';
+  const code = isGone ? 'unknown-request' : 'upstream-failed';
+  const detail = `the engine answered ${status} to a resume`;
+  const refusal: Refusal = {code, notRun: false, detail};
+  return {kind: 'unknown', refusal, deliveredBytes: 0};
+};
+
 /** Turns the answer to an order into its outcome. */
 class OrderListener implements ExchangeListener {
   private status = 0;
