--- a/packages/core/src/calls/attempts.ts
+++ b/packages/core/src/calls/attempts.ts
@@ -143,7 +143,7 @@
       type: 'observe-metric',
       metric: 'retries_total',
       value: 1,
-      labels: {pool: call.pool},
+      labels: {reason: 'call'},
     });
   }
   return granted;
--- a/packages/core/src/calls/call-answers.ts
+++ b/packages/core/src/calls/call-answers.ts
@@ -73,7 +73,7 @@
 /** Answers a call that is not in progress on this host. */
 export const reply = (
   turn: Turn,
-  {requestId, pool}: CallDescription,
+  {requestId}: CallDescription,
   response: RecordedResponse,
   replayed: boolean,
 ): void => {
@@ -82,7 +82,7 @@
       type: 'observe-metric',
       metric: 'call_replays_total',
       value: 1,
-      labels: {pool},
+      labels: {},
     });
   }
   turn.perform({type: 'reply-call', requestId, response, replayed});
--- a/packages/core/src/calls/submission.ts
+++ b/packages/core/src/calls/submission.ts
@@ -25,12 +25,6 @@
   {call, remainingMs}: CallSubmittedEvent,
   turn: Turn,
 ): void => {
-  turn.perform({
-    type: 'observe-metric',
-    metric: 'requests_total',
-    value: 1,
-    labels: {kind: 'call', pool: call.pool},
-  });
   if (
     answerRepeat(state, call, turn) ||
     refuseUnserved(state, call, remainingMs, turn)
--- a/packages/core/src/membership/leaving.ts
+++ b/packages/core/src/membership/leaving.ts
@@ -1,3 +1,5 @@
+import {unfinishedCalls} from '../calls/selectors.js';
+import {unsettledWork} from '../deferred/selectors.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import {refreshView} from './host-list.js';
@@ -13,6 +15,9 @@
 /** Milliseconds after which a stop goes on with claims not handed over. */
 const HANDOVER_TIMEOUT_MS = 15_000;
 
+/** Milliseconds between two looks at what is left to be recorded. */
+const UNFINISHED_POLL_MS = 250;
+
 /** Begins a planned stop: leaves every choice first, then hands over. */
 export const beginStop = (state: CoreState, turn: Turn): void => {
   if (state.membership.standing === 'serving') {
@@ -55,7 +60,10 @@
   });
 };
 
-/** Completes a stop once the claims are handed over and the grace is over. */
+/**
+ * Completes a stop once the claims are handed over, the grace is over and no
+ * call or result is left to be recorded.
+ */
 export const completeStop = (state: CoreState, turn: Turn): void => {
   const {membership} = state;
   if (
@@ -63,6 +71,15 @@
     membership.claimsHandedOver &&
     membership.addressGraceOver
   ) {
+    if (unfinishedCalls(state) + unsettledWork(state) > 0) {
+      turn.perform({
+        type: 'set-timer',
+        area: 'membership',
+        timer: 'address-grace',
+        delayMs: UNFINISHED_POLL_MS,
+      });
+      return;
+    }
     membership.standing = 'stopped';
     turn.perform({type: 'stop-completed'});
   }
