--- a/packages/bench/src/capacity/measure-control.ts
+++ b/packages/bench/src/capacity/measure-control.ts
@@ -2,8 +2,11 @@
 import type {Size} from './size.js';
 import {TrafficMeter} from './traffic-meter.js';
 
+/** Virtual time after which what a start costs once is over. */
+const WARM_UP_MS = 600_000;
+
 /** Virtual time over which the steady state is measured. */
-const MEASURED_MS = 30_000;
+const MEASURED_MS = 60_000;
 
 /** What control costs in the steady state at one size. */
 export interface ControlUsage {
@@ -24,7 +27,7 @@
 /** Measures a deployment without requests, on virtual time. */
 export const measureControl = (size: Size, seed: number): ControlUsage => {
   const fleet = settleFleet(size, seed);
-  fleet.scheduler.runUntil(fleet.scheduler.nowMs() + MEASURED_MS);
+  fleet.scheduler.runUntil(fleet.scheduler.nowMs() + WARM_UP_MS);
   const meter = new TrafficMeter();
   fleet.observer = meter;
   const callsBefore = totalOf(fleet.store.counts);
--- a/packages/core/src/configuration/first-key.ts
+++ b/packages/core/src/configuration/first-key.ts
@@ -1,6 +1,6 @@
 import {elapsedMs} from '../instant.js';
 import {CONFIGURATION_HEAD, copyAgeMs} from '../membership/records.js';
-import {zoneReader} from '../membership/refresh.js';
+import {zoneReader} from '../membership/relay.js';
 import {listedZones} from '../membership/selectors.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
--- a/packages/core/src/configuration/spread.ts
+++ b/packages/core/src/configuration/spread.ts
@@ -2,7 +2,7 @@
 import {elapsedMs} from '../instant.js';
 import type {AdapterId, HostId} from '../identifiers.js';
 import {CONFIGURATION_HEAD} from '../membership/records.js';
-import {zoneReader} from '../membership/refresh.js';
+import {relayPlace} from '../membership/relay.js';
 import {listedHosts, recordCopy} from '../membership/selectors.js';
 import type {PeerMessage} from '../peer-message.js';
 import type {CoreState} from '../state.js';
@@ -25,15 +25,15 @@
 const STALE_HEAD_MS = 3_000;
 
 /**
- * Asks the zone's reader for anything newer; another host in turn as well while
- * neither the platform nor the reader shows this host the newest head.
+ * Asks this host's parent in the relay tree for anything newer; another host in
+ * turn as well while neither the platform nor the parent shows the newest head.
  */
 export const askForUpdates = (state: CoreState, turn: Turn): void => {
   const {configuration, settings} = state;
   const targets = new Set<HostId>();
-  const reader = zoneReader(state, settings.zone);
-  if (reader !== undefined && reader !== settings.host) {
-    targets.add(reader);
+  const {parent} = relayPlace(state);
+  if (parent !== undefined) {
+    targets.add(parent);
   }
   if (targets.size === 0 || configuration.summary === undefined) {
     if (isHeadStale(state, turn)) {
--- a/packages/core/src/membership/exchange.ts
+++ b/packages/core/src/membership/exchange.ts
@@ -1,28 +1,33 @@
 import {elapsedMs, type Instant} from '../instant.js';
 import type {Sender} from '../area.js';
-import type {HostId} from '../identifiers.js';
+import type {HostId, ZoneId} from '../identifiers.js';
 import type {PeerMessage} from '../peer-message.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import {refreshView, takeHostList} from './host-list.js';
 import type {PlatformStateAnswer} from './messages.js';
 import {takeRecord, ZONE_RECORD_KIND} from './records.js';
-import {listedHosts, listedZones, recordCopy} from './selectors.js';
+import {listedHosts, recordCopy} from './selectors.js';
 import type {MembershipState, PeerView} from './state.js';
 
 /** Milliseconds after which an ask counts as not answered. */
 export const ASK_TIMEOUT_MS = 900;
 
-/** Silence of a peer that is passed on to others, milliseconds. */
-const UNHEARD_AFTER_MS = 6_000;
+/** Milliseconds for which a peer that was heard needs no other proof. */
+const RECENTLY_HEARD_MS = 2_000;
 
 type Message<Type extends PeerMessage['type']> = Extract<
   PeerMessage,
   {readonly type: Type}
 >;
 
-/** Asks a peer for its copies of the platform's state. */
-export const askPeer = (state: CoreState, to: HostId, turn: Turn): void => {
+/** Asks a peer for its copies of the host list and of some zones' records. */
+export const askPeer = (
+  state: CoreState,
+  to: HostId,
+  zones: readonly ZoneId[],
+  turn: Turn,
+): void => {
   const {membership} = state;
   membership.sequence += 1;
   const ask = `${membership.sequence}`;
@@ -34,7 +39,7 @@
       type: 'platform-state-asked',
       ask,
       hostListVersion: membership.hostList?.version ?? -1,
-      records: listedZones(state).map((zone) => ({
+      records: zones.map((zone) => ({
         zone,
         version: recordCopy(state, ZONE_RECORD_KIND, zone)?.version ?? 0,
       })),
@@ -79,7 +84,7 @@
       records: message.records.flatMap(({zone, version}) =>
         relayedRecord(state, zone, version, turn.at),
       ),
-      unheard: unheardHosts(state, turn.at),
+      silent: silentHosts(state),
     },
   });
 };
@@ -109,8 +114,8 @@
   for (const record of message.records) {
     takeRelayedRecord(state, record, askedAt, turn);
   }
-  for (const host of message.unheard) {
-    noteUnheard(state, host, turn.at);
+  for (const host of message.silent) {
+    verifySilence(state, host, turn);
   }
 };
 
@@ -143,16 +148,21 @@
   }
 };
 
-const noteUnheard = (state: CoreState, host: HostId, at: Instant): void => {
-  if (host === state.settings.host) {
+/**
+ * Asks a host that another one found silent, so that only an own ask without
+ * an answer counts: the other one's link to it may be cut.
+ */
+const verifySilence = (state: CoreState, host: HostId, turn: Turn): void => {
+  const {membership, settings} = state;
+  if (host === settings.host) {
     return;
   }
-  const peer = peerView(state.membership, host);
-  if (
-    peer.heardAt === undefined ||
-    elapsedMs(peer.heardAt, at) > UNHEARD_AFTER_MS
-  ) {
-    peer.silentSince ??= at;
+  const {heardAt, silentSince} = peerView(membership, host);
+  const isAsked = [...membership.asks.values()].some(({to}) => to === host);
+  const isHeard =
+    heardAt !== undefined && elapsedMs(heardAt, turn.at) < RECENTLY_HEARD_MS;
+  if (silentSince === undefined && !isAsked && !isHeard) {
+    askPeer(state, host, [settings.zone], turn);
   }
 };
 
@@ -170,17 +180,14 @@
   return peer;
 };
 
-/** Hosts of this zone that were heard once, but not for long. */
-const unheardHosts = (state: CoreState, at: Instant): HostId[] =>
+/** Hosts of this zone that left this host's asks without an answer. */
+const silentHosts = (state: CoreState): HostId[] =>
   listedHosts(state)
-    .filter(({host, zone}) => {
-      const heardAt = state.membership.peers.get(host)?.heardAt;
-      return (
+    .filter(
+      ({host, zone}) =>
         zone === state.settings.zone &&
-        heardAt !== undefined &&
-        elapsedMs(heardAt, at) > UNHEARD_AFTER_MS
-      );
-    })
+        state.membership.peers.get(host)?.silentSince !== undefined,
+    )
     .map(({host}) => host);
 
 const relayedRecord = (
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -5,4 +5,4 @@
 export * from './state.js';
 export * from './selectors.js';
 export {CONFIGURATION_HEAD, ZONE_RECORD_KIND} from './records.js';
-export {zoneReader} from './refresh.js';
+export {zoneReader} from './relay.js';
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -39,8 +39,8 @@
       value: z.string().optional(),
     }),
   ),
-  /** Hosts of the sender's zone that it has not heard from for long. */
-  unheard: z.array(hostIdSchema),
+  /** Hosts of the sender's zone that left its asks without an answer. */
+  silent: z.array(hostIdSchema),
 });
 export type PlatformStateAnswer = z.infer<typeof platformStateAnsweredSchema>;
 
--- a/packages/core/src/membership/refresh.ts
+++ b/packages/core/src/membership/refresh.ts
@@ -1,6 +1,7 @@
 import {elapsedMs} from '../instant.js';
 import type {HostId, ZoneId} from '../identifiers.js';
 import {hashFraction} from '../lib/hash.js';
+import {claimedZones} from '../ownership/selectors.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import {askPeer, expireAsks} from './exchange.js';
@@ -12,8 +13,8 @@
   readRecord,
   ZONE_RECORD_KIND,
 } from './records.js';
-import {rankByRendezvous} from './rendezvous.js';
-import {listedZones, liveHosts, recordCopy, silentSince} from './selectors.js';
+import {relayPlace, type RelayPlace, zoneReader} from './relay.js';
+import {listedZones, recordCopy} from './selectors.js';
 
 /** Milliseconds between two refreshes of the copies of platform state. */
 export const REFRESH_INTERVAL_MS = 1_000;
@@ -21,29 +22,32 @@
 /** Share by which an interval varies, against hosts in step. */
 const JITTER_SHARE = 0.1;
 
-/** Age at which a relayed copy makes a host read the platform itself. */
+/** Age at which the reader's copy counts as stale, one step away. */
 const STALE_COPY_MS = 2_500;
 
+/** Age that a copy may gain with each further step of the relay. */
+const STALE_COPY_STEP_MS = 1_100;
+
 /** Own reads in a row are this far apart at first while copies are stale. */
 const STALE_READ_INTERVAL_MS = 2_000;
 
-/** Refreshes between two asks for the records of other zones. */
-const OTHER_ZONES_EVERY = 2;
+/** Other zones whose records are asked for in one refresh, in turn. */
+const OTHER_ZONES_PER_REFRESH = 2;
 
 /** Refreshes the copies of platform state and arms the next refresh. */
 export const refresh = (state: CoreState, turn: Turn): void => {
   const {membership} = state;
   expireAsks(state, turn);
   membership.refreshes += 1;
-  const reader = zoneReader(state, state.settings.zone);
-  if (reader === undefined || reader === state.settings.host) {
+  const place = relayPlace(state);
+  if (place.parent === undefined) {
     readOwnZone(state, turn);
     refreshOtherZones(state, turn);
   } else {
-    askPeer(state, reader, turn);
-    readIfStale(state, turn);
+    askPeer(state, place.parent, zonesOfRefresh(state), turn);
+    readIfStale(state, place, turn);
   }
-  askNeighbours(state, reader, turn);
+  askNeighbours(state, place, turn);
   updateReadiness(state, turn);
   turn.perform({
     type: 'set-timer',
@@ -53,23 +57,6 @@
   });
 };
 
-/**
- * The host that reads the platform for a zone and relays it: the first of the
- * zone's live hosts in an order that all hosts agree on, silent ones left out.
- * Undefined when the zone has no live host.
- */
-export const zoneReader = (
-  state: CoreState,
-  zone: ZoneId,
-): HostId | undefined => {
-  const candidates = liveHosts(state)
-    .filter((host) => host.zone === zone)
-    .map(({host}) => host);
-  return rankByRendezvous(`reader/${zone}`, candidates).find(
-    (host) => silentSince(state, host) === undefined,
-  );
-};
-
 const withJitter = (state: CoreState, intervalMs: number): number => {
   const {identity, membership} = state;
   const fraction = hashFraction(
@@ -86,29 +73,56 @@
 
 /** Zones without a live host have no reader: their record is read here. */
 const refreshOtherZones = (state: CoreState, turn: Turn): void => {
-  const isDue = state.membership.refreshes % OTHER_ZONES_EVERY === 0;
-  for (const zone of listedZones(state)) {
+  for (const zone of zonesOfRefresh(state)) {
+    const reader = zoneReader(state, zone);
     if (zone === state.settings.zone) {
       continue;
     }
-    const reader = zoneReader(state, zone);
     if (reader === undefined) {
       readRecord(state, ZONE_RECORD_KIND, zone, turn);
-    } else if (isDue) {
-      askPeer(state, reader, turn);
+    } else {
+      askPeer(state, reader, [zone], turn);
     }
   }
 };
 
+/**
+ * Zones whose records this refresh is about: this host's own, those in which it
+ * holds claims, those it knows nothing of, and some of the others in turn.
+ */
+const zonesOfRefresh = (state: CoreState): readonly ZoneId[] => {
+  const {settings, membership} = state;
+  const others = listedZones(state).filter((zone) => zone !== settings.zone);
+  const first = membership.refreshes * OTHER_ZONES_PER_REFRESH;
+  const inTurn =
+    others.length <= OTHER_ZONES_PER_REFRESH
+      ? others
+      : Array.from(
+          {length: OTHER_ZONES_PER_REFRESH},
+          (_, step) => others[(first + step) % others.length] ?? settings.zone,
+        );
+  const unknown = others.filter(
+    (zone) => recordCopy(state, ZONE_RECORD_KIND, zone)?.readAt === undefined,
+  );
+  return [
+    ...new Set([settings.zone, ...claimedZones(state), ...unknown, ...inTurn]),
+  ];
+};
+
 /** Reads the platform itself when the zone's reader does not keep up. */
-const readIfStale = (state: CoreState, turn: Turn): void => {
+const readIfStale = (
+  state: CoreState,
+  {depth}: RelayPlace,
+  turn: Turn,
+): void => {
   const {membership, settings} = state;
+  const staleMs = STALE_COPY_MS + (depth - 1) * STALE_COPY_STEP_MS;
   const isRecordStale =
-    copyAgeMs(state, ZONE_RECORD_KIND, settings.zone, turn.at) > STALE_COPY_MS;
+    copyAgeMs(state, ZONE_RECORD_KIND, settings.zone, turn.at) > staleMs;
   const {hostListReadAt, staleReadAt} = membership;
   const isListStale =
     hostListReadAt === undefined ||
-    elapsedMs(hostListReadAt, turn.at) > STALE_COPY_MS;
+    elapsedMs(hostListReadAt, turn.at) > staleMs;
   if (!isRecordStale && !isListStale) {
     return;
   }
@@ -131,12 +145,12 @@
  */
 const askNeighbours = (
   state: CoreState,
-  reader: HostId | undefined,
+  {parent}: RelayPlace,
   turn: Turn,
 ): void => {
   const {settings, membership} = state;
   const neighbours = liveOrSilentNeighbours(state).filter(
-    (host) => host !== reader,
+    (host) => host !== parent,
   );
   const record = recordCopy(state, ZONE_RECORD_KIND, settings.zone);
   const isStoreSilent =
@@ -149,7 +163,7 @@
         .slice(membership.refreshes % Math.max(1, neighbours.length))
         .slice(0, 1);
   for (const host of asked) {
-    askPeer(state, host, turn);
+    askPeer(state, host, [settings.zone], turn);
   }
 };
 
--- a/packages/core/src/ownership/selectors.ts
+++ b/packages/core/src/ownership/selectors.ts
@@ -1,4 +1,4 @@
-import type {HostId, ServerId} from '../identifiers.js';
+import type {HostId, ServerId, ZoneId} from '../identifiers.js';
 import type {Instant} from '../instant.js';
 import {compareText} from '../lib/compare-text.js';
 import type {CoreState} from '../state.js';
@@ -39,3 +39,8 @@
     .filter(({phase}) => phase.kind === 'active')
     .map(({server}) => server)
     .sort(compareText);
+
+/** Zones in whose records this host holds claims. */
+export const claimedZones = ({ownership}: CoreState): readonly ZoneId[] => [
+  ...new Set([...ownership.holdings.values()].map(({zone}) => zone)),
+];
