Apply sheets and rotate keys over the operators' interface

POST /operator/v1/sheet raises sheet-submitted and answers when the reducer gives its result; POST /operator/v1/keys asks for a new signing key, whose random bytes the daemon makes.

--- a/packages/daemon/src/operators/operators-part.ts
+++ b/packages/daemon/src/operators/operators-part.ts
@@ -1,11 +1,17 @@
 import type {DaemonContext} from '../context.js';
 import type {Part, PartTools} from '../part.js';
+import {SheetRoutes} from './sheet-routes.js';
 
 /** The operators' interface. */
 export const createOperatorsPart = (
-  _context: DaemonContext,
-  _tools: PartTools,
-): Part<'sheet-result'> => ({
-  runners: {'sheet-result': () => undefined},
-  registerRoutes: () => undefined,
-});
+  context: DaemonContext,
+  {authenticator}: PartTools,
+): Part<'sheet-result' | 'create-signing-key' | 'key-rotation-result'> => {
+  const sheets = new SheetRoutes(context, authenticator);
+  return {
+    runners: sheets.runners,
+    registerRoutes: (app) => {
+      sheets.register(app);
+    },
+  };
+};
