--- a/packages/daemon/src/http/errors.ts
+++ b/packages/daemon/src/http/errors.ts
@@ -29,7 +29,6 @@
   'upstream-failed': 502,
   'wrong-echo': 502,
   'outcome-unknown': 502,
-  'answer-not-kept': 502,
   'peer-unreachable': 502,
   'ownership-lost': 503,
   internal: 500,
