--- a/packages/core/src/configuration/area.ts
+++ b/packages/core/src/configuration/area.ts
@@ -11,7 +11,12 @@
 } from './adoption.js';
 import {ensureFirstKey} from './first-key.js';
 import {garbageReadAnswered} from './garbage.js';
-import {answerWithUpdate, askForUpdates, takeUpdate} from './spread.js';
+import {
+  answerWithUpdate,
+  askForUpdate,
+  askWithoutHead,
+  takeUpdate,
+} from './spread.js';
 import {
   advanceSubmission,
   submissionAnswered,
@@ -19,7 +24,7 @@
   submitSheet,
 } from './submission.js';
 
-/** Milliseconds between two asks of peers for a newer revision. */
+/** Milliseconds between two looks for what is missing. */
 const SPREAD_INTERVAL_MS = 1_000;
 
 /**
@@ -46,6 +51,9 @@
         advanceSubmission(state, turn);
       }
     },
+    'newer-revision-found': (state, {host}, turn) => {
+      askForUpdate(state, host, turn);
+    },
     'configuration-applied': (state, _event, turn) => {
       advanceSubmission(state, turn);
     },
@@ -85,7 +93,7 @@
   state.configuration.sequence += 1;
   readMissingParts(state, turn);
   adoptHead(state, storedHead(state), turn);
-  askForUpdates(state, turn);
+  askWithoutHead(state, turn);
   ensureFirstKey(state, turn);
   advanceSubmission(state, turn);
   turn.perform({
--- a/packages/core/src/configuration/events.ts
+++ b/packages/core/src/configuration/events.ts
@@ -1,3 +1,5 @@
+import type {HostId} from '../identifiers.js';
+
 /** Raised when this host took a higher configuration revision. */
 export interface ConfigurationAppliedEvent {
   readonly type: 'configuration-applied';
@@ -37,7 +39,14 @@
   readonly secretBase64: string;
 }
 
+/** Raised when a peer holds a higher revision than this host. */
+export interface NewerRevisionFoundEvent {
+  readonly type: 'newer-revision-found';
+  readonly host: HostId;
+}
+
 export type ConfigurationEvent =
+  | NewerRevisionFoundEvent
   | ConfigurationAppliedEvent
   | SheetSubmittedEvent
   | KeyRotationSubmittedEvent
--- a/packages/core/src/configuration/spread.ts
+++ b/packages/core/src/configuration/spread.ts
@@ -24,34 +24,38 @@
 /** Age of the copy of the head after which peers are asked as well. */
 const STALE_HEAD_MS = 3_000;
 
+/** Asks a peer, which holds a higher revision, for the difference. */
+export const askForUpdate = (
+  {configuration}: CoreState,
+  to: HostId,
+  turn: Turn,
+): void => {
+  const revision = configuration.needsWhole
+    ? 0
+    : (configuration.summary?.revision ?? 0);
+  const message = {type: 'configuration-asked' as const, revision};
+  turn.perform({type: 'send-peer-message', to, message});
+};
+
 /**
- * Asks this host's parent in the relay tree for anything newer; another host in
- * turn as well while neither the platform nor the parent shows the newest head.
+ * Asks other hosts in turn while neither the platform nor the zone's relay
+ * shows this host a head.
  */
-export const askForUpdates = (state: CoreState, turn: Turn): void => {
+export const askWithoutHead = (state: CoreState, turn: Turn): void => {
   const {configuration, settings} = state;
-  const targets = new Set<HostId>();
-  const {parent} = relayPlace(state);
-  if (parent !== undefined) {
-    targets.add(parent);
-  }
-  if (targets.size === 0 || configuration.summary === undefined) {
-    if (isHeadStale(state, turn)) {
-      const others = listedHosts(state)
-        .map(({host}) => host)
-        .filter((host) => host !== settings.host);
-      const other = others[configuration.sequence % Math.max(1, others.length)];
-      if (other !== undefined) {
-        targets.add(other);
-      }
-    }
+  const isRelayed = relayPlace(state).parent !== undefined;
+  if (
+    (isRelayed && configuration.summary !== undefined) ||
+    !isHeadStale(state, turn)
+  ) {
+    return;
   }
-  const revision = configuration.needsWhole
-    ? 0
-    : (configuration.summary?.revision ?? 0);
-  for (const to of targets) {
-    const message = {type: 'configuration-asked' as const, revision};
-    turn.perform({type: 'send-peer-message', to, message});
+  const others = listedHosts(state)
+    .map(({host}) => host)
+    .filter((host) => host !== settings.host);
+  const other = others[configuration.sequence % Math.max(1, others.length)];
+  if (other !== undefined) {
+    askForUpdate(state, other, turn);
   }
 };
 
--- a/packages/core/src/membership/exchange.ts
+++ b/packages/core/src/membership/exchange.ts
@@ -1,5 +1,6 @@
 import {elapsedMs, type Instant} from '../instant.js';
 import type {Sender} from '../area.js';
+import {configurationRevision} from '../configuration/selectors.js';
 import type {HostId, ZoneId} from '../identifiers.js';
 import type {PeerMessage} from '../peer-message.js';
 import type {CoreState} from '../state.js';
@@ -65,6 +66,7 @@
   turn: Turn,
 ): void => {
   noteHeard(state, sender, turn);
+  verifyIncarnation(state, sender, turn);
   const {hostList, hostListReadAt} = state.membership;
   const isNewList =
     hostList !== undefined && hostList.version > message.hostListVersion;
@@ -84,6 +86,7 @@
       records: message.records.flatMap(({zone, version}) =>
         relayedRecord(state, zone, version, turn.at),
       ),
+      revision: configurationRevision(state),
       silent: silentHosts(state),
     },
   });
@@ -114,6 +117,9 @@
   for (const record of message.records) {
     takeRelayedRecord(state, record, askedAt, turn);
   }
+  if (message.revision > configurationRevision(state)) {
+    turn.raise({type: 'newer-revision-found', host: sender.host});
+  }
   for (const host of message.silent) {
     verifySilence(state, host, turn);
   }
@@ -148,6 +154,23 @@
   }
 };
 
+/**
+ * Asks a peer that seems to be another run. Only its answer counts: a late
+ * message of an earlier run must not revive that run.
+ */
+const verifyIncarnation = (
+  state: CoreState,
+  {host, incarnation}: Sender,
+  turn: Turn,
+): void => {
+  if (
+    peerView(state.membership, host).incarnation !== incarnation &&
+    !isAsked(state.membership, host)
+  ) {
+    askPeer(state, host, [state.settings.zone], turn);
+  }
+};
+
 /**
  * Asks a host that another one found silent, so that only an own ask without
  * an answer counts: the other one's link to it may be cut.
@@ -158,14 +181,16 @@
     return;
   }
   const {heardAt, silentSince} = peerView(membership, host);
-  const isAsked = [...membership.asks.values()].some(({to}) => to === host);
   const isHeard =
     heardAt !== undefined && elapsedMs(heardAt, turn.at) < RECENTLY_HEARD_MS;
-  if (silentSince === undefined && !isAsked && !isHeard) {
+  if (silentSince === undefined && !isAsked(membership, host) && !isHeard) {
     askPeer(state, host, [settings.zone], turn);
   }
 };
 
+const isAsked = ({asks}: MembershipState, host: HostId): boolean =>
+  [...asks.values()].some(({to}) => to === host);
+
 const peerView = ({peers}: MembershipState, host: HostId): PeerView => {
   let peer = peers.get(host);
   if (peer === undefined) {
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -39,6 +39,8 @@
       value: z.string().optional(),
     }),
   ),
+  /** Revision of the configuration in force at the sender. */
+  revision: z.number().int().nonnegative(),
   /** Hosts of the sender's zone that left its asks without an answer. */
   silent: z.array(hostIdSchema),
 });
--- a/packages/core/src/membership/refresh.ts
+++ b/packages/core/src/membership/refresh.ts
@@ -1,7 +1,7 @@
 import {elapsedMs} from '../instant.js';
 import type {HostId, ZoneId} from '../identifiers.js';
 import {hashFraction} from '../lib/hash.js';
-import {claimedZones} from '../ownership/selectors.js';
+import {claimedZones, concerningOwners} from '../ownership/selectors.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import {askPeer, expireAsks} from './exchange.js';
@@ -32,7 +32,13 @@
 const STALE_READ_INTERVAL_MS = 2_000;
 
 /** Other zones whose records are asked for in one refresh, in turn. */
-const OTHER_ZONES_PER_REFRESH = 2;
+const OTHER_ZONES_PER_REFRESH = 1;
+
+/** Time without a message after which a neighbour is asked. */
+const QUIET_MS = 2_000;
+
+/** Refreshes between two asks of a neighbour. */
+const NEIGHBOUR_EVERY = 2;
 
 /** Refreshes the copies of platform state and arms the next refresh. */
 export const refresh = (state: CoreState, turn: Turn): void => {
@@ -94,13 +100,9 @@
   const {settings, membership} = state;
   const others = listedZones(state).filter((zone) => zone !== settings.zone);
   const first = membership.refreshes * OTHER_ZONES_PER_REFRESH;
-  const inTurn =
-    others.length <= OTHER_ZONES_PER_REFRESH
-      ? others
-      : Array.from(
-          {length: OTHER_ZONES_PER_REFRESH},
-          (_, step) => others[(first + step) % others.length] ?? settings.zone,
-        );
+  const inTurn = [...others, ...others]
+    .slice(first % Math.max(1, others.length))
+    .slice(0, OTHER_ZONES_PER_REFRESH);
   const unknown = others.filter(
     (zone) => recordCopy(state, ZONE_RECORD_KIND, zone)?.readAt === undefined,
   );
@@ -148,7 +150,7 @@
   {parent}: RelayPlace,
   turn: Turn,
 ): void => {
-  const {settings, membership} = state;
+  const {settings} = state;
   const neighbours = liveOrSilentNeighbours(state).filter(
     (host) => host !== parent,
   );
@@ -157,16 +159,34 @@
     record?.failedAt !== undefined &&
     (record.readAt === undefined ||
       record.failedAt.monotonicMs > record.readAt.monotonicMs);
-  const asked = isStoreSilent
-    ? neighbours
-    : neighbours
-        .slice(membership.refreshes % Math.max(1, neighbours.length))
-        .slice(0, 1);
+  const asked = isStoreSilent ? neighbours : neighboursInTurn(state, turn);
   for (const host of asked) {
     askPeer(state, host, [settings.zone], turn);
   }
 };
 
+/**
+ * One host of the zone, or with a claim that concerns this host, that gave no
+ * sign of life lately. What it answers shows its run and that it lives.
+ */
+const neighboursInTurn = (state: CoreState, turn: Turn): readonly HostId[] => {
+  const {membership} = state;
+  if (membership.refreshes % NEIGHBOUR_EVERY !== 0) {
+    return [];
+  }
+  const watched = new Set([
+    ...liveOrSilentNeighbours(state),
+    ...concerningOwners(state),
+  ]);
+  watched.delete(state.settings.host);
+  const quiet = [...watched].filter((host) => {
+    const heardAt = membership.peers.get(host)?.heardAt;
+    return heardAt === undefined || elapsedMs(heardAt, turn.at) > QUIET_MS;
+  });
+  const next = quiet[(membership.refreshes / NEIGHBOUR_EVERY) % quiet.length];
+  return next === undefined ? [] : [next];
+};
+
 const liveOrSilentNeighbours = ({
   membership,
   settings,
--- a/packages/core/src/ownership/review.ts
+++ b/packages/core/src/ownership/review.ts
@@ -7,11 +7,11 @@
   incarnationOf,
   listedHosts,
   listedServers,
-  listedZones,
   liveHosts,
   silentSince,
   standingOf,
 } from '../membership/selectors.js';
+import {concernedZones} from './selectors.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import {assignUnowned, planMoves, type ZoneAssignment} from './assignment.js';
@@ -54,7 +54,7 @@
   activateHoldings(state, turn);
   repeatWrites(state, turn);
   noteAnswering(state, turn.at);
-  for (const zone of listedZones(state)) {
+  for (const zone of concernedZones(state)) {
     if (isWritable(state, zone, turn.at)) {
       reviewZone(state, zone, turn);
     }
--- a/packages/core/src/ownership/selectors.ts
+++ b/packages/core/src/ownership/selectors.ts
@@ -1,6 +1,7 @@
 import type {HostId, ServerId, ZoneId} from '../identifiers.js';
 import type {Instant} from '../instant.js';
 import {compareText} from '../lib/compare-text.js';
+import {listedZones, liveHosts} from '../membership/selectors.js';
 import type {CoreState} from '../state.js';
 import {isClaimBeyondDispute, isRecordFresh} from './validity.js';
 
@@ -44,3 +45,28 @@
 export const claimedZones = ({ownership}: CoreState): readonly ZoneId[] => [
   ...new Set([...ownership.holdings.values()].map(({zone}) => zone)),
 ];
+
+/**
+ * Zones whose servers this host may come to own: its own, those without a live
+ * host, and those in which it holds claims.
+ */
+export const concernedZones = (state: CoreState): readonly ZoneId[] => {
+  const {zone: ownZone} = state.settings;
+  const inhabited = new Set(liveHosts(state).map(({zone}) => zone));
+  const claimed = claimedZones(state);
+  return listedZones(state).filter(
+    (zone) =>
+      zone === ownZone || !inhabited.has(zone) || claimed.includes(zone),
+  );
+};
+
+/** Hosts that hold claims in the zones that concern this host. */
+export const concerningOwners = (state: CoreState): readonly HostId[] => [
+  ...new Set(
+    concernedZones(state).flatMap((zone) =>
+      Object.values(state.ownership.zones.get(zone)?.record.claims ?? {}).map(
+        ({owner}) => owner,
+      ),
+    ),
+  ),
+];
