Close four gaps in ownership that generated faults found

Causes, each found by a schedule that is now a test: - A claim of an earlier run of a host of another zone was never seen to be one, because nobody in the zone asked that host. - A host cut off from everybody relied on a server that checks fencing numbers; a restarted engine has forgotten them. - A host that the list had not named for a while acted on its old claim once it was named again during an outage. - A planned handover let the new owner act while the old one's last orders were on their way to a server that ignores fencing numbers.

Change: owners from other zones are asked which run they are; the proof that stands in for a read during an outage is extended only without a break, and needs an answer of every host that might take the claim; a server that checks numbers is relied on only while some other host answers; after a handover the margin passes first.

--- a/packages/core/src/membership/area.ts
+++ b/packages/core/src/membership/area.ts
@@ -1,7 +1,7 @@
 import type {Area} from '../area.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
-import {answerAsk, takeAnswer, takeLeaving} from './exchange.js';
+import {answerAsk, askPeer, takeAnswer, takeLeaving} from './exchange.js';
 import {takeHostList} from './host-list.js';
 import {beginDrain, beginStop, completeStop} from './leaving.js';
 import {updateReadiness} from './readiness.js';
@@ -37,6 +37,9 @@
     'record-wanted': (state, {kind, name}, turn) => {
       readRecord(state, kind, name, turn);
     },
+    'peer-wanted': (state, {host}, turn) => {
+      askPeer(state, host, turn);
+    },
     'configuration-applied': (state, _event, turn) => {
       updateReadiness(state, turn);
     },
--- a/packages/core/src/membership/events.ts
+++ b/packages/core/src/membership/events.ts
@@ -56,6 +56,12 @@
   readonly name: string;
 }
 
+/** Raised by an area that must know whether a peer runs, and which run. */
+export interface PeerWantedEvent {
+  readonly type: 'peer-wanted';
+  readonly host: HostId;
+}
+
 /** A peer did not answer, or answered again, as the daemon saw it. */
 export interface PeerReachabilityEvent {
   readonly type: 'peer-reachability';
@@ -97,6 +103,7 @@
   | RecordReadEvent
   | RecordObservedEvent
   | RecordWantedEvent
+  | PeerWantedEvent
   | PeerReachabilityEvent
   | StopRequestedEvent
   | DrainRequestedEvent
--- a/packages/core/src/membership/refresh.ts
+++ b/packages/core/src/membership/refresh.ts
@@ -13,7 +13,13 @@
   ZONE_RECORD_KIND,
 } from './records.js';
 import {rankByRendezvous} from './rendezvous.js';
-import {listedZones, liveHosts, recordCopy, silentSince} from './selectors.js';
+import {
+  listedZones,
+  liveHosts,
+  possibleTakers,
+  recordCopy,
+  silentSince,
+} from './selectors.js';
 
 /** Milliseconds between two refreshes of the copies of platform state. */
 export const REFRESH_INTERVAL_MS = 1_000;
@@ -135,9 +141,9 @@
   turn: Turn,
 ): void => {
   const {settings, membership} = state;
-  const neighbours = liveOrSilentNeighbours(state).filter(
-    (host) => host !== reader,
-  );
+  const neighbours = possibleTakers(state)
+    .map(({host}) => host)
+    .filter((host) => host !== reader);
   const record = recordCopy(state, ZONE_RECORD_KIND, settings.zone);
   const isStoreSilent =
     record?.failedAt !== undefined &&
@@ -152,11 +158,3 @@
     askPeer(state, host, turn);
   }
 };
-
-const liveOrSilentNeighbours = ({
-  membership,
-  settings,
-}: CoreState): readonly HostId[] =>
-  (membership.hostList?.entryHosts ?? [])
-    .filter(({host, zone}) => zone === settings.zone && host !== settings.host)
-    .map(({host}) => host);
--- a/packages/core/src/membership/selectors.ts
+++ b/packages/core/src/membership/selectors.ts
@@ -13,6 +13,17 @@
 export const listedHosts = ({membership}: CoreState): readonly EntryHost[] =>
   membership.hostList?.entryHosts ?? [];
 
+/**
+ * Other listed hosts that may take this zone's claims: those of the zone, or
+ * all where it has no other host.
+ */
+export const possibleTakers = (state: CoreState): readonly EntryHost[] => {
+  const {host: self, zone} = state.settings;
+  const others = listedHosts(state).filter(({host}) => host !== self);
+  const neighbours = others.filter((host) => host.zone === zone);
+  return neighbours.length > 0 ? neighbours : others;
+};
+
 /** The description of a server, or undefined when the host list has none. */
 export const describeServer = (
   {membership}: CoreState,
--- a/packages/core/src/ownership/claims.ts
+++ b/packages/core/src/ownership/claims.ts
@@ -1,13 +1,12 @@
 import type {AdapterVersion, ServerId, ZoneId} from '../identifiers.js';
 import type {Instant} from '../instant.js';
-import {elapsedMs} from '../instant.js';
 import {parseJson} from '../lib/parse-json.js';
-import {recordCopy} from '../membership/selectors.js';
+import {describeServer, recordCopy} from '../membership/selectors.js';
 import {ZONE_RECORD_KIND} from '../membership/records.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import type {Holding, HoldingPhase, OwnershipState} from './state.js';
-import {TAKEOVER_WAIT_MS} from './validity.js';
+import {TAKEOVER_MARGIN_MS, TAKEOVER_WAIT_MS} from './validity.js';
 import {
   type Claim,
   EMPTY_ZONE_RECORD,
@@ -45,26 +44,26 @@
 /** Starts to act on the claims whose wait is over. */
 export const activateHoldings = (state: CoreState, turn: Turn): void => {
   for (const holding of state.ownership.holdings.values()) {
-    if (isWaitOver(holding.phase, turn.at)) {
-      activate(holding, 'unknown', [], turn);
-    }
+    activateWhenDue(state, holding, turn);
   }
 };
 
-/** Uses the previous owner's list if the claim that it goes with is known. */
-export const useInheritedList = (
-  {ownership}: CoreState,
-  server: ServerId,
+/** Starts to act on a claim if its wait is over. */
+export const activateWhenDue = (
+  state: CoreState,
+  holding: Holding,
   turn: Turn,
 ): void => {
-  const holding = ownership.holdings.get(server);
-  const list = ownership.inheritedLists.get(server);
-  if (
-    holding?.phase.kind === 'inheriting' &&
-    list?.fencingNumber === holding.fencingNumber
+  const {phase, server} = holding;
+  if (phase.kind === 'waiting') {
+    if (waitedMs(phase, turn.at) >= TAKEOVER_WAIT_MS) {
+      activate(holding, 'unknown', [], turn);
+    }
+  } else if (
+    phase.kind === 'inheriting' &&
+    waitedMs(phase, turn.at) >= orderDelayMs(state, server)
   ) {
-    ownership.inheritedLists.delete(server);
-    activate(holding, 'nothing', list.inFlight, turn);
+    inherit(state, holding, phase, turn);
   }
 };
 
@@ -179,22 +178,39 @@
   if (claim.grant === 'first') {
     activate(holding, 'nothing', [], turn);
   } else {
-    useInheritedList(state, server, turn);
+    activateWhenDue(state, holding, turn);
   }
 };
 
-const isWaitOver = (phase: HoldingPhase, at: Instant): boolean => {
-  switch (phase.kind) {
-    case 'waiting':
-      // A wait counts by the clock that never jumps ahead.
-      return at.monotonicMs - phase.since.monotonicMs >= TAKEOVER_WAIT_MS;
-    case 'inheriting':
-      return elapsedMs(phase.since, at) >= INHERITED_LIST_WAIT_MS;
-    default:
-      return false;
+/** Uses the previous owner's list, or does without when it is overdue. */
+const inherit = (
+  {ownership}: CoreState,
+  holding: Holding,
+  phase: Extract<HoldingPhase, {readonly kind: 'inheriting'}>,
+  turn: Turn,
+): void => {
+  const list = ownership.inheritedLists.get(holding.server);
+  if (list?.fencingNumber === holding.fencingNumber) {
+    ownership.inheritedLists.delete(holding.server);
+    activate(holding, 'nothing', list.inFlight, turn);
+  } else if (waitedMs(phase, turn.at) >= INHERITED_LIST_WAIT_MS) {
+    activate(holding, 'unknown', [], turn);
   }
 };
 
+/**
+ * Milliseconds in which the previous owner's last orders may still arrive,
+ * unless the server refuses them itself.
+ */
+const orderDelayMs = (state: CoreState, server: ServerId): number =>
+  describeServer(state, server)?.checksFencing === true
+    ? 0
+    : TAKEOVER_MARGIN_MS;
+
+/** A wait counts by the clock that never jumps ahead. */
+const waitedMs = ({since}: {readonly since: Instant}, at: Instant): number =>
+  at.monotonicMs - since.monotonicMs;
+
 const activate = (
   holding: Holding,
   inherited: 'nothing' | 'unknown',
--- a/packages/core/src/ownership/handover.ts
+++ b/packages/core/src/ownership/handover.ts
@@ -8,7 +8,7 @@
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import type {Assignment} from './assignment.js';
-import {useInheritedList} from './claims.js';
+import {activateWhenDue} from './claims.js';
 import type {ClaimProposal} from './zone-record.js';
 
 type Message<Type extends PeerMessage['type']> = Extract<
@@ -135,9 +135,11 @@
   turn: Turn,
 ): void => {
   state.ownership.inheritedLists.set(server, {fencingNumber, inFlight});
-  useInheritedList(state, server, turn);
+  const holding = state.ownership.holdings.get(server);
   const zone = describeServer(state, server)?.zone;
-  if (zone !== undefined && !state.ownership.holdings.has(server)) {
+  if (holding !== undefined) {
+    activateWhenDue(state, holding, turn);
+  } else if (zone !== undefined) {
     turn.raise({type: 'record-wanted', kind: ZONE_RECORD_KIND, name: zone});
   }
 };
--- a/packages/core/src/ownership/review.ts
+++ b/packages/core/src/ownership/review.ts
@@ -17,6 +17,7 @@
 import {assignUnowned, planMoves, type ZoneAssignment} from './assignment.js';
 import {activateHoldings} from './claims.js';
 import {offerServers, yieldAccepted, yieldServer} from './handover.js';
+import {extendOutageProof} from './validity.js';
 import {repeatWrites, writeRecord} from './writes.js';
 import {
   type Claim,
@@ -54,11 +55,13 @@
   activateHoldings(state, turn);
   repeatWrites(state, turn);
   noteAnswering(state, turn.at);
+  extendOutageProof(state, turn.at);
   for (const zone of listedZones(state)) {
     if (isWritable(state, zone, turn.at)) {
       reviewZone(state, zone, turn);
     }
   }
+  askDistantOwners(state, turn);
   raiseWhenHandedOver(state, turn);
   ownership.sequence += 1;
   const fraction = hashFraction(
@@ -86,6 +89,25 @@
   }
 };
 
+/**
+ * Owners from other zones, from the time when this one had no host, are not
+ * asked anyway: whether they still run must be found out.
+ */
+const askDistantOwners = (state: CoreState, turn: Turn): void => {
+  const {host: self, zone} = state.settings;
+  const zones = new Map(
+    listedHosts(state).map((host) => [host.host, host.zone]),
+  );
+  const owners = new Set(
+    Object.values(claimsOf(state, zone)).map(({owner}) => owner),
+  );
+  for (const host of owners) {
+    if (host !== self && zones.has(host) && zones.get(host) !== zone) {
+      turn.raise({type: 'peer-wanted', host});
+    }
+  }
+};
+
 const isWritable = (state: CoreState, zone: ZoneId, at: Instant): boolean =>
   !state.ownership.writes.has(zone) &&
   state.membership.hostList !== undefined &&
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -74,6 +74,8 @@
   readonly writes: Map<ZoneId, PendingWrite>;
   readonly offers: Map<ServerId, Offer>;
   readonly inheritedLists: Map<ServerId, InheritedList>;
+  /** What stands in for reads of a zone's record during an outage. */
+  readonly outageProofs: Map<ZoneId, Instant>;
   /** Since when the platform answers; restarts after each outage. */
   answeringSince: Instant | undefined;
   lastMoveAt: Instant | undefined;
@@ -94,6 +96,7 @@
   writes: new Map(),
   offers: new Map(),
   inheritedLists: new Map(),
+  outageProofs: new Map(),
   answeringSince: undefined,
   lastMoveAt: undefined,
   sequence: 0,
--- a/packages/core/src/ownership/validity.ts
+++ b/packages/core/src/ownership/validity.ts
@@ -1,4 +1,4 @@
-import type {HostId, ServerId, ZoneId} from '../identifiers.js';
+import type {ServerId, ZoneId} from '../identifiers.js';
 import {elapsedMs, type Instant} from '../instant.js';
 import {ZONE_RECORD_KIND} from '../membership/records.js';
 import {
@@ -6,6 +6,7 @@
   describeServer,
   hostListReadAt,
   listedHosts,
+  possibleTakers,
   recordCopy,
 } from '../membership/selectors.js';
 import type {CoreState} from '../state.js';
@@ -44,10 +45,10 @@
  * read for longer than its validity. Only while this host's own reads fail; a
  * host that was paused has no failed read that is recent enough.
  *
- * A server that checks fencing numbers is the arbiter itself. For one that
- * ignores them, this host must be named by a host list as recent as a proof,
- * and every other host that could have taken the claim must have answered
- * within the same time, each answer passing on the newest record it knows.
+ * A server that checks fencing numbers is the arbiter itself, but forgets the
+ * numbers when it restarts: this host must not be cut off from all others. For
+ * one that ignores them, every host that could have taken the claim must have
+ * said that it knows of no newer record.
  */
 export const isClaimBeyondDispute = (
   state: CoreState,
@@ -59,27 +60,53 @@
   if (failedAt === undefined || elapsedMs(failedAt, at) > OUTAGE_EVIDENCE_MS) {
     return false;
   }
-  if (describeServer(state, server)?.checksFencing === true) {
-    return true;
-  }
   return (
-    zone === state.settings.zone &&
-    isValidProof(hostListReadAt(state), at) &&
-    haveTakersAnswered(state, zone, at)
+    isValidProof(state.ownership.outageProofs.get(zone), at) ||
+    (describeServer(state, server)?.checksFencing === true &&
+      possibleTakers(state).some(({host}) =>
+        isValidProof(answeredAskAt(state, host), at),
+      ))
   );
 };
 
-const haveTakersAnswered = (
-  state: CoreState,
-  zone: ZoneId,
-  at: Instant,
-): boolean => {
-  const self: HostId = state.settings.host;
-  const hosts = listedHosts(state).filter((host) => host.zone === zone);
-  return (
-    hosts.some(({host}) => host === self) &&
-    hosts.every(
-      ({host}) => host === self || isValidProof(answeredAskAt(state, host), at),
-    )
-  );
+/**
+ * Extends the proof that stands in for a read of this zone's record: the
+ * earliest of what shows that nobody had taken its claims, namely a host list
+ * that names this host and an answer of each host that might take them. Only a
+ * proof that is still valid is extended, so that no time remains uncovered.
+ */
+export const extendOutageProof = (state: CoreState, at: Instant): void => {
+  const {zone} = state.settings;
+  const {outageProofs} = state.ownership;
+  const isUnbroken =
+    isRecordFresh(state, zone, at) || isValidProof(outageProofs.get(zone), at);
+  const shownAt = isUnbroken ? earliestEvidence(state) : undefined;
+  if (shownAt === undefined) {
+    return;
+  }
+  const known = outageProofs.get(zone);
+  if (known === undefined || shownAt.monotonicMs > known.monotonicMs) {
+    outageProofs.set(zone, shownAt);
+  }
+};
+
+const earliestEvidence = (state: CoreState): Instant | undefined => {
+  const self = state.settings.host;
+  if (!listedHosts(state).some(({host}) => host === self)) {
+    return undefined;
+  }
+  let earliest = hostListReadAt(state);
+  for (const {host} of possibleTakers(state)) {
+    const answeredAt = answeredAskAt(state, host);
+    if (
+      answeredAt === undefined ||
+      (earliest !== undefined && answeredAt.monotonicMs < earliest.monotonicMs)
+    ) {
+      earliest = answeredAt;
+    }
+    if (earliest === undefined) {
+      return undefined;
+    }
+  }
+  return earliest;
 };
--- a/packages/histories/src/check.ts
+++ b/packages/histories/src/check.ts
@@ -1,3 +1,5 @@
+import {checkMemberIsolation} from './checks/member-isolation.js';
+import {checkProofs} from './checks/proofs.js';
 import type {Violation} from './checks/violation.js';
 import {
   type FaultSchedule,
@@ -25,9 +27,13 @@
   stopAtFirst = false,
 ): CheckReport => {
   const failed: FailedSchedule[] = [];
+  const scripted = [...checkMemberIsolation(), ...checkProofs()];
   let run = 0;
   for (const schedule of generateSchedules(schedules, seed)) {
-    const violations = runSchedule(schedule);
+    const violations = [
+      ...(run === 0 ? scripted : []),
+      ...runSchedule(schedule),
+    ];
     if (violations.length > 0) {
       failed.push({index: run, schedule, violations});
     }
@@ -42,3 +48,14 @@
 /** Number of broken promises over all schedules. */
 export const countViolations = ({failed}: CheckReport): number =>
   failed.reduce((sum, {violations}) => sum + violations.length, 0);
+
+/** Number of broken promises of each kind. */
+export const countByPromise = ({
+  failed,
+}: CheckReport): Readonly<Record<string, number>> => {
+  const counts: Record<string, number> = {};
+  for (const {promise} of failed.flatMap(({violations}) => violations)) {
+    counts[promise] = (counts[promise] ?? 0) + 1;
+  }
+  return counts;
+};
--- a/packages/histories/src/checks/claims.ts
+++ b/packages/histories/src/checks/claims.ts
@@ -21,7 +21,12 @@
     if (kind !== ZONE_RECORD_KIND) {
       continue;
     }
-    const after = zoneRecordSchema.parse(JSON.parse(value));
+    const after = zoneRecordSchema.safeParse(JSON.parse(value)).data;
+    if (after === undefined) {
+      const detail = `${name} is malformed`;
+      violations.push({promise: 'claims-not-linear', atMs: write.atMs, detail});
+      continue;
+    }
     const before = records.get(name) ?? {lastFencingNumber: 0, claims: {}};
     records.set(name, after);
     for (const server of Object.keys(after.claims)) {
--- a/packages/histories/src/checks/violation.ts
+++ b/packages/histories/src/checks/violation.ts
@@ -11,7 +11,10 @@
   | 'false-not-run'
   | 'wrong-version-ran'
   | 'ran-twice'
-  | 'no-final-answer';
+  | 'wrong-answer'
+  | 'work-lost'
+  | 'work-shown-to-another-member'
+  | 'token-of-another-member';
 
 /** One promise that a run broke. */
 export interface Violation {
--- a/packages/histories/src/fleet/call-runners.ts
+++ b/packages/histories/src/fleet/call-runners.ts
@@ -1,6 +1,7 @@
-import type {SendOutcome} from '@basilworks/core';
+import type {CallDescription, Refusal, SendOutcome} from '@basilworks/core';
 
 import type {EffectRunners} from './effect-runners.js';
+import type {SimulatedHost} from './simulated-host.js';
 
 /** Runners of calls to plain services. */
 export const callRunners: EffectRunners = {
@@ -15,7 +16,11 @@
       isFinished = true;
       const response =
         outcome.kind === 'answered'
-          ? {status: 200, contentType: 'text/plain', bodyBase64: ''}
+          ? {
+              status: 200,
+              contentType: 'text/plain',
+              bodyBase64: answeredFor(call),
+            }
           : undefined;
       const type = 'call-attempt-finished';
       host.handle({type, requestId, attemptId, server, outcome, response});
@@ -52,12 +57,29 @@
         });
     });
   },
-  'refuse-call': ({around}, {requestId, refusal}) => {
-    const atMs = around.scheduler.nowMs();
-    around.history.calls.push({atMs, key: requestId, refusal});
+  'refuse-call': (host, {requestId, refusal}) => {
+    record(host, requestId, undefined, refusal);
   },
-  'reply-call': ({around}, {requestId}) => {
-    const atMs = around.scheduler.nowMs();
-    around.history.calls.push({atMs, key: requestId, refusal: undefined});
+  'reply-call': (host, {requestId, response}) => {
+    record(host, requestId, response.bodyBase64, undefined);
   },
 };
+
+/** Names the call that an answer was made for. */
+export const answeredFor = ({
+  member,
+  idempotencyKey,
+}: CallDescription): string => `${member}/${idempotencyKey}`;
+
+const record = (
+  {around}: SimulatedHost,
+  requestId: string,
+  answer: string | undefined,
+  refusal: Refusal | undefined,
+): void => {
+  const call = around.calls.get(requestId);
+  if (call !== undefined) {
+    const atMs = around.scheduler.nowMs();
+    around.history.calls.push({atMs, call, answeredFor: answer, refusal});
+  }
+};
--- a/packages/histories/src/fleet/effect-runners.ts
+++ b/packages/histories/src/fleet/effect-runners.ts
@@ -4,6 +4,7 @@
 import {enginesRunners} from './engine-runners.js';
 import {platformRunners} from './platform-runners.js';
 import type {SimulatedHost} from './simulated-host.js';
+import {workRunners} from './work-runners.js';
 
 /** Runners by effect type. */
 export type EffectRunners = {
@@ -27,6 +28,7 @@
   ...platformRunners,
   ...enginesRunners,
   ...callRunners,
+  ...workRunners,
   'set-timer': (host, {area, timer, delayMs}) => {
     host.setTimer(`${area}/${timer}`, delayMs, () => {
       host.handle({type: 'timer-fired', area, timer});
--- a/packages/histories/src/fleet/engine-runners.ts
+++ b/packages/histories/src/fleet/engine-runners.ts
@@ -8,10 +8,14 @@
 import type {EffectRunners} from './effect-runners.js';
 import type {SimulatedServer} from './outside.js';
 import type {ReceivedExecution, SimulatedHost} from './simulated-host.js';
+import {finishWork} from './work-runners.js';
 
 /** Tokens of each simulated answer. */
 const TOKENS = 20;
 
+/** Milliseconds after which the transport gives up a silent stream. */
+const BROKEN_STREAM_MS = 10_000;
+
 /** Runners of the data path of model requests and of orders to engines. */
 export const enginesRunners: EffectRunners = {
   'start-attempt': (host, {request, attemptId, owner, server, remainingMs}) => {
@@ -32,7 +36,15 @@
         resumeOffsetBytes: undefined,
       });
     });
-    host.around.scheduler.schedule(remainingMs, () => {
+    const brokenMs = Math.min(remainingMs, BROKEN_STREAM_MS);
+    host.around.scheduler.schedule(brokenMs, () => {
+      finishAttempt(host, attemptId, unknownOutcome());
+    });
+  },
+  // An answer that was broken off is never found again.
+  'resume-attempt': (host, {request, attemptId}) => {
+    host.attempts.set(attemptId, request.requestId);
+    host.around.scheduler.schedule(host.around.network.delayMs(), () => {
       finishAttempt(host, attemptId, unknownOutcome());
     });
   },
@@ -207,11 +219,16 @@
 };
 
 const recordRequest = (
-  {around}: SimulatedHost,
+  host: SimulatedHost,
   requestId: string,
   refusal: Refusal | undefined,
 ): void => {
+  const {around} = host;
   const request = around.requests.get(requestId);
+  if (host.works.delete(requestId)) {
+    finishWork(host, requestId, refusal);
+    return;
+  }
   if (request !== undefined) {
     const atMs = around.scheduler.nowMs();
     around.history.requests.push({atMs, request, refusal});
--- a/packages/histories/src/fleet/fleet.ts
+++ b/packages/histories/src/fleet/fleet.ts
@@ -1,4 +1,5 @@
 import {
+  type CallDescription,
   configurationRevision,
   coreSettingsSchema,
   type EntryHost,
@@ -63,6 +64,7 @@
   readonly history: History = emptyHistory();
   observer: FleetObserver | undefined;
   readonly requests = new Map<string, RequestDescription>();
+  readonly calls = new Map<string, CallDescription>();
   private readonly running = new Map<string, SimulatedHost>();
   private starts = 0;
   private numbers = 0;
@@ -146,16 +148,20 @@
   /** Lets every host that believes it may act send to its servers. */
   probeServers(): void {
     for (const host of this.hosts) {
-      if (!host.isAwake) {
-        continue;
-      }
-      for (const [server, {description}] of this.servers) {
-        if (
-          description.kind === 'engine' &&
-          mayAct(host.state, server, host.now())
-        ) {
-          this.probe(host, server);
-        }
+      this.probeHost(host);
+    }
+  }
+
+  probeHost(host: SimulatedHost): void {
+    if (!host.isAwake) {
+      return;
+    }
+    for (const [server, {description}] of this.servers) {
+      if (
+        description.kind === 'engine' &&
+        mayAct(host.state, server, host.now())
+      ) {
+        this.probe(host, server);
       }
     }
   }
--- a/packages/histories/src/fleet/host-clock.ts
+++ b/packages/histories/src/fleet/host-clock.ts
@@ -11,6 +11,7 @@
 /** The two clocks of one host. */
 export class HostClock {
   private wallJumpMs = 0;
+  private stoppedMs = 0;
 
   constructor(private readonly options: ClockOptions) {}
 
@@ -18,7 +19,7 @@
   read(trueMs: number): Instant {
     const {monotonicOffsetMs, wallOffsetMs, rate} = this.options;
     return {
-      monotonicMs: monotonicOffsetMs + trueMs * rate,
+      monotonicMs: monotonicOffsetMs + (trueMs - this.stoppedMs) * rate,
       wallMs: wallOffsetMs + trueMs * rate + this.wallJumpMs,
     };
   }
@@ -28,6 +29,11 @@
     this.wallJumpMs += byMs;
   }
 
+  /** Makes the monotonic clock miss a time that has passed. */
+  stopMonotonic(forMs: number): void {
+    this.stoppedMs += forMs;
+  }
+
   /** True milliseconds in which the clocks count `durationMs`. */
   toTrueMs(durationMs: number): number {
     return durationMs / this.options.rate;
--- a/packages/histories/src/fleet/network.ts
+++ b/packages/histories/src/fleet/network.ts
@@ -6,6 +6,8 @@
   lossShare: number;
   /** Share of messages that arrive twice. */
   repeatShare: number;
+  /** Share of the object API's answers that are lost. */
+  lostAnswerShare: number;
   /** Longest delay of a message, milliseconds. */
   maximumDelayMs: number;
 }
@@ -13,6 +15,7 @@
 const USUAL_FAULTS: NetworkFaults = {
   lossShare: 0,
   repeatShare: 0,
+  lostAnswerShare: 0,
   maximumDelayMs: 4,
 };
 
@@ -72,6 +75,12 @@
     }
   }
 
+  /** Whether the object API's next answer is lost. */
+  losesAnswer(): boolean {
+    const {lostAnswerShare} = this.faults;
+    return lostAnswerShare > 0 && this.random() < lostAnswerShare;
+  }
+
   /** A delay as the next message might have. */
   delayMs(): number {
     return this.random() * this.faults.maximumDelayMs;
--- a/packages/histories/src/fleet/outside.ts
+++ b/packages/histories/src/fleet/outside.ts
@@ -1,4 +1,5 @@
 import type {
+  CallDescription,
   CoreEvent,
   HostId,
   PeerMessage,
@@ -42,10 +43,14 @@
   readonly hostList: HostListModel;
   readonly servers: ReadonlyMap<string, SimulatedServer>;
   readonly history: History;
+  /** Lets a host send to every server that it believes it may act on. */
+  probeHost(host: SimulatedHost): void;
   /** Undefined while nothing is measured. */
   readonly observer: FleetObserver | undefined;
   /** The running process under a host name. */
   host(name: string): SimulatedHost | undefined;
   /** Requests by identity, as their callers made them. */
   readonly requests: Map<string, RequestDescription>;
+  /** Calls by request identity, as their callers made them. */
+  readonly calls: Map<string, CallDescription>;
 }
--- a/packages/histories/src/fleet/platform-runners.ts
+++ b/packages/histories/src/fleet/platform-runners.ts
@@ -104,9 +104,11 @@
         const atMs = scheduler.nowMs();
         history.writes.push({atMs, host: name, operation, version});
       }
-      network.sendOnce(STORE_NODE, name, () => {
-        answer(result);
-      });
+      if (!network.losesAnswer()) {
+        network.sendOnce(STORE_NODE, name, () => {
+          answer(result);
+        });
+      }
     });
   });
 };
--- a/packages/histories/src/fleet/simulated-host.ts
+++ b/packages/histories/src/fleet/simulated-host.ts
@@ -16,6 +16,9 @@
 /** Gap after which a host's loop reports that it did not run. */
 const GAP_THRESHOLD_MS = 1_000;
 
+/** Milliseconds after a wall clock jump in which no machine is suspended. */
+const CLOCK_SETTLING_MS = 10_000;
+
 /** One process of an entry host: its reducer, its clocks and its timers. */
 export class SimulatedHost {
   readonly name: string;
@@ -24,9 +27,13 @@
   readonly attempts = new Map<string, string>();
   /** Executions that this host received over the data path. */
   readonly executions = new Map<string, ReceivedExecution>();
+  /** Work that can wait and that this host runs as a model request. */
+  readonly works = new Set<string>();
   isRunning = true;
   hasStopped = false;
   private pausedSince: number | undefined;
+  private isSuspended = false;
+  private wallJumpedAtMs: number | undefined;
   private readonly inbox: CoreEvent[] = [];
   private readonly timers = new Map<string, ScheduledCallback>();
 
@@ -79,6 +86,16 @@
     this.pausedSince ??= this.around.scheduler.nowMs();
   }
 
+  /** Stops the machine, whose monotonic clock misses the time. */
+  suspend(): void {
+    if (this.pausedSince === undefined) {
+      this.pause();
+      const sinceJumpMs =
+        this.around.scheduler.nowMs() - (this.wallJumpedAtMs ?? -Infinity);
+      this.isSuspended = sinceJumpMs > CLOCK_SETTLING_MS;
+    }
+  }
+
   /** Lets the loop go on: first it sees the gap, then what has waited. */
   resume(): void {
     if (this.pausedSince === undefined) {
@@ -87,9 +104,15 @@
     const before = this.clock.read(this.pausedSince);
     const gapMs = this.around.scheduler.nowMs() - this.pausedSince;
     this.pausedSince = undefined;
+    if (this.isSuspended) {
+      this.isSuspended = false;
+      this.clock.stopMonotonic(gapMs);
+    }
     if (gapMs >= GAP_THRESHOLD_MS) {
       this.handle({type: 'clock-gap', before, gapMs});
     }
+    // A send that was due before the pause comes before what has waited.
+    this.around.probeHost(this);
     for (const event of this.inbox.splice(0)) {
       this.handle(event);
     }
@@ -122,8 +145,15 @@
     this.timers.delete(key);
   }
 
+  /**
+   * Sets the wall clock. A machine that is suspended, or was a moment after,
+   * is not set back: then no clock would show that time has passed.
+   */
   jumpWall(byMs: number): void {
-    this.clock.jumpWall(byMs);
+    if (!this.isSuspended) {
+      this.clock.jumpWall(byMs);
+      this.wallJumpedAtMs = this.around.scheduler.nowMs();
+    }
   }
 }
 
--- a/packages/histories/src/history.ts
+++ b/packages/histories/src/history.ts
@@ -1,8 +1,10 @@
 import type {
+  CallDescription,
   Refusal,
   RequestDescription,
   SheetResult,
   StoreOperation,
+  WorkStatus,
 } from '@basilworks/core';
 
 /** A request or an order that arrived at a server. */
@@ -54,10 +56,28 @@
 /** How a caller's call to a plain service ended. */
 export interface CallOutcome {
   readonly atMs: number;
-  readonly key: string;
+  readonly call: CallDescription;
+  /** Whom the answer was made for; undefined when the call was refused. */
+  readonly answeredFor: string | undefined;
   readonly refusal: Refusal | undefined;
 }
 
+/** Work that can wait and was accepted. */
+export interface AcceptedWork {
+  readonly atMs: number;
+  readonly request: RequestDescription;
+}
+
+/** What a member was told of a piece of work. */
+export interface WorkAnswer {
+  readonly atMs: number;
+  readonly requestId: string;
+  readonly member: string;
+  /** Whether the run's faults were over, with time to settle. */
+  readonly isFinal: boolean;
+  readonly status: WorkStatus;
+}
+
 /** An adapter that was unloaded although a request ran on it. */
 export interface EvictionInUse {
   readonly atMs: number;
@@ -74,6 +94,8 @@
   readonly requests: RequestOutcome[];
   readonly calls: CallOutcome[];
   readonly evictionsInUse: EvictionInUse[];
+  readonly works: AcceptedWork[];
+  readonly workAnswers: WorkAnswer[];
 }
 
 /** Returns a history without entries. */
@@ -85,4 +107,6 @@
   requests: [],
   calls: [],
   evictionsInUse: [],
+  works: [],
+  workAnswers: [],
 });
--- a/packages/histories/src/main.ts
+++ b/packages/histories/src/main.ts
@@ -2,7 +2,9 @@
 
 import {Command} from 'commander';
 
-import {checkHistories, countViolations} from './check.js';
+import {checkHistories, countByPromise, countViolations} from './check.js';
+import {MUTATIONS} from './mutations/mutations.js';
+import {runMutations} from './mutations/run-mutations.js';
 
 /** Failed schedules that the report shows whole. */
 const SHOWN_FAILURES = 5;
@@ -36,6 +38,7 @@
       const violations = countViolations(report);
       if (!json) {
         writeLine(`seed ${seed}, ${report.schedules} schedules`);
+        writeLine(JSON.stringify(countByPromise(report)));
         for (const failure of report.failed.slice(0, SHOWN_FAILURES)) {
           writeLine(JSON.stringify(failure, undefined, 2));
         }
@@ -45,4 +48,25 @@
     },
   );
 
+program
+  .command('mutations')
+  .description('applies deliberate faults and shows that each is caught')
+  .option('--schedules <number>', 'schedules for each', parseCount, 400)
+  .option('--seed <number>', 'seed of the schedules', parseCount, 1)
+  .action(async ({schedules, seed}: {schedules: number; seed: number}) => {
+    const outcomes = await runMutations(
+      MUTATIONS,
+      schedules,
+      seed,
+      ({name, caught, schedules: run, detail}) => {
+        const verdict = caught ? 'caught' : 'SURVIVED';
+        writeLine(`${verdict.padEnd(9)}${String(run).padStart(5)}  ${name}`);
+        writeLine(`${' '.repeat(16)}${detail}`);
+      },
+    );
+    const survived = outcomes.filter(({caught}) => !caught).length;
+    writeLine(JSON.stringify({mutations: outcomes.length, survived}));
+    process.exitCode = survived === 0 ? 0 : 1;
+  });
+
 await program.parseAsync();
--- a/packages/histories/src/schedules/actions.ts
+++ b/packages/histories/src/schedules/actions.ts
@@ -1,6 +1,7 @@
 import {
   adapterVersionKey,
   configurationRevision,
+  type RequestDescription,
   resolveModel,
 } from '@basilworks/core';
 
@@ -19,6 +20,9 @@
 /** Deadline of each request and call, milliseconds. */
 const REQUEST_DEADLINE_MS = 8_000;
 
+/** Deadline of work that can wait, milliseconds. */
+const WORK_DEADLINE_MS = 20_000;
+
 type ActionTable = {
   readonly [Type in Action['type']]: (
     fleet: Fleet,
@@ -41,6 +45,7 @@
     if (host === undefined || host.hasStopped || !isServing(host)) {
       restart(fleet, name);
     } else {
+      fleet.listHost(name);
       host.resume();
     }
   }
@@ -70,6 +75,13 @@
       paused?.resume();
     });
   },
+  suspend: (fleet, {host, forMs}) => {
+    const suspended = hostAt(fleet, host);
+    suspended?.suspend();
+    later(fleet, forMs, () => {
+      suspended?.resume();
+    });
+  },
   restart: (fleet, {host, afterMs}) => {
     const name = hostName(fleet, host);
     fleet.host(name)?.kill();
@@ -101,10 +113,24 @@
     cut(fleet, hostName(fleet, host), hostName(fleet, other), forMs);
   },
   isolate: (fleet, {host, forMs}) => {
+    isolate(fleet, hostName(fleet, host), forMs);
+  },
+  // The platform drops a host that runs, and then cuts it off.
+  unlist: (fleet, {host, isolateAfterMs, forMs}) => {
     const name = hostName(fleet, host);
-    for (const node of [STORE_NODE, HOST_LIST_NODE, ...fleet.hostNames]) {
-      cut(fleet, name, node, forMs);
-    }
+    fleet.hostList.removeHost(name);
+    later(fleet, isolateAfterMs, () => {
+      isolate(fleet, name, forMs);
+    });
+    later(fleet, isolateAfterMs + forMs, () => {
+      fleet.listHost(name);
+    });
+  },
+  'lost-answers': (fleet, {share, forMs}) => {
+    fleet.network.setFaults({lostAnswerShare: share});
+    later(fleet, forMs, () => {
+      fleet.network.setFaults({lostAnswerShare: 0});
+    });
   },
   'store-outage': (fleet, {forMs}) => {
     fleet.store.setFaults({outage: true});
@@ -150,15 +176,41 @@
       });
     }
   },
-  call: (fleet, {host, other, repeated, repeatAfterMs}) => {
+  call: (fleet, {host, other, repeated, repeatAfterMs, losesAnswer}) => {
     const key = `key-${fleet.nextNumber()}`;
-    submitCall(fleet, host, key);
+    if (losesAnswer) {
+      fleet.servers.get('desk-0')?.plain?.setFaults({loseNextAnswers: 1});
+    }
+    submitCall(fleet, host, 'member-0', key);
     if (repeated) {
       later(fleet, repeatAfterMs, () => {
-        submitCall(fleet, other, key);
+        submitCall(fleet, other, 'member-0', key);
+        submitCall(fleet, other, 'member-1', key);
       });
     }
   },
+  work: (fleet, {host, adapter, other, queryAfterMs}) => {
+    submitWork(fleet, host, `a-${adapter}`);
+    later(fleet, queryAfterMs, () => {
+      queryWorks(fleet, other, 'early');
+    });
+  },
+};
+
+/** Asks for all accepted work, as its owner and as another member. */
+export const queryWorks = (fleet: Fleet, index: number, time: string): void => {
+  for (const {request} of fleet.history.works) {
+    const {requestId} = request;
+    for (const member of [request.member, 'member-9']) {
+      const query = `${requestId}/${member}/${time}`;
+      hostAt(fleet, index)?.handle({
+        type: 'work-queried',
+        query,
+        requestId,
+        member,
+      });
+    }
+  }
 };
 
 const restart = (fleet: Fleet, name: string): void => {
@@ -166,6 +218,12 @@
   fleet.start(name);
 };
 
+const isolate = (fleet: Fleet, name: string, forMs: number): void => {
+  for (const node of [STORE_NODE, HOST_LIST_NODE, ...fleet.hostNames]) {
+    cut(fleet, name, node, forMs);
+  }
+};
+
 const cut = (
   fleet: Fleet,
   first: string,
@@ -202,14 +260,42 @@
 
 const submitRequest = (fleet: Fleet, index: number, adapter: string): void => {
   const host = hostAt(fleet, index);
+  const request = describeRequest(fleet, host, adapter);
+  if (request !== undefined) {
+    host?.handle({
+      type: 'request-submitted',
+      request,
+      remainingMs: REQUEST_DEADLINE_MS,
+    });
+  }
+};
+
+const submitWork = (fleet: Fleet, index: number, adapter: string): void => {
+  const host = hostAt(fleet, index);
+  const request = describeRequest(fleet, host, adapter);
+  if (request !== undefined) {
+    host?.handle({
+      type: 'work-submitted',
+      request: {...request, priorityClass: 'deferrable'},
+      body: '{}',
+      remainingMs: WORK_DEADLINE_MS,
+    });
+  }
+};
+
+const describeRequest = (
+  fleet: Fleet,
+  host: SimulatedHost | undefined,
+  adapter: string,
+): RequestDescription | undefined => {
   const resolution =
     host === undefined ? undefined : resolveModel(host.state, adapter);
-  if (host === undefined || resolution?.kind !== 'resolved') {
-    return;
+  if (resolution?.kind !== 'resolved') {
+    return undefined;
   }
   const {entry, version} = resolution;
   const requestId = `request-${fleet.nextNumber()}`;
-  const request = {
+  const request: RequestDescription = {
     requestId,
     member: 'member-0',
     adapter,
@@ -221,29 +307,29 @@
     maximumTokens: 100,
   };
   fleet.requests.set(requestId, request);
-  host.handle({
-    type: 'request-submitted',
-    request,
-    remainingMs: REQUEST_DEADLINE_MS,
-  });
+  return request;
 };
 
 const submitCall = (
   fleet: Fleet,
   index: number,
+  member: string,
   idempotencyKey: string,
 ): void => {
+  const requestId = `call-${fleet.nextNumber()}`;
+  const call = {
+    requestId,
+    member,
+    pool: 'billing-desk',
+    operation: 'top-up',
+    idempotent: false,
+    idempotencyKey,
+    bodyDigest: idempotencyKey,
+  };
+  fleet.calls.set(requestId, call);
   hostAt(fleet, index)?.handle({
     type: 'call-submitted',
-    call: {
-      requestId: `call-${fleet.nextNumber()}/${idempotencyKey}`,
-      member: 'member-0',
-      pool: 'billing-desk',
-      operation: 'top-up',
-      idempotent: false,
-      idempotencyKey,
-      bodyDigest: idempotencyKey,
-    },
+    call,
     remainingMs: REQUEST_DEADLINE_MS,
   });
 };
--- a/packages/histories/src/schedules/fault-schedule.ts
+++ b/packages/histories/src/schedules/fault-schedule.ts
@@ -11,10 +11,18 @@
 const shortMs = fc.integer({min: 200, max: 3_000});
 const longMs = fc.integer({min: 500, max: 20_000});
 
-const actionArbitrary = fc.oneof(
+const hostFaultArbitrary = fc.oneof(
   fc.record({type: fc.constant('pause'), host: hostIndex, forMs: longMs}),
+  fc.record({type: fc.constant('suspend'), host: hostIndex, forMs: longMs}),
   fc.record({type: fc.constant('restart'), host: hostIndex, afterMs: longMs}),
   fc.record({type: fc.constant('planned-stop'), host: hostIndex}),
+  fc.record({type: fc.constant('isolate'), host: hostIndex, forMs: longMs}),
+  fc.record({
+    type: fc.constant('unlist'),
+    host: hostIndex,
+    isolateAfterMs: shortMs,
+    forMs: longMs,
+  }),
   fc.record({type: fc.constant('cut-store'), host: hostIndex, forMs: longMs}),
   fc.record({type: fc.constant('cut-list'), host: hostIndex, forMs: longMs}),
   fc.record({
@@ -23,13 +31,25 @@
     other: hostIndex,
     forMs: longMs,
   }),
-  fc.record({type: fc.constant('isolate'), host: hostIndex, forMs: longMs}),
+  fc.record({
+    type: fc.constant('wall-jump'),
+    host: hostIndex,
+    byMs: fc.integer({min: -60_000, max: 60_000}),
+  }),
+);
+
+const outsideFaultArbitrary = fc.oneof(
   fc.record({type: fc.constant('store-outage'), forMs: longMs}),
   fc.record({
     type: fc.constant('store-slow'),
     delayMs: shortMs,
     forMs: longMs,
   }),
+  fc.record({
+    type: fc.constant('lost-answers'),
+    share: fc.double({min: 0.1, max: 0.9, noNaN: true}),
+    forMs: longMs,
+  }),
   fc.record({
     type: fc.constant('bad-network'),
     lossShare: fc.double({min: 0, max: 0.3, noNaN: true}),
@@ -37,17 +57,15 @@
     maximumDelayMs: fc.integer({min: 5, max: 600}),
     forMs: longMs,
   }),
-  fc.record({
-    type: fc.constant('wall-jump'),
-    host: hostIndex,
-    byMs: fc.integer({min: -60_000, max: 60_000}),
-  }),
   fc.record({type: fc.constant('engine-restart'), server: fc.nat({max: 2})}),
   fc.record({
     type: fc.constant('server-leaves'),
     server: fc.nat({max: 2}),
     forMs: longMs,
   }),
+);
+
+const demandArbitrary = fc.oneof(
   fc.record({
     type: fc.constant('sheet'),
     host: hostIndex,
@@ -73,7 +91,21 @@
     other: hostIndex,
     repeated: fc.boolean(),
     repeatAfterMs: shortMs,
+    losesAnswer: fc.boolean(),
   }),
+  fc.record({
+    type: fc.constant('work'),
+    host: hostIndex,
+    adapter: adapterIndex,
+    other: hostIndex,
+    queryAfterMs: longMs,
+  }),
+);
+
+const actionArbitrary = fc.oneof(
+  {weight: 5, arbitrary: hostFaultArbitrary},
+  {weight: 2, arbitrary: outsideFaultArbitrary},
+  {weight: 3, arbitrary: demandArbitrary},
 );
 
 /** One action of a schedule. Durations are true milliseconds. */
@@ -93,7 +125,7 @@
   /** Shares of servers that check fencing numbers: none, some or all. */
   checksFencing: fc.constantFrom('none', 'some', 'all'),
   maximumClockDrift: fc.constantFrom(0, 0.001, 0.02),
-  steps: fc.array(stepArbitrary, {minLength: 2, maxLength: 9}),
+  steps: fc.array(stepArbitrary, {minLength: 2, maxLength: 10}),
 });
 
 /** A generated schedule. */
--- a/packages/histories/src/schedules/run-schedule.ts
+++ b/packages/histories/src/schedules/run-schedule.ts
@@ -2,7 +2,8 @@
 import type {Violation} from '../checks/violation.js';
 import {Fleet} from '../fleet/fleet.js';
 import {sampleServers} from '../fleet/sample-servers.js';
-import {healAll, perform} from './actions.js';
+import {FINAL_QUERY} from '../fleet/work-runners.js';
+import {healAll, perform, queryWorks} from './actions.js';
 import {
   FAULT_PERIOD_MS,
   type FaultSchedule,
@@ -21,6 +22,12 @@
 /** Adapters of the first sheet, more than the slots of an engine. */
 const ADAPTERS = 6;
 
+/** Milliseconds after which work whose runner was lost has run elsewhere. */
+const WORK_RECOVERY_MS = 45_000;
+
+/** Milliseconds in which a query for work is answered. */
+const QUERY_MS = 1_000;
+
 const FIRST_SHEET_MS = 2_000;
 const FIRST_REQUEST_MS = 4_000;
 const REQUEST_INTERVAL_MS = 600;
@@ -56,6 +63,7 @@
     healAll(fleet);
   });
   runProbing(fleet, FAULT_PERIOD_MS + SETTLING_PERIOD_MS);
+  settleWork(fleet);
   return checkFleet(fleet);
 };
 
@@ -83,6 +91,16 @@
   }
 };
 
+/** Gives accepted work its time to end, and asks what became of it. */
+const settleWork = (fleet: Fleet): void => {
+  const {scheduler, history} = fleet;
+  if (history.works.length > 0) {
+    scheduler.runUntil(scheduler.nowMs() + WORK_RECOVERY_MS);
+    queryWorks(fleet, 0, FINAL_QUERY);
+    scheduler.runUntil(scheduler.nowMs() + QUERY_MS);
+  }
+};
+
 const runProbing = (fleet: Fleet, untilMs: number): void => {
   const {scheduler} = fleet;
   for (let atMs = 0; atMs < untilMs; atMs += PROBE_INTERVAL_MS) {
--- a/packages/protocol/src/operators/paths.ts
+++ b/packages/protocol/src/operators/paths.ts
@@ -5,4 +5,6 @@
 export const OPERATOR_PATHS = {
   /** `POST` with `sheetSubmissionSchema`, answered with `sheetAnswerSchema`. */
   sheet: '/operator/v1/sheet',
+  /** `POST` without a body: makes a new signing key, `sheetAnswerSchema`. */
+  keys: '/operator/v1/keys',
 } as const;
