--- a/packages/core/src/membership/exchange.ts
+++ b/packages/core/src/membership/exchange.ts
@@ -14,8 +14,8 @@
 /** Milliseconds after which an ask counts as not answered. */
 export const ASK_TIMEOUT_MS = 900;
 
-/** Milliseconds for which a peer that was heard needs no other proof. */
-const RECENTLY_HEARD_MS = 2_000;
+/** Milliseconds without a message after which a peer counts as quiet. */
+const QUIET_MS = 2_000;
 
 type Message<Type extends PeerMessage['type']> = Extract<
   PeerMessage,
@@ -154,6 +154,32 @@
   }
 };
 
+/** Whether a peer gave no sign of life lately. */
+export const isQuiet = (
+  {membership}: CoreState,
+  host: HostId,
+  at: Instant,
+): boolean => {
+  const heardAt = membership.peers.get(host)?.heardAt;
+  return heardAt === undefined || elapsedMs(heardAt, at) > QUIET_MS;
+};
+
+/** Asks a quiet peer whether it runs, unless it is being asked. */
+export const askQuietPeer = (
+  state: CoreState,
+  host: HostId,
+  turn: Turn,
+): void => {
+  const {membership, settings} = state;
+  if (
+    host !== settings.host &&
+    isQuiet(state, host, turn.at) &&
+    !isAsked(membership, host)
+  ) {
+    askPeer(state, host, [settings.zone], turn);
+  }
+};
+
 /**
  * Asks a peer that seems to be another run. Only its answer counts: a late
  * message of an earlier run must not revive that run.
@@ -176,15 +202,8 @@
  * an answer counts: the other one's link to it may be cut.
  */
 const verifySilence = (state: CoreState, host: HostId, turn: Turn): void => {
-  const {membership, settings} = state;
-  if (host === settings.host) {
-    return;
-  }
-  const {heardAt, silentSince} = peerView(membership, host);
-  const isHeard =
-    heardAt !== undefined && elapsedMs(heardAt, turn.at) < RECENTLY_HEARD_MS;
-  if (silentSince === undefined && !isAsked(membership, host) && !isHeard) {
-    askPeer(state, host, [settings.zone], turn);
+  if (state.membership.peers.get(host)?.silentSince === undefined) {
+    askQuietPeer(state, host, turn);
   }
 };
 
--- a/packages/core/src/membership/refresh.ts
+++ b/packages/core/src/membership/refresh.ts
@@ -1,10 +1,10 @@
 import {elapsedMs} from '../instant.js';
 import type {HostId, ZoneId} from '../identifiers.js';
 import {hashFraction} from '../lib/hash.js';
-import {claimedZones, concerningOwners} from '../ownership/selectors.js';
+import {claimedZones} from '../ownership/selectors.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
-import {askPeer, expireAsks} from './exchange.js';
+import {askPeer, expireAsks, isQuiet} from './exchange.js';
 import {readHostList} from './host-list.js';
 import {updateReadiness} from './readiness.js';
 import {
@@ -14,7 +14,7 @@
   ZONE_RECORD_KIND,
 } from './records.js';
 import {relayPlace, type RelayPlace, zoneReader} from './relay.js';
-import {listedZones, recordCopy} from './selectors.js';
+import {listedZones, possibleTakers, recordCopy} from './selectors.js';
 
 /** Milliseconds between two refreshes of the copies of platform state. */
 export const REFRESH_INTERVAL_MS = 1_000;
@@ -34,9 +34,6 @@
 /** Other zones whose records are asked for in one refresh, in turn. */
 const OTHER_ZONES_PER_REFRESH = 1;
 
-/** Time without a message after which a neighbour is asked. */
-const QUIET_MS = 2_000;
-
 /** Refreshes between two asks of a neighbour. */
 const NEIGHBOUR_EVERY = 2;
 
@@ -151,9 +148,9 @@
   turn: Turn,
 ): void => {
   const {settings} = state;
-  const neighbours = liveOrSilentNeighbours(state).filter(
-    (host) => host !== parent,
-  );
+  const neighbours = possibleTakers(state)
+    .map(({host}) => host)
+    .filter((host) => host !== parent);
   const record = recordCopy(state, ZONE_RECORD_KIND, settings.zone);
   const isStoreSilent =
     record?.failedAt !== undefined &&
@@ -165,32 +162,15 @@
   }
 };
 
-/**
- * One host of the zone, or with a claim that concerns this host, that gave no
- * sign of life lately. What it answers shows its run and that it lives.
- */
+/** One neighbour in turn that gave no sign of life lately. */
 const neighboursInTurn = (state: CoreState, turn: Turn): readonly HostId[] => {
   const {membership} = state;
   if (membership.refreshes % NEIGHBOUR_EVERY !== 0) {
     return [];
   }
-  const watched = new Set([
-    ...liveOrSilentNeighbours(state),
-    ...concerningOwners(state),
-  ]);
-  watched.delete(state.settings.host);
-  const quiet = [...watched].filter((host) => {
-    const heardAt = membership.peers.get(host)?.heardAt;
-    return heardAt === undefined || elapsedMs(heardAt, turn.at) > QUIET_MS;
-  });
+  const quiet = possibleTakers(state)
+    .map(({host}) => host)
+    .filter((host) => isQuiet(state, host, turn.at));
   const next = quiet[(membership.refreshes / NEIGHBOUR_EVERY) % quiet.length];
   return next === undefined ? [] : [next];
 };
-
-const liveOrSilentNeighbours = ({
-  membership,
-  settings,
-}: CoreState): readonly HostId[] =>
-  (membership.hostList?.entryHosts ?? [])
-    .filter(({host, zone}) => zone === settings.zone && host !== settings.host)
-    .map(({host}) => host);
--- a/packages/core/src/ownership/review.ts
+++ b/packages/core/src/ownership/review.ts
@@ -11,12 +11,13 @@
   silentSince,
   standingOf,
 } from '../membership/selectors.js';
-import {concernedZones} from './selectors.js';
+import {concernedZones, concerningOwners} from './selectors.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import {assignUnowned, planMoves, type ZoneAssignment} from './assignment.js';
 import {activateHoldings} from './claims.js';
 import {offerServers, yieldAccepted, yieldServer} from './handover.js';
+import {extendOutageProof} from './validity.js';
 import {repeatWrites, writeRecord} from './writes.js';
 import {
   type Claim,
@@ -54,11 +55,13 @@
   activateHoldings(state, turn);
   repeatWrites(state, turn);
   noteAnswering(state, turn.at);
+  extendOutageProof(state, turn.at);
   for (const zone of concernedZones(state)) {
     if (isWritable(state, zone, turn.at)) {
       reviewZone(state, zone, turn);
     }
   }
+  askDistantOwners(state, turn);
   raiseWhenHandedOver(state, turn);
   ownership.sequence += 1;
   const fraction = hashFraction(
@@ -86,6 +89,21 @@
   }
 };
 
+/**
+ * Owners from other zones, from the time when a zone had no host, are not asked
+ * anyway: whether they still run must be found out.
+ */
+const askDistantOwners = (state: CoreState, turn: Turn): void => {
+  const zoneOf = new Map(
+    listedHosts(state).map(({host, zone}) => [host, zone]),
+  );
+  for (const host of concerningOwners(state)) {
+    if (zoneOf.has(host) && zoneOf.get(host) !== state.settings.zone) {
+      turn.raise({type: 'peer-wanted', host});
+    }
+  }
+};
+
 const isWritable = (state: CoreState, zone: ZoneId, at: Instant): boolean =>
   !state.ownership.writes.has(zone) &&
   state.membership.hostList !== undefined &&
