--- a/packages/core/src/residency/demand.ts
+++ b/packages/core/src/residency/demand.ts
@@ -8,7 +8,7 @@
 const SESSION_MEMORY_MS = 20_000;
 
 /** Chance that a request is followed by another of the same visit. */
-const SESSION_CHANCE = 0.6;
+const SESSION_CHANCE = 0.8;
 
 /** Entries at which those with the least demand are dropped. */
 const DEMAND_CAPACITY = 20_000;
