Resume streams on any host and end a planned stop after the last answer

A caller that lost its connection had to ask again, and a stop could exit with answers unwritten. The head of an answer now carries a signed resume token; any host continues the stream at the owner of its server, which keeps a stream without a reader for 5 s before it cancels it. A stop that the reducer has completed still waits for open answers and drains both listeners.

--- a/packages/core/src/routing/area.ts
+++ b/packages/core/src/routing/area.ts
@@ -13,6 +13,7 @@
   resumeAttempt,
   startAttempt,
   submitRequest,
+  submitResume,
   takePlacementRefusal,
 } from './ingress.js';
 import {dropStalePlacements, finishPlacement} from './placements.js';
@@ -28,6 +29,7 @@
       setStaleTimer(turn);
     },
     'request-submitted': submitRequest,
+    'resume-submitted': submitResume,
     'request-abandoned': abandonRequest,
     'attempt-finished': finishAttempt,
     'timer-fired': (state, {timer}, turn) => {
--- a/packages/core/src/routing/events.ts
+++ b/packages/core/src/routing/events.ts
@@ -1,4 +1,4 @@
-import type {RequestId} from '../identifiers.js';
+import type {RequestId, ServerId} from '../identifiers.js';
 import type {RequestDescription} from '../request.js';
 import type {SendOutcome} from '../refusal.js';
 
@@ -10,6 +10,17 @@
   readonly remainingMs: number;
 }
 
+/** A caller asks to continue an answer that another connection began. */
+export interface ResumeSubmittedEvent {
+  readonly type: 'resume-submitted';
+  readonly request: RequestDescription;
+  /** Names the execution on its server. */
+  readonly attemptId: string;
+  readonly server: ServerId;
+  readonly offsetBytes: number;
+  readonly remainingMs: number;
+}
+
 /** The caller went away, or cancelled. */
 export interface RequestAbandonedEvent {
   readonly type: 'request-abandoned';
@@ -25,4 +36,7 @@
 }
 
 export type RoutingEvent =
-  RequestSubmittedEvent | RequestAbandonedEvent | AttemptFinishedEvent;
+  | RequestSubmittedEvent
+  | ResumeSubmittedEvent
+  | RequestAbandonedEvent
+  | AttemptFinishedEvent;
--- a/packages/core/src/routing/ingress.ts
+++ b/packages/core/src/routing/ingress.ts
@@ -8,10 +8,11 @@
   AttemptFinishedEvent,
   RequestAbandonedEvent,
   RequestSubmittedEvent,
+  ResumeSubmittedEvent,
 } from './events.js';
 import type {PlacementGranted, PlacementRefused} from './messages.js';
 import {earnRetry, spendRetry} from './retry-budget.js';
-import type {IngressRequest} from './state.js';
+import {createIngressRequest, type IngressRequest} from './state.js';
 
 /** Time after which an unanswered placement is asked for again. */
 const PLACEMENT_TIMEOUT_MS = 500;
@@ -60,26 +61,29 @@
   if (routing.requests.has(request.requestId)) {
     return;
   }
-  const entry: IngressRequest = {
-    request,
-    deadlineMs: turn.at.monotonicMs + remainingMs,
-    state: 'placing',
-    placements: 0,
-    asked: 0,
-    placementId: '',
-    attemptId: '',
-    server: undefined,
-    excluded: [],
-    resumes: 0,
-    deliveredBytes: 0,
-    abandoned: false,
-  };
-  routing.requests.set(request.requestId, entry);
+  const entry = addRequest(state, request, remainingMs, turn);
   earnRetry(routing.retryBudget);
-  setTimer('deadline', entry, remainingMs, turn);
   requestPlacement(state, entry, turn);
 };
 
+/** Continues an answer that began on another connection or host. */
+export const submitResume = (
+  state: CoreState,
+  {request, remainingMs, attemptId, server, offsetBytes}: ResumeSubmittedEvent,
+  turn: Turn,
+): void => {
+  if (state.routing.requests.has(request.requestId)) {
+    return;
+  }
+  const entry = addRequest(state, request, remainingMs, turn);
+  entry.state = 'resuming';
+  entry.attemptId = attemptId;
+  entry.server = server;
+  entry.deliveredBytes = offsetBytes;
+  entry.resumes = 1;
+  resumeAttempt(state, request.requestId, turn);
+};
+
 /** Withdraws a request everywhere after its caller went away. */
 export const abandonRequest = (
   state: CoreState,
@@ -232,6 +236,19 @@
   }
 };
 
+const addRequest = (
+  state: CoreState,
+  request: IngressRequest['request'],
+  remainingMs: number,
+  turn: Turn,
+): IngressRequest => {
+  const deadlineMs = turn.at.monotonicMs + remainingMs;
+  const entry = createIngressRequest(request, deadlineMs);
+  state.routing.requests.set(request.requestId, entry);
+  setTimer('deadline', entry, remainingMs, turn);
+  return entry;
+};
+
 const requestPlacement = (
   state: CoreState,
   entry: IngressRequest,
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -27,6 +27,25 @@
   abandoned: boolean;
 }
 
+/** Returns the state of a request at its arrival. */
+export const createIngressRequest = (
+  request: RequestDescription,
+  deadlineMs: number,
+): IngressRequest => ({
+  request,
+  deadlineMs,
+  state: 'placing',
+  placements: 0,
+  asked: 0,
+  placementId: '',
+  attemptId: '',
+  server: undefined,
+  excluded: [],
+  resumes: 0,
+  deliveredBytes: 0,
+  abandoned: false,
+});
+
 /** A placement that this host, as the home, granted or holds. */
 export interface Placement {
   readonly placementId: string;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -62,7 +62,12 @@
   ) {
     const signal = this.abortController.signal;
     this.context = createContext(settings, overrides, signal);
-    this.parts = createParts(this.context, onStopped);
+    this.parts = createParts(this.context, {
+      onStopped,
+      drainCallers: async () => {
+        await Promise.all(this.listeners.map((listener) => listener.drain()));
+      },
+    });
   }
 
   /** Listens and starts the loop. */
@@ -164,7 +169,7 @@
     readiness: new Readiness(),
     platform:
       overrides.platform ?? createPlatform(settings, timers, metrics, signal),
-    directory: new HostDirectory(),
+    directory: new HostDirectory(loop),
     auditTrail: new BoundedRecord(limits.recordEntries),
     decisions: new BoundedRecord(limits.recordEntries),
   };
--- a/packages/daemon/src/effects/membership-runners.ts
+++ b/packages/daemon/src/effects/membership-runners.ts
@@ -18,14 +18,7 @@
   },
 });
 
-const readHostList = async ({
-  loop,
-  platform,
-  directory,
-}: DaemonContext): Promise<void> => {
+const readHostList = async ({loop, platform}: DaemonContext): Promise<void> => {
   const hostList = await platform.hostList.read();
-  if (hostList !== undefined) {
-    directory.update(hostList, loop.now().monotonicMs);
-  }
   loop.post({type: 'host-list-read', hostList});
 };
--- a/packages/daemon/src/http/listener.ts
+++ b/packages/daemon/src/http/listener.ts
@@ -15,6 +15,12 @@
 /** A caller must have sent its whole request within this time. */
 const REQUEST_TIMEOUT_MS = 60_000;
 
+/** How often connections that became idle are closed, milliseconds. */
+const DRAIN_CHECK_PERIOD_MS = 20;
+
+/** Longest wait for a caller that takes its last answer slowly. */
+const DRAIN_LIMIT_MS = 10_000;
+
 /** One HTTP listener. */
 export class HttpListener {
   private readonly server: ServerType;
@@ -51,7 +57,25 @@
     );
   }
 
-  /** Stops to accept connections and closes the idle ones. */
+  /** Takes no more connections; ends when the last answer is written. */
+  async drain(): Promise<void> {
+    const {server} = this;
+    const closeIdle = setInterval(() => {
+      if ('closeIdleConnections' in server) {
+        server.closeIdleConnections();
+      }
+    }, DRAIN_CHECK_PERIOD_MS);
+    await new Promise<void>((resolve) => {
+      const limit = setTimeout(resolve, DRAIN_LIMIT_MS);
+      server.close(() => {
+        clearTimeout(limit);
+        resolve();
+      });
+    });
+    clearInterval(closeIdle);
+  }
+
+  /** Closes the listener and all of its connections. */
   close(): void {
     this.server.close();
     if ('closeAllConnections' in this.server) {
--- a/packages/daemon/src/ingress/http-requester.ts
+++ b/packages/daemon/src/ingress/http-requester.ts
@@ -1,16 +1,26 @@
 import type {ServerResponse} from 'node:http';
 
-import type {Refusal, RequestId} from '@basilworks/core';
+import {
+  issueResumeToken,
+  keyRing,
+  type Refusal,
+  type RequestId,
+} from '@basilworks/core';
 
 import type {DaemonContext} from '../context.js';
 import {refuseEarly, toErrorAnswer} from '../http/errors.js';
 import type {AnswerHead} from '../lib/answer.js';
 import type {AttemptPlace, Ingress, Requester} from './ingress.js';
 
+/** How long an interrupted answer may be continued, milliseconds. */
+const RESUME_TOKEN_LIFETIME_MS = 600_000;
+
 /** What identifies the answer to a caller. */
 export interface HttpAnswerIdentity {
   readonly requestId: RequestId;
   readonly member: string;
+  readonly adapter: string;
+  readonly version: string;
   readonly priorityClass: string;
 }
 
@@ -39,14 +49,18 @@
     });
   }
 
-  head(head: AnswerHead, _place: AttemptPlace): void {
+  head(head: AnswerHead, place: AttemptPlace): void {
     const {requestId, priorityClass} = this.identity;
+    const token = this.issueToken(place);
+    const {readiness} = this.context;
     this.response.writeHead(head.status, {
       'content-type': head.contentType,
       'cache-control': 'no-store',
       'x-request-id': requestId,
       'x-adapter': head.adapter,
       'x-version': head.version,
+      ...(token === undefined ? {} : {'x-resume-token': token}),
+      ...(readiness.ready ? {} : {connection: 'close'}),
     });
     const {loop, metrics} = this.context;
     metrics.firstByteSeconds.observe(
@@ -90,6 +104,17 @@
     writeRefusal(this.response, refusal, this.identity.requestId);
   }
 
+  private issueToken({attemptId, server}: AttemptPlace): string | undefined {
+    const {loop} = this.context;
+    const {requestId, member, adapter, version} = this.identity;
+    const expiresAtWallMs = loop.now().wallMs + RESUME_TOKEN_LIFETIME_MS;
+    const claims = {requestId, executionId: attemptId, server, member, adapter};
+    return issueResumeToken(
+      {...claims, version, expiresAtWallMs},
+      keyRing(loop.state),
+    );
+  }
+
   private get stallTimer(): string {
     return `stalled-caller/${this.identity.requestId}`;
   }
--- a/packages/daemon/src/ingress/ingress.ts
+++ b/packages/daemon/src/ingress/ingress.ts
@@ -14,6 +14,7 @@
 import {unknownOutcome} from '../peers/frames.js';
 import type {PeerLinks} from '../peers/peer-links.js';
 import type {RunnersOf} from '../runner-table.js';
+import {RequestOutcomes, type RequestStatus} from './request-outcomes.js';
 
 /** Who waits for the answer to a model request. */
 export interface Requester {
@@ -42,15 +43,30 @@
 
 type Attempt = StartAttemptEffect | ResumeAttemptEffect;
 
+/** A resume of an answer that another connection began. */
+export interface ModelResume {
+  readonly request: RequestDescription;
+  /** Names the execution on its server. */
+  readonly executionId: string;
+  readonly server: string;
+  readonly offsetBytes: number;
+  readonly remainingMs: number;
+}
+
 /** Model requests of callers that this host holds. */
 export class Ingress {
+  /** Status of the last requests, for their members. */
+  readonly outcomes: RequestOutcomes;
   private readonly requests = new Map<RequestId, OpenRequest>();
 
   constructor(
     private readonly context: DaemonContext,
     private readonly executions: Executions,
     private readonly peers: PeerLinks,
-  ) {}
+  ) {
+    const {recordEntries} = context.settings.limits;
+    this.outcomes = new RequestOutcomes(recordEntries);
+  }
 
   readonly runners: RunnersOf<
     'start-attempt' | 'resume-attempt' | 'cancel-attempt' | 'refuse-request'
@@ -66,7 +82,8 @@
     },
     'refuse-request': ({requestId, refusal}) => {
       const open = this.requests.get(requestId);
-      this.close(requestId);
+      const {code, notRun} = refusal;
+      this.close(requestId, {state: 'refused', code, notRun});
       open?.requester.refuse(refusal);
     },
   };
@@ -77,19 +94,43 @@
   }
 
   /** Submits a request; the requester gets exactly one final answer. */
-  submit({request, body, remainingMs}: ModelRequest, requester: Requester) {
-    this.requests.set(request.requestId, new OpenRequest(body, requester));
-    this.context.metrics.openRequests.set(this.requests.size);
+  submit(
+    {request, body, remainingMs}: ModelRequest,
+    requester: Requester,
+  ): void {
+    this.add(new OpenRequest(request, body, requester, 0));
     this.context.loop.post({type: 'request-submitted', request, remainingMs});
   }
 
+  /** Continues an answer; the requester gets the bytes from the offset on. */
+  submitResume(
+    {request, executionId, server, offsetBytes, remainingMs}: ModelResume,
+    requester: Requester,
+  ): void {
+    const body = Buffer.alloc(0);
+    this.add(new OpenRequest(request, body, requester, offsetBytes));
+    this.context.loop.post({
+      type: 'resume-submitted',
+      request,
+      attemptId: executionId,
+      server,
+      offsetBytes,
+      remainingMs,
+    });
+  }
+
+  /** Whether this host gives the answer to a request now. */
+  has(requestId: RequestId): boolean {
+    return this.requests.has(requestId);
+  }
+
   /** Gives up a request whose requester is gone; it gets no answer. */
   abandon(requestId: RequestId): void {
     const open = this.requests.get(requestId);
     if (open === undefined) {
       return;
     }
-    this.close(requestId);
+    this.close(requestId, {state: 'abandoned'});
     this.context.loop.post({type: 'request-abandoned', requestId});
     open.source?.cancel();
   }
@@ -136,7 +177,7 @@
     const {requestId} = request;
     const open = this.requests.get(requestId);
     if (open?.attemptId === attemptId && outcome.kind === 'answered') {
-      this.close(requestId);
+      this.close(requestId, {state: 'answered'});
       open.requester.finish(outcome.status);
     }
     this.context.loop.post({
@@ -147,10 +188,24 @@
     });
   }
 
-  private close(requestId: RequestId): void {
-    this.requests.delete(requestId);
+  private add(open: OpenRequest): void {
+    const {requestId, member} = open.request;
+    this.requests.set(requestId, open);
+    this.outcomes.set(member, {requestId, state: 'open'});
     this.context.metrics.openRequests.set(this.requests.size);
   }
+
+  private close(
+    requestId: RequestId,
+    status: Omit<RequestStatus, 'requestId'>,
+  ): void {
+    const open = this.requests.get(requestId);
+    if (open !== undefined) {
+      this.requests.delete(requestId);
+      this.outcomes.set(open.request.member, {requestId, ...status});
+      this.context.metrics.openRequests.set(this.requests.size);
+    }
+  }
 }
 
 /** One request, over all of its attempts. */
@@ -158,11 +213,13 @@
   attemptId = '';
   source: AnswerSource | undefined;
   headSeen = false;
-  deliveredBytes = 0;
 
   constructor(
+    readonly request: RequestDescription,
     readonly body: Buffer,
     readonly requester: Requester,
+    /** Bytes of the whole answer that the caller has. */
+    public deliveredBytes: number,
   ) {}
 
   cancel(attemptId: string): void {
--- a/packages/daemon/src/ingress/model-routes.ts
+++ b/packages/daemon/src/ingress/model-routes.ts
@@ -46,8 +46,8 @@
     if (request.isErr()) {
       return refuse(request.error);
     }
-    const {priorityClass} = request.value.request;
-    const identity = {requestId, member, priorityClass};
+    const {adapter, version, priorityClass} = request.value.request;
+    const identity = {requestId, member, adapter, version, priorityClass};
     ingress.submit(
       request.value,
       new HttpRequester(context, ingress, outgoing, identity),
@@ -75,6 +75,9 @@
   {readiness, settings}: DaemonContext,
   ingress: Ingress,
 ): Refusal | undefined => {
+  if (readiness.closed) {
+    return refuseEarly('stopping', 'this host is stopping', 1_000);
+  }
   if (!readiness.hasBeenReady) {
     return refuseEarly('not-ready', readiness.reason, 1_000);
   }
--- a/packages/daemon/src/owner/executions.ts
+++ b/packages/daemon/src/owner/executions.ts
@@ -9,9 +9,12 @@
 import type {DaemonContext} from '../context.js';
 import type {AnswerHead, AnswerSink, AnswerSource} from '../lib/answer.js';
 import {countTokens} from '../lib/count-tokens.js';
-import {notSent} from '../peers/frames.js';
+import {notSent, unknownOutcome} from '../peers/frames.js';
 import type {EffectRunner, RunnersOf} from '../runner-table.js';
 
+/** How long a stream without a reader may be resumed, milliseconds. */
+const RESUME_GRACE_MS = 5_000;
+
 /** A request that arrived at the owner of its server. */
 export interface ExecutionRequest {
   readonly executionId: string;
@@ -77,11 +80,31 @@
     return {
       resume: () => execution.source?.resume(),
       cancel: () => {
-        this.abandon(execution);
+        this.leave(execution);
       },
     };
   }
 
+  /**
+   * Nobody takes the answer any more. A stream that has begun goes on for a
+   * while, as its caller may resume it on this or another connection.
+   */
+  private leave(execution: Execution): void {
+    if (execution.ended || execution.detached) {
+      return;
+    }
+    if (!execution.canBeResumed) {
+      this.abandon(execution);
+      return;
+    }
+    execution.detach();
+    const {executionId} = execution.incoming;
+    const timer = `detached/${executionId}`;
+    this.context.timers.after(timer, RESUME_GRACE_MS, () => {
+      this.abandon(execution);
+    });
+  }
+
   private abandon(execution: Execution): void {
     if (execution.ended) {
       return;
@@ -144,19 +167,38 @@
   }
 }
 
+/** Takes the answer that nobody takes for the moment. */
+const DISCARDING_SINK: AnswerSink = {
+  head: () => undefined,
+  data: () => true,
+  end: () => undefined,
+};
+
 /** One execution, from its arrival to its end. */
 class Execution {
   /** Set once it was dispatched. */
   source: AnswerSource | undefined;
   ended = false;
   superseded = false;
+  detached = false;
+  /** Whether its answer is a stream that has begun. */
+  canBeResumed = false;
 
   constructor(
     readonly incoming: ExecutionRequest,
-    readonly sink: AnswerSink,
+    public sink: AnswerSink,
     private readonly release: () => void,
   ) {}
 
+  /** Lets the answer go on without anyone who takes it. */
+  detach(): void {
+    this.detached = true;
+    const {sink} = this;
+    this.sink = DISCARDING_SINK;
+    this.source?.resume();
+    sink.end(unknownOutcome('cancelled', 'the data path was closed', 0));
+  }
+
   end(outcome: SendOutcome): void {
     if (!this.ended) {
       this.ended = true;
@@ -168,6 +210,9 @@
   /** Leaves the engine's answer to a newer relay of the same execution. */
   supersede(): void {
     this.superseded = true;
+    this.end(
+      unknownOutcome('unknown-request', 'continued on another connection', 0),
+    );
     this.source?.cancel();
   }
 }
@@ -186,6 +231,8 @@
   ) {}
 
   head(head: AnswerHead): void {
+    this.execution.canBeResumed =
+      head.contentType.startsWith('text/event-stream');
     this.execution.sink.head(head);
   }
 
--- a/packages/daemon/src/peers/peer-service.ts
+++ b/packages/daemon/src/peers/peer-service.ts
@@ -26,6 +26,9 @@
 import {encodeOutcome} from './frames.js';
 import {MAXIMUM_FRAME_BYTES} from './peer-client.js';
 
+/** Longest wait for a peer that takes its last frames slowly. */
+const DRAIN_LIMIT_MS = 10_000;
+
 const SERVER_OPTIONS = {
   'grpc.max_receive_message_length': MAXIMUM_FRAME_BYTES,
   'grpc.max_send_message_length': MAXIMUM_FRAME_BYTES,
@@ -68,6 +71,17 @@
     );
   }
 
+  /** Takes no more calls; ends when the last stream is written. */
+  async drain(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const limit = setTimeout(resolve, DRAIN_LIMIT_MS);
+      this.server.tryShutdown(() => {
+        clearTimeout(limit);
+        resolve();
+      });
+    });
+  }
+
   /** Closes all connections at once. */
   close(): void {
     this.server.forceShutdown();
--- a/packages/daemon/src/readiness.ts
+++ b/packages/daemon/src/readiness.ts
@@ -2,6 +2,7 @@
 export class Readiness {
   private current = {ready: false, reason: 'starting'};
   private readyBefore = false;
+  private isClosed = false;
 
   get ready(): boolean {
     return this.current.ready;
@@ -19,8 +20,17 @@
     return this.readyBefore;
   }
 
+  /** Whether a planned stop has come so far that requests are refused. */
+  get closed(): boolean {
+    return this.isClosed;
+  }
+
   set(ready: boolean, reason: string): void {
     this.current = {ready, reason};
     this.readyBefore ||= ready;
   }
+
+  close(): void {
+    this.isClosed = true;
+  }
 }
