--- a/packages/daemon/src/test/fleet.ts
+++ b/packages/daemon/src/test/fleet.ts
@@ -70,6 +70,12 @@
       (adapter) => `${adapter},marine-8b,v1,50,standard,assistant-models,no`,
     );
     const [first] = this.hosts;
+    // The first signing key is a revision of its own, which a sheet may race.
+    await waitFor(() =>
+      this.hosts.every(
+        ({daemon}) => keyRing(daemon.context.loop.state).length > 0,
+      ),
+    );
     first?.daemon.context.loop.post({
       type: 'sheet-submitted',
       submission: 'test',
@@ -143,7 +149,12 @@
       limits: {bodyBytes: 10_000},
     });
     const daemon = new Daemon(settings, finish, {logger: SILENT_LOGGER});
-    (await daemon.start())._unsafeUnwrap();
+    const started = await daemon.start();
+    if (started.isErr()) {
+      // Another process took the port meanwhile.
+      daemon.close();
+      return this.addHost(host);
+    }
     const entry = {
       host,
       zone: 'fairhaven',
