--- a/packages/daemon/src/test/fleet.ts
+++ b/packages/daemon/src/test/fleet.ts
@@ -3,7 +3,7 @@
 import {type AddressInfo, createServer} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-import {type EntryHost, mayAct, ownedServers} from '@basilworks/core';
+import {type EntryHost, keyRing, mayAct, ownedServers} from '@basilworks/core';
 import {
   type Deployment,
   HALLORAN,
@@ -107,6 +107,21 @@
     });
   }
 
+  /** Sends a request, again while it is refused before it ran. */
+  async ask(host: FleetHost | undefined, body: unknown) {
+    for (;;) {
+      const answer = await this.post(host, body);
+      if (answer.status !== 503) {
+        return answer;
+      }
+      const {error} = (await answer.json()) as {error: {notRun: boolean}};
+      if (!error.notRun) {
+        throw new WaitError('a refusal that does not say "not run"');
+      }
+      await sleep(POLL_MS);
+    }
+  }
+
   close(): void {
     for (const {daemon} of this.hosts) {
       daemon.close();
