Add the data path bench

Cause: the added latency, the relay's cost and the behaviour past saturation of one host are to be measured on real sockets.

Change: an open-loop generator in worker threads whose latencies count from the due time of each send, and three measurements on one daemon process.

Conclusion: not run yet; it needs the daemon.

--- /dev/null
+++ b/packages/bench/src/data-path/index.ts
@@ -0,0 +1,1 @@
+export * from './data-path-command.js';
--- /dev/null
+++ b/packages/bench/src/data-path/measure-saturation.ts
@@ -0,0 +1,69 @@
+import {BenchHost} from './bench-host.js';
+import {generateLoad, type LoadResult} from './load-generator.js';
+
+const WORKERS = 2;
+const ON_TIME_MS = 1_000;
+const FIRST_RATE = 500;
+const RATE_STEP = 1.25;
+const HIGHEST_RATE = 20_000;
+
+/** A step belongs to saturation once this share is no longer answered. */
+const SATURATED_SHARE = 0.9;
+
+/** Goodput of one host: answers within a second, per second. */
+export interface Saturation {
+  readonly peakRequestsPerSecond: number;
+  readonly overloadRequestsPerSecond: number;
+  /** Goodput at twice the peak's rate over the peak. */
+  readonly overloadShareOfPeak: number;
+}
+
+/** Raises the rate until goodput stops growing, then offers twice the peak. */
+export const measureSaturation = async (
+  seconds: number,
+): Promise<Saturation> => {
+  const host = await BenchHost.start({
+    promptMs: 0,
+    cachedPromptMs: 0,
+    tokenMs: 1,
+    fullBatchTokenMs: 1,
+    batchPositions: 256,
+    queueLimit: 256,
+  });
+  const goodputAt = async (requestsPerSecond: number): Promise<number> => {
+    const result = await generateLoad(
+      {
+        url: `http://${host.hostAddress}/v1/chat/completions`,
+        headers: {...host.headers, 'x-deadline-ms': `${ON_TIME_MS}`},
+        body: host.body({stream: false, tokens: 1}),
+        requestsPerSecond,
+        seconds,
+        timeoutMs: ON_TIME_MS,
+      },
+      WORKERS,
+    );
+    return onTimePerSecond(result, seconds);
+  };
+  try {
+    let peak = 0;
+    let rate = FIRST_RATE;
+    for (; rate <= HIGHEST_RATE; rate *= RATE_STEP) {
+      const goodput = await goodputAt(rate);
+      peak = Math.max(peak, goodput);
+      if (goodput < SATURATED_SHARE * rate) {
+        break;
+      }
+    }
+    const overload = await goodputAt(2 * peak);
+    return {
+      peakRequestsPerSecond: peak,
+      overloadRequestsPerSecond: overload,
+      overloadShareOfPeak: overload / peak,
+    };
+  } finally {
+    await host.end();
+  }
+};
+
+const onTimePerSecond = (result: LoadResult, seconds: number): number =>
+  result.answered / seconds;
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './data-path/index.js';
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,1 +1,8 @@
-process.exitCode = 1;
+import {Command} from 'commander';
+
+import {dataPathCommand} from './data-path/index.js';
+
+await new Command('bench')
+  .description('Measurements of basilworks.')
+  .addCommand(dataPathCommand())
+  .parseAsync();
--- a/packages/stand-ins/src/deployments.ts
+++ b/packages/stand-ins/src/deployments.ts
@@ -25,6 +25,12 @@
   checksFencing: z.boolean(),
   slots: z.number().int().positive().default(16),
   batchPositions: z.number().int().positive().default(32),
+  /** Processing time of a prompt whose prefix is not cached. */
+  promptMs: z.number().nonnegative().default(60),
+  /** Processing time of a prompt whose prefix is cached. */
+  cachedPromptMs: z.number().nonnegative().default(15),
+  /** Requests that may wait at an engine for a position. */
+  queueLimit: z.number().int().nonnegative().default(64),
   /** Time between tokens with one request in the batch. */
   tokenMs: z.number().positive().default(12),
   /** Time between tokens in a full batch. */
--- a/packages/stand-ins/src/stand-in-platform.ts
+++ b/packages/stand-ins/src/stand-in-platform.ts
@@ -106,17 +106,7 @@
   }
 
   private addEngine(server: string): Hono<NodeEnvironment> {
-    const {slots, batchPositions, checksFencing, tokenMs, fullBatchTokenMs} =
-      this.deployment;
-    const options = {
-      ...DEFAULT_ENGINE_OPTIONS,
-      server,
-      slots,
-      batchPositions,
-      checksFencing,
-      tokenMs,
-      fullBatchTokenMs,
-    };
+    const options = {...DEFAULT_ENGINE_OPTIONS, ...this.deployment, server};
     const engine = new EngineModel(
       this.scheduler,
       this.random,
