Name the plain pools alone in the settings of demo hosts

Cause: a deployment without plain services gave settings without a pool, and the daemon's exit was seen only as a timeout.

Change: operations are listed for plain pools only, and a daemon that has ended is reported with its log file.

--- a/packages/demo/src/launch/entry-host-process.ts
+++ b/packages/demo/src/launch/entry-host-process.ts
@@ -72,6 +72,9 @@
       if (await this.isReady()) {
         return;
       }
+      if (!this.running) {
+        break;
+      }
       await sleep(READY_POLL_MS);
     }
     const {host} = this.entry;
@@ -117,11 +120,9 @@
   objectApiUrl: `http://${platform.objectApi}`,
   hostListUrl: `http://${platform.hostList}`,
   weightStore: deployment.weightStore,
-  operations: OPERATIONS.map(({operation, idempotent}) => ({
-    pool: deployment.pools.find(({kind}) => kind === 'plain')?.pool,
-    operation,
-    idempotent,
-  })),
+  operations: deployment.pools
+    .filter(({kind}) => kind === 'plain')
+    .flatMap(({pool}) => OPERATIONS.map((operation) => ({pool, ...operation}))),
   members: members.map(({name, token}) => ({
     member: name,
     tokenDigest: digestOf(token),
