--- a/packages/stand-ins/src/models/engine-batch.ts
+++ b/packages/stand-ins/src/models/engine-batch.ts
@@ -34,6 +34,8 @@
   private readonly running = new Set<EngineExecution>();
   private readonly waiting: EngineExecution[] = [];
   private step: ScheduledCallback | undefined;
+  /** Due time of the latest step; undefined while nothing runs. */
+  private stepDueMs: number | undefined;
   private filledPositionMs = 0;
   private offeredPositionMs = 0;
   private accountedMs: number;
@@ -135,7 +137,12 @@
       this.options;
     const fill = (this.running.size - 1) / Math.max(1, batchPositions - 1);
     const perTokenMs = tokenMs + (fullBatchTokenMs - tokenMs) * fill;
-    this.step = this.scheduler.schedule(perTokenMs * tokensPerStep, () => {
+    const stepMs = perTokenMs * tokensPerStep;
+    const nowMs = this.scheduler.nowMs();
+    // Counts from the due time, so that late timers do not slow the engine.
+    const fromMs = Math.max(this.stepDueMs ?? nowMs, nowMs - stepMs);
+    this.stepDueMs = fromMs + stepMs;
+    this.step = this.scheduler.schedule(this.stepDueMs - nowMs, () => {
       this.step = undefined;
       this.runStep();
     });
@@ -149,6 +156,9 @@
         this.advance(execution);
       }
     }
+    if (this.running.size === 0) {
+      this.stepDueMs = undefined;
+    }
     this.fill();
   }
 
