--- a/packages/demo/src/callers/model-caller.ts
+++ b/packages/demo/src/callers/model-caller.ts
@@ -1,32 +1,32 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 
-import {AnswerText} from '@basilworks/stand-ins';
-
-import type {CatalogueAdapter} from '../catalogue.js';
 import type {Attempt, AttemptEnd, ModelRecord} from '../history.js';
 import type {Credential} from '../launch/entry-host-process.js';
 import type {AddressBook} from './address-book.js';
+import {exchange} from './exchange.js';
 import {
-  type ErrorBody,
-  exchange,
-  type Exchange,
-  headerOf,
-  parseErrorBody,
-} from './exchange.js';
+  expectedAnswer,
+  judgeAnswer,
+  type ModelCall,
+  readAnswer,
+  toModelBody,
+} from './model-answer.js';
 
 /** Time beyond the deadline after which a missing answer counts as lost. */
 const SILENCE_MARGIN_MS = 10_000;
-const MAXIMUM_ATTEMPTS = 8;
+const MAXIMUM_ATTEMPTS = 20;
 const DEFAULT_RETRY_MS = 300;
-const ERROR_EVENT = '\n\nevent: error\ndata: ';
 
-/** A model request to be sent. */
-export interface ModelCall {
-  readonly adapter: CatalogueAdapter;
-  readonly nonce: string;
-  readonly stream: boolean;
-  readonly tokens: number;
-  readonly deadlineMs: number;
+/** Time for which a broken stream is resumed beyond its deadline. */
+const RESUME_MARGIN_MS = 5_000;
+
+/** What one attempt left behind for the next. */
+interface AttemptResult {
+  readonly attempt: Attempt;
+  readonly delivered: Buffer;
+  readonly resumeToken: string;
+  /** When it is worthwhile to go on. */
+  readonly retryMs: number;
 }
 
 /** Sends model requests as one member and verifies every byte. */
@@ -39,24 +39,30 @@
   /**
    * Sends a request until it is answered, or its deadline has passed. A
    * request that was refused before it ran is sent again, elsewhere if the
-   * host is gone; a broken stream is resumed.
+   * host is gone; a broken stream is resumed on the next host.
    */
   async send(call: ModelCall): Promise<ModelRecord> {
     const sentMs = Date.now();
     const deadline = performance.now() + call.deadlineMs;
     const attempts: Attempt[] = [];
+    let last: AttemptResult | undefined;
     while (attempts.length < MAXIMUM_ATTEMPTS) {
-      const remainingMs = Math.round(deadline - performance.now());
+      const resumable = last !== undefined && mayResume(last);
+      const marginMs = resumable ? RESUME_MARGIN_MS : 0;
+      const remainingMs = Math.round(deadline + marginMs - performance.now());
       if (remainingMs <= 0) {
         break;
       }
       const address = await this.addressFor(call, attempts);
-      const result = await this.attempt(call, address, remainingMs);
-      attempts.push(result.attempt);
-      if (!mayRepeat(result.attempt.end)) {
+      last =
+        last !== undefined && resumable
+          ? await this.resume(call, address, remainingMs, last)
+          : await this.attempt(call, address, remainingMs);
+      attempts.push(last.attempt);
+      if (!mayResume(last) && !mayRepeat(last.attempt.end)) {
         break;
       }
-      await sleep(Math.min(result.retryMs, remainingMs));
+      await sleep(Math.min(last.retryMs, remainingMs));
     }
     const {adapter, version, priorityClass} = call.adapter;
     return {
@@ -77,7 +83,7 @@
   ): Promise<string> {
     const model = `${adapter.adapter}@${adapter.version}`;
     const addresses = await this.addresses.lookUp({model});
-    const failed = attempts.filter(({end}) => end.kind === 'not-connected');
+    const failed = attempts.filter(({end}) => isHostSuspect(end));
     return addresses[failed.length % Math.max(1, addresses.length)] ?? '';
   }
 
@@ -85,105 +91,96 @@
     call: ModelCall,
     address: string,
     remainingMs: number,
-  ): Promise<{readonly attempt: Attempt; readonly retryMs: number}> {
+  ): Promise<AttemptResult> {
     const answer = await exchange({
       address,
       path: '/v1/chat/completions',
       method: 'POST',
       headers: {
-        authorization: `Bearer ${this.member.token}`,
+        ...this.headers,
         'content-type': 'application/json',
         'x-deadline-ms': `${remainingMs}`,
       },
-      body: JSON.stringify({
-        model: `${call.adapter.adapter}@${call.adapter.version}`,
-        messages: [{role: 'user', content: call.nonce}],
-        user: this.member.name,
-        stream: call.stream,
-        max_tokens: call.tokens,
-        priority_class: call.adapter.priorityClass,
-      }),
+      body: toModelBody(call, this.member.name),
       timeoutMs: remainingMs + SILENCE_MARGIN_MS,
     });
-    const error = errorOf(answer);
+    const read = readAnswer(answer);
+    const expected = expectedAnswer(call, this.member.name, read.requestId);
     return {
       attempt: {
-        requestId: headerOf(answer, 'x-request-id') || (error?.requestId ?? ''),
+        requestId: read.requestId,
         address,
         resumed: false,
-        end: this.judge(call, answer, error),
+        end: judgeAnswer(answer, read, expected),
       },
-      retryMs: error?.retryAfterMs ?? DEFAULT_RETRY_MS,
+      delivered: read.delivered,
+      resumeToken: read.resumeToken,
+      retryMs: read.error?.retryAfterMs ?? DEFAULT_RETRY_MS,
     };
   }
 
-  /** Compares what came back with the one right answer. */
-  private judge(
+  private async resume(
     call: ModelCall,
-    answer: Exchange,
-    error: ErrorBody | undefined,
-  ): AttemptEnd {
-    if (answer.end === 'no-connection') {
-      return {kind: 'not-connected'};
-    }
-    if (answer.end === 'timeout') {
-      return {kind: 'silent'};
-    }
-    const delivered = deliveredPart(answer);
-    if (error !== undefined) {
-      const {code, notRun} = error;
-      const deliveredBytes = delivered.length;
-      return {kind: 'refused', code, notRun, deliveredBytes};
-    }
-    const expected = this.expectedAnswer(
-      call,
-      headerOf(answer, 'x-request-id'),
-    );
-    if (answer.end === 'complete' && delivered.equals(expected)) {
-      return {
-        kind: 'whole',
-        adapter: headerOf(answer, 'x-adapter'),
-        version: headerOf(answer, 'x-version'),
-      };
-    }
-    return expected.subarray(0, delivered.length).equals(delivered)
-      ? {kind: 'broken', deliveredBytes: delivered.length}
-      : {kind: 'wrong', detail: `unexpected bytes, status ${answer.status}`};
+    address: string,
+    remainingMs: number,
+    {attempt: {requestId}, delivered, resumeToken}: AttemptResult,
+  ): Promise<AttemptResult> {
+    const answer = await exchange({
+      address,
+      path: `/v1/streams/${requestId}?offset=${delivered.length}`,
+      method: 'GET',
+      headers: {...this.headers, 'x-resume-token': resumeToken},
+      timeoutMs: remainingMs + SILENCE_MARGIN_MS,
+    });
+    const read = readAnswer(answer);
+    const all = Buffer.concat([delivered, read.delivered]);
+    const expected = expectedAnswer(call, this.member.name, requestId);
+    return {
+      attempt: {
+        requestId,
+        address,
+        resumed: true,
+        end: judgeAnswer(answer, {...read, delivered: all}, expected),
+      },
+      delivered: all,
+      resumeToken: read.resumeToken || resumeToken,
+      retryMs: read.error?.retryAfterMs ?? DEFAULT_RETRY_MS,
+    };
   }
 
-  private expectedAnswer(call: ModelCall, requestId: string): Buffer {
-    const {adapter, version} = call.adapter;
-    const user = this.member.name;
-    const prompt = call.nonce;
-    const text = new AnswerText({requestId, adapter, version, user, prompt});
-    return call.stream
-      ? text.stream(0, call.tokens, true)
-      : text.whole(call.tokens);
+  private get headers(): Record<string, string> {
+    return {authorization: `Bearer ${this.member.token}`};
   }
 }
 
-/** Whether the end allows the caller to send the request again. */
+/** Codes that end an answer for good. */
+const FINAL_CODES: ReadonlySet<string> = new Set([
+  'timeout',
+  'answer-not-kept',
+  'unknown-request',
+  'upstream-failed',
+]);
+
+/** Whether the rest of the answer can be asked for. */
+const mayResume = ({attempt: {end, resumed}, resumeToken}: AttemptResult) => {
+  if (resumeToken === '') {
+    return false;
+  }
+  return (
+    end.kind === 'broken' ||
+    (end.kind === 'not-connected' && resumed) ||
+    (end.kind === 'refused' && !FINAL_CODES.has(end.code))
+  );
+};
+
+/** Whether the request may be sent again as a whole. */
 const mayRepeat = (end: AttemptEnd): boolean =>
   end.kind === 'not-connected' ||
   (end.kind === 'refused' && end.notRun) ||
   (end.kind === 'broken' && end.deliveredBytes === 0);
 
-const errorOf = ({status, body}: Exchange): ErrorBody | undefined => {
-  const text = body.toString('utf8');
-  if (status !== 200) {
-    return parseErrorBody(text);
-  }
-  const index = text.indexOf(ERROR_EVENT);
-  return index < 0
-    ? undefined
-    : parseErrorBody(text.slice(index + ERROR_EVENT.length).trim());
-};
-
-/** The bytes of the answer itself, without an error that follows them. */
-const deliveredPart = ({status, body}: Exchange): Buffer => {
-  if (status !== 200) {
-    return Buffer.alloc(0);
-  }
-  const index = body.indexOf(ERROR_EVENT);
-  return index < 0 ? body : body.subarray(0, index);
-};
+/** Whether another host is the better choice for the next attempt. */
+const isHostSuspect = (end: AttemptEnd): boolean =>
+  end.kind === 'not-connected' ||
+  end.kind === 'broken' ||
+  (end.kind === 'refused' && end.deliveredBytes > 0);
