--- a/packages/core/src/deferred/recovery.ts
+++ b/packages/core/src/deferred/recovery.ts
@@ -204,6 +204,7 @@
     epoch,
     phase: record.state === 'storing' ? 'storing' : 'queued',
     body: undefined,
+    bodyBytes: storedBytes(record.body),
     storedBody: record.body,
     version: undefined,
     steps: [],
--- a/packages/core/src/deferred/running.ts
+++ b/packages/core/src/deferred/running.ts
@@ -9,8 +9,13 @@
 import {joinText, PART_KIND} from './work-record.js';
 import {workRemainingMs} from './write-steps.js';
 
-/** Model requests that one host has in progress for work that can wait. */
-const MAXIMUM_RUNNING = 32;
+/**
+ * Model requests that one host has in progress for work that can wait, held
+ * ones included: the homes see them all, and batch them.
+ */
+const MAXIMUM_RUNNING = 512;
+/** Bytes of their bodies, which the host keeps in memory meanwhile. */
+const MAXIMUM_RUNNING_BYTES = 33_554_432;
 const RUN_RETRY_MS = 2_000;
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_OTHER_STATUS = 300;
@@ -39,10 +44,11 @@
   const {deferred} = state;
   while (deferred.running < MAXIMUM_RUNNING) {
     const next = mostUrgent(state, turn);
-    if (next === undefined) {
+    if (next === undefined || !hasRoomFor(state, next)) {
       return;
     }
     deferred.running += 1;
+    deferred.runningBytes += next.bodyBytes;
     if (next.body !== undefined) {
       run(next, next.body, turn);
     } else if (next.storedBody.kind === 'inline') {
@@ -70,7 +76,7 @@
     readBody(state, entry, {parts: read.parts, values}, turn);
     return;
   }
-  state.deferred.running -= 1;
+  releasePosition(state, entry);
   if (result.type === 'missing') {
     const detail = 'a part of the body is missing from the store';
     finishWork(state, entry, failure('internal', detail), turn);
@@ -91,7 +97,7 @@
   if (entry?.phase !== 'running') {
     return;
   }
-  state.deferred.running -= 1;
+  releasePosition(state, entry);
   if (outcome.kind === 'answered') {
     const succeeded =
       outcome.status >= FIRST_SUCCESS_STATUS &&
@@ -133,7 +139,7 @@
     return;
   }
   if (entry.phase !== 'queued') {
-    state.deferred.running -= 1;
+    releasePosition(state, entry);
   }
   const detail = 'the deadline passed before the work was done';
   finishWork(state, entry, failure('timeout', detail), turn);
@@ -165,6 +171,18 @@
   refusal: workRefusal(code, false, detail),
 });
 
+const hasRoomFor = ({deferred}: CoreState, {bodyBytes}: WorkEntry): boolean =>
+  deferred.running === 0 ||
+  deferred.runningBytes + bodyBytes <= MAXIMUM_RUNNING_BYTES;
+
+const releasePosition = (
+  {deferred}: CoreState,
+  {bodyBytes}: WorkEntry,
+): void => {
+  deferred.running -= 1;
+  deferred.runningBytes -= bodyBytes;
+};
+
 const isWaiting = (entry: WorkEntry): boolean =>
   entry.phase === 'queued' && !entry.delayed;
 
--- a/packages/core/src/deferred/state.ts
+++ b/packages/core/src/deferred/state.ts
@@ -42,6 +42,7 @@
   phase: WorkPhase;
   /** Undefined where it has to be read again before the work can run. */
   body: string | undefined;
+  readonly bodyBytes: number;
   storedBody: StoredText;
   /** Version of the work object, once it is known. */
   version: number | undefined;
@@ -109,6 +110,8 @@
   /** Passes over results, for those whose retention has ended. */
   readonly cleanUp: ShardSweep;
   running: number;
+  /** Bytes of the bodies of the running work. */
+  runningBytes: number;
   sequence: number;
 }
 
@@ -125,5 +128,6 @@
   scan: new ShardSweep(WORK_KIND, SCAN_PAGE),
   cleanUp: new ShardSweep(RESULT_KIND, CLEAN_UP_PAGE),
   running: 0,
+  runningBytes: 0,
   sequence: 0,
 });
--- a/packages/core/src/deferred/submission.ts
+++ b/packages/core/src/deferred/submission.ts
@@ -112,6 +112,7 @@
     epoch: currentEpoch(state, turn.at),
     phase: 'storing',
     body,
+    bodyBytes: Buffer.byteLength(body),
     storedBody: inline
       ? {kind: 'inline', text: body}
       : {kind: 'parts', parts: []},
--- a/packages/core/src/deferred/work-record.ts
+++ b/packages/core/src/deferred/work-record.ts
@@ -68,6 +68,12 @@
 export const fitsInline = (text: string): boolean =>
   Buffer.byteLength(text) <= INLINE_LIMIT_BYTES;
 
+/** Bytes of a stored text, rounded up to whole parts. */
+export const storedBytes = (stored: StoredText): number =>
+  stored.kind === 'inline'
+    ? Buffer.byteLength(stored.text)
+    : stored.parts.length * PART_BYTES;
+
 /** Splits a text into the values of its parts. */
 export const splitText = (text: string): string[] => {
   const bytes = Buffer.from(text);
--- a/packages/daemon/src/http/errors.ts
+++ b/packages/daemon/src/http/errors.ts
@@ -67,6 +67,26 @@
   return {status: STATUSES[code], headers, body: {error}};
 };
 
+/** Builds the whole response that tells a caller of a refusal. */
+export const toErrorResponse = (
+  refusal: Refusal,
+  requestId: string,
+): Response => {
+  const {status, headers, body} = toErrorAnswer(refusal, requestId);
+  return toJsonResponse(body, status, headers);
+};
+
+/** Builds a response with a JSON body. */
+export const toJsonResponse = (
+  body: unknown,
+  status: number,
+  headers: Readonly<Record<string, string>> = {},
+): Response =>
+  new Response(JSON.stringify(body), {
+    status,
+    headers: {'content-type': 'application/json', ...headers},
+  });
+
 /** A refusal of a request that no upstream has seen. */
 export const refuseEarly = (
   code: FailureCode,
--- a/packages/daemon/src/ingress/model-routes.ts
+++ b/packages/daemon/src/ingress/model-routes.ts
@@ -6,7 +6,7 @@
 import type {DaemonContext} from '../context.js';
 import type {CallerApp} from '../http/caller-app.js';
 import type {Authenticator} from '../http/authentication.js';
-import {refuseEarly, toErrorAnswer} from '../http/errors.js';
+import {refuseEarly, toErrorResponse} from '../http/errors.js';
 import {readBody} from '../http/read-body.js';
 import {HttpRequester, tooManyRequests} from './http-requester.js';
 import type {Ingress} from './ingress.js';
@@ -64,11 +64,7 @@
 ): Response => {
   metrics.countRefusal(refusal.code);
   logger.info('refused', {requestId, code: refusal.code, notRun: true});
-  const {status, headers, body} = toErrorAnswer(refusal, requestId);
-  return new Response(JSON.stringify(body), {
-    status,
-    headers: {'content-type': 'application/json', ...headers},
-  });
+  return toErrorResponse(refusal, requestId);
 };
 
 const checkEarly = (
--- a/packages/daemon/src/operators/operator-request.ts
+++ b/packages/daemon/src/operators/operator-request.ts
@@ -1,13 +1,11 @@
 import {randomUUID} from 'node:crypto';
 
 import type {Refusal} from '@basilworks/core';
-import type {ContentfulStatusCode} from 'hono/utils/http-status';
 import type {z} from 'zod';
 
-import type {DaemonContext} from '../context.js';
 import type {Authenticator} from '../http/authentication.js';
 import type {CallerRequest} from '../http/caller-app.js';
-import {refuseEarly, toErrorAnswer} from '../http/errors.js';
+import {refuseEarly, toErrorResponse} from '../http/errors.js';
 import {readBody} from '../http/read-body.js';
 import {parseJson} from '../lib/parse-json.js';
 
@@ -50,30 +48,10 @@
     : refuseOperator(refuseEarly('malformed-request', parsed.error.message));
 };
 
-/** Makes a JSON answer. */
-export const answerJson = (
-  value: unknown,
-  status: ContentfulStatusCode = 200,
-): Response =>
-  new Response(JSON.stringify(value), {
-    status,
-    headers: {'content-type': 'application/json'},
-  });
-
 /** Makes the answer that refuses an operator's request. */
-export const refuseOperator = (refusal: Refusal): Response => {
-  const {status, headers, body} = toErrorAnswer(refusal, randomUUID());
-  return new Response(JSON.stringify(body), {
-    status,
-    headers: {'content-type': 'application/json', ...headers},
-  });
-};
+export const refuseOperator = (refusal: Refusal): Response =>
+  toErrorResponse(refusal, randomUUID());
 
 /** Refuses an operator's request for something that is not known. */
-export const refuseUnknown = (
-  {logger}: DaemonContext,
-  what: string,
-): Response => {
-  logger.debug('operator asked for the unknown', {what});
-  return refuseOperator(refuseEarly('unknown-request', `${what} is unknown`));
-};
+export const refuseUnknown = (what: string): Response =>
+  refuseOperator(refuseEarly('unknown-request', `${what} is unknown`));
--- a/packages/daemon/src/operators/sheet-routes.ts
+++ b/packages/daemon/src/operators/sheet-routes.ts
@@ -9,14 +9,11 @@
 
 import type {DaemonContext} from '../context.js';
 import type {Authenticator} from '../http/authentication.js';
+import {toJsonResponse} from '../http/errors.js';
 import type {CallerApp} from '../http/caller-app.js';
 import type {RunnersOf} from '../runner-table.js';
-import {
-  answerJson,
-  forOperators,
-  readOperatorBody,
-} from './operator-request.js';
-import {PendingAnswers} from './pending-answers.js';
+import {forOperators, readOperatorBody} from './operator-request.js';
+import {PendingAnswers} from '../lib/pending-answers.js';
 
 const SIGNING_KEY_BYTES = 32;
 const KEY_ID_BYTES = 8;
@@ -70,7 +67,7 @@
             expectedRevision: body.expectedRevision,
           });
         });
-        return answerJson({result}, SHEET_RESULT_STATUS[result.kind]);
+        return toJsonResponse({result}, SHEET_RESULT_STATUS[result.kind]);
       }),
     );
     app.post(
@@ -79,7 +76,7 @@
         const result = await this.pending.ask((submission) => {
           loop.post({type: 'key-rotation-submitted', submission, operator});
         });
-        return answerJson({result}, SHEET_RESULT_STATUS[result.kind]);
+        return toJsonResponse({result}, SHEET_RESULT_STATUS[result.kind]);
       }),
     );
   }
--- a/packages/daemon/src/test/fleet.ts
+++ b/packages/daemon/src/test/fleet.ts
@@ -21,6 +21,12 @@
 /** Bearer tokens by member. */
 export const TOKENS = {'crew-one': 'token-one', 'crew-two': 'token-two'};
 
+/** Bearer token of the operator `planner`. */
+export const OPERATOR_TOKEN = 'token-planner';
+
+const digestOf = (token: string): string =>
+  createHash('sha256').update(token).digest('hex');
+
 const SILENT_LOGGER: Logger = {
   error: () => undefined,
   warn: () => undefined,
@@ -138,8 +144,13 @@
       hostListUrl: `http://${this.platform.hostListAddress}`,
       members: Object.entries(TOKENS).map(([member, token]) => ({
         member,
-        tokenDigest: createHash('sha256').update(token).digest('hex'),
+        tokenDigest: digestOf(token),
       })),
+      operators: [{operator: 'planner', tokenDigest: digestOf(OPERATOR_TOKEN)}],
+      operations: [
+        {pool: 'billing-desk', operation: 'balance', idempotent: true},
+        {pool: 'billing-desk', operation: 'top-up', idempotent: false},
+      ],
       limits: {bodyBytes: 10_000},
     });
     const daemon = new Daemon(settings, finish, {logger: SILENT_LOGGER});
