--- a/packages/core/src/deferred/recovery.ts
+++ b/packages/core/src/deferred/recovery.ts
@@ -9,7 +9,12 @@
 import {queueWork} from './running.js';
 import {MAXIMUM_ENTRIES, type WorkEntry} from './state.js';
 import {addEntry, workRefusal} from './work-answers.js';
-import {WORK_KIND, workRecordSchema, type WorkRecord} from './work-record.js';
+import {
+  storedBytes,
+  WORK_KIND,
+  workRecordSchema,
+  type WorkRecord,
+} from './work-record.js';
 import {workValue} from './write-steps.js';
 
 const SCAN_INTERVAL_MS = 30_000;
