--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -4,41 +4,78 @@
 
 /** The sizes of the weight store in front of the engines. */
 export const weightStoreSettingsSchema = z.object({
-  /** Loads that the store starts per second. */
-  loadsPerSecond: z.number().positive().default(2),
-  /** Loads that run at full speed at once. */
-  fullSpeedLoads: z.number().int().positive().default(2),
-  /** Loads in transit over all servers before each slows the others. */
-  transitLimit: z.number().int().positive().default(16),
-  /** Duration of one load within the limits, milliseconds. */
-  loadMs: z.number().positive().default(250),
+  loadsPerSecond: z
+    .number()
+    .positive()
+    .default(2)
+    .describe('Loads that the weight store starts per second.'),
+  fullSpeedLoads: z
+    .number()
+    .int()
+    .positive()
+    .default(2)
+    .describe('Loads that run at full speed at once.'),
+  transitLimit: z
+    .number()
+    .int()
+    .positive()
+    .default(16)
+    .describe(
+      'Loads in transit over all servers before each slows the others.',
+    ),
+  loadMs: z
+    .number()
+    .positive()
+    .default(250)
+    .describe('Duration of one load within the limits, milliseconds.'),
 });
 
 /** An operation of a plain service that may be called. */
 export const operationSettingsSchema = z.object({
-  /** Pool of the plain servers, for example `billing-desk`. */
-  pool: z.string().min(1),
-  operation: z.string().min(1),
-  /** Whether a repeat has no further effect. */
-  idempotent: z.boolean(),
+  pool: z
+    .string()
+    .min(1)
+    .describe('Pool of the plain servers, for example `billing-desk`.'),
+  operation: z.string().min(1).describe('Name of the operation.'),
+  idempotent: z
+    .boolean()
+    .describe('Whether a repeat of the operation has no further effect.'),
+});
+
+/** What the deployment measures; each weight from 0 to 1. */
+const objectivesSchema = z.object({
+  loadStallWeight: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.7)
+    .describe('Weight of short load stalls, 0 to 1.'),
+  batchEfficiencyWeight: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.3)
+    .describe('Weight of full engine batches, 0 to 1.'),
 });
 
 /** The part of the settings that the reducer reads. */
 export const coreSettingsSchema = z.object({
-  host: hostIdSchema,
-  zone: zoneIdSchema,
-  /** Addresses as peers and callers reach this host, IP number and port. */
-  peerAddress: z.string().min(1),
-  callerAddress: z.string().min(1),
+  host: hostIdSchema.describe('Name of this entry host, unique.'),
+  zone: zoneIdSchema.describe('Availability zone of this entry host.'),
+  peerAddress: z
+    .string()
+    .min(1)
+    .describe('Address at which peers reach this host, IP number and port.'),
+  callerAddress: z
+    .string()
+    .min(1)
+    .describe('Address at which callers reach this host, IP number and port.'),
   weightStore: weightStoreSettingsSchema.prefault({}),
-  operations: z.array(operationSettingsSchema).default([]),
-  /** What the deployment measures; each weight from 0 to 1. */
-  objectives: z
-    .object({
-      loadStallWeight: z.number().min(0).max(1).default(0.7),
-      batchEfficiencyWeight: z.number().min(0).max(1).default(0.3),
-    })
-    .prefault({}),
+  operations: z
+    .array(operationSettingsSchema)
+    .default([])
+    .describe('Operations of plain services; others are refused.'),
+  objectives: objectivesSchema.prefault({}),
 });
 export type CoreSettings = z.infer<typeof coreSettingsSchema>;
 
--- a/packages/daemon/src/settings-schema.ts
+++ b/packages/daemon/src/settings-schema.ts
@@ -18,55 +18,114 @@
 
 /** A bearer token of a member, by its digest. */
 export const memberTokenSchema = z.strictObject({
-  member: memberIdSchema,
-  tokenDigest: tokenDigestSchema,
+  member: memberIdSchema.describe('Member whose token it is.'),
+  tokenDigest: tokenDigestSchema.describe('SHA-256 digest of the token.'),
 });
 
 /** A bearer token of an operator, by its digest. */
 export const operatorTokenSchema = z.strictObject({
-  operator: z.string().min(1),
-  tokenDigest: tokenDigestSchema,
+  operator: z.string().min(1).describe('Name in the audit trail.'),
+  tokenDigest: tokenDigestSchema.describe('SHA-256 digest of the token.'),
 });
 
 /** Bounds on what callers may use. */
 export const limitsSchema = z.strictObject({
-  /** Largest body of a request, bytes. */
-  bodyBytes: z.number().int().positive().default(1_048_576),
-  /** Requests of callers that this host holds at once. */
-  concurrentRequests: z.number().int().positive().default(4_000),
-  /** A caller that takes no bytes for this long is treated as gone. */
-  stalledCallerMs: z.number().int().positive().default(30_000),
-  /** Entries of the audit trail and of the decision record, each. */
-  recordEntries: z.number().int().positive().default(5_000),
+  bodyBytes: z
+    .number()
+    .int()
+    .positive()
+    .default(1_048_576)
+    .describe('Largest body of a request, bytes.'),
+  concurrentRequests: z
+    .number()
+    .int()
+    .positive()
+    .default(4_000)
+    .describe('Requests of callers that this host holds at once.'),
+  stalledCallerMs: z
+    .number()
+    .int()
+    .positive()
+    .default(30_000)
+    .describe(
+      'A caller that takes no bytes for so many milliseconds counts as gone.',
+    ),
+  recordEntries: z
+    .number()
+    .int()
+    .positive()
+    .default(5_000)
+    .describe('Entries of the audit trail and of the decision record, each.'),
 });
 
 /** Default deadlines by priority class, milliseconds. */
 export const deadlinesSchema = z.strictObject({
-  urgentMs: z.number().int().positive().default(15_000),
-  standardMs: z.number().int().positive().default(60_000),
-  deferrableMs: z.number().int().positive().default(3_600_000),
+  urgentMs: z
+    .number()
+    .int()
+    .positive()
+    .default(15_000)
+    .describe('Default deadline of urgent requests, milliseconds.'),
+  standardMs: z
+    .number()
+    .int()
+    .positive()
+    .default(60_000)
+    .describe('Default deadline of standard requests, milliseconds.'),
+  deferrableMs: z
+    .number()
+    .int()
+    .positive()
+    .default(3_600_000)
+    .describe('Default deadline of work that can wait, milliseconds.'),
 });
 
 /** Settings of `basilworksd`; a superset of what the reducer reads. */
 export const daemonSettingsSchema = coreSettingsSchema
   .extend({
-    peerAddress: addressSchema,
-    callerAddress: addressSchema,
-    /** Where to listen for callers; `callerAddress` by default. */
-    callerListen: addressSchema.optional(),
-    /** Where to listen for peers; `peerAddress` by default. */
-    peerListen: addressSchema.optional(),
-    /** Where to serve `/metrics` and health; `callerListen` by default. */
-    metricsListen: addressSchema.optional(),
-    objectApiUrl: urlSchema,
-    hostListUrl: urlSchema,
-    members: z.array(memberTokenSchema).default([]),
-    operators: z.array(operatorTokenSchema).default([]),
+    peerAddress: addressSchema.describe(
+      'Address at which peers reach this host, IP number and port.',
+    ),
+    callerAddress: addressSchema.describe(
+      'Address at which callers reach this host, IP number and port.',
+    ),
+    callerListen: addressSchema
+      .optional()
+      .describe('Where to listen for callers; `callerAddress` by default.'),
+    peerListen: addressSchema
+      .optional()
+      .describe('Where to listen for peers; `peerAddress` by default.'),
+    metricsListen: addressSchema
+      .optional()
+      .describe(
+        'Where to serve metrics and health; `callerListen` by default.',
+      ),
+    objectApiUrl: urlSchema.describe(
+      'Base URL of the object API of the platform.',
+    ),
+    hostListUrl: urlSchema.describe(
+      'Base URL of the host list of the platform.',
+    ),
+    members: z
+      .array(memberTokenSchema)
+      .default([])
+      .describe('Bearer tokens of members.'),
+    operators: z
+      .array(operatorTokenSchema)
+      .default([])
+      .describe('Bearer tokens of operators.'),
     limits: limitsSchema.prefault({}),
     deadlines: deadlinesSchema.prefault({}),
-    /** Longest duration of a planned stop, milliseconds. */
-    stopTimeoutMs: z.number().int().positive().default(900_000),
-    logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+    stopTimeoutMs: z
+      .number()
+      .int()
+      .positive()
+      .default(900_000)
+      .describe('Longest duration of a planned stop, milliseconds.'),
+    logLevel: z
+      .enum(['error', 'warn', 'info', 'debug'])
+      .default('info')
+      .describe('Least severe log lines that are written.'),
   })
   .strict();
 export type DaemonSettings = z.infer<typeof daemonSettingsSchema>;
--- /dev/null
+++ b/scripts/write-settings-reference.mjs
@@ -0,0 +1,9 @@
+/** Writes the operators' page of settings from the schema. */
+import {writeFileSync} from 'node:fs';
+
+import {settingsReference} from '../packages/daemon/dist/settings-reference.js';
+
+writeFileSync(
+  new URL('../docs/operators/settings.md', import.meta.url),
+  settingsReference(),
+);
