Measure what roles and state cost, and work out the target

Cause: docs/CAPACITY.md needs slopes per role. Change: bench/capacity measures requests by role and the heap of the state, fits lines and works out the target's figures.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -43,7 +43,9 @@
   },
   {
     files: ['**/*.mjs', 'eslint.config.js'],
-    languageOptions: {globals: {process: 'readonly', console: 'readonly'}},
+    languageOptions: {
+      globals: {process: 'readonly', console: 'readonly', URL: 'readonly'},
+    },
   },
   prettier,
 );
--- a/packages/bench/src/capacity/capacity-command.ts
+++ b/packages/bench/src/capacity/capacity-command.ts
@@ -1,18 +1,24 @@
-import {stdout} from 'node:process';
+import {stderr, stdout} from 'node:process';
 
 import {Command} from 'commander';
 
-import {measureControl} from './measure-control.js';
-import {SERIES, sizesOf, ZONE_SIZES} from './size.js';
+import {runCapacity} from './run-capacity.js';
+
+interface Options {
+  readonly seed: number;
+  readonly json: boolean;
+}
 
 /** Measures what each role costs at several sizes. */
 export const capacityCommand = (): Command =>
   new Command('capacity')
     .description('Cost of each role and of control at several sizes.')
     .option('--seed <number>', 'seed of the deployments', Number, 1)
-    .option('--json', 'print only the last line', false)
-    .action(({seed}: {seed: number}) => {
-      for (const size of [...SERIES.flatMap(sizesOf), ...ZONE_SIZES]) {
-        stdout.write(`${JSON.stringify(measureControl(size, seed))}\n`);
-      }
+    .option('--json', 'print the report as one line', false)
+    .action(({seed, json}: Options) => {
+      const report = runCapacity(seed, (line) => {
+        stderr.write(`${line}\n`);
+      });
+      const indent = json ? undefined : 2;
+      stdout.write(`${JSON.stringify(report, undefined, indent)}\n`);
     });
