Show operators what the deployment does, from any host

The command line had only the sheet. Each host now answers with its view of hosts, servers, adapters, loads, decisions and the audit trail; the command line asks every host where one alone does not know, names the silent ones and exits with 9 then. sheet check uses the hosts' own parser and asks none. The audit trail adds revisions that only the platform still describes.

--- a/packages/command-line/src/command-line.ts
+++ b/packages/command-line/src/command-line.ts
@@ -1,6 +1,18 @@
 import {Command, CommanderError} from 'commander';
 
+import {createAdaptersCommand} from './commands/adapters.js';
+import {createAuditCommand} from './commands/audit.js';
+import {createCompletionCommand} from './commands/completion.js';
+import {createDrainCommand} from './commands/drain.js';
+import {createExplainCommand} from './commands/explain.js';
+import {
+  createHostsCommand,
+  createLoadsCommand,
+  createServersCommand,
+} from './commands/fleet.js';
+import {createKeysCommand} from './commands/keys.js';
 import {createSheetCommand} from './commands/sheet.js';
+import {createSupportCommand} from './commands/support.js';
 import type {CommandContext} from './lib/command-context.js';
 import {EXIT_CODES, type ExitCode} from './lib/exit-code.js';
 import {CommandRunner} from './lib/run.js';
@@ -28,6 +40,19 @@
   }
 };
 
+const COMMANDS = [
+  createSheetCommand,
+  createAdaptersCommand,
+  createServersCommand,
+  createHostsCommand,
+  createLoadsCommand,
+  createExplainCommand,
+  createAuditCommand,
+  createDrainCommand,
+  createKeysCommand,
+  createSupportCommand,
+];
+
 const createProgram = (
   runner: CommandRunner,
   context: CommandContext,
@@ -35,7 +60,10 @@
   const program = new Command('basilworks')
     .description('Operates a basilworks deployment.')
     .showHelpAfterError('(--help shows the commands and options)');
-  program.addCommand(createSheetCommand(runner));
+  for (const create of COMMANDS) {
+    program.addCommand(create(runner));
+  }
+  program.addCommand(createCompletionCommand(runner, program));
   applyToAll(program, (command) => {
     command.exitOverride().configureOutput({
       writeOut: (text) => {
--- a/packages/command-line/src/commands/sheet.ts
+++ b/packages/command-line/src/commands/sheet.ts
@@ -1,4 +1,9 @@
-import type {AdapterChange, SheetFault, SheetResult} from '@basilworks/core';
+import {
+  parseSheet,
+  type AdapterChange,
+  type SheetFault,
+  type SheetResult,
+} from '@basilworks/core';
 import {
   OPERATOR_PATHS,
   sheetAnswerSchema,
@@ -18,6 +23,7 @@
   resolveTarget,
   type TargetOptions,
 } from '../lib/target-options.js';
+import {readHistory, toHistoryListing} from './history.js';
 
 interface ApplyOptions extends TargetOptions {
   readonly allowMassRetirement?: boolean;
@@ -29,12 +35,14 @@
   const sheet = new Command('sheet').description(
     'check, compare and apply the sheet of adapters',
   );
-  addTargetOptions(sheet.command('check'))
-    .description('report every fault of a sheet and change nothing')
+  sheet
+    .command('check')
+    .description('report every fault of a sheet without asking a host')
+    .option('--json', 'print JSON also on a terminal')
     .argument('<file>', 'CSV file, or - for the standard input')
     .action(
       runner.wrap((context, file: string, options: TargetOptions) =>
-        submitSheet(context, file, options, {dryRun: true}, ignoreChanges),
+        checkSheet(context, file, options),
       ),
     );
   addTargetOptions(sheet.command('diff'))
@@ -42,7 +50,7 @@
     .argument('<file>', 'CSV file, or - for the standard input')
     .action(
       runner.wrap((context, file: string, options: TargetOptions) =>
-        submitSheet(context, file, options, {dryRun: true}, keepChanges),
+        submitSheet(context, file, options, {dryRun: true}),
       ),
     );
   addTargetOptions(sheet.command('apply'))
@@ -59,9 +67,27 @@
         submitSheet(context, file, options, applyParameters(options)),
       ),
     );
+  addTargetOptions(sheet.command('history'))
+    .description('list the revisions that the platform still describes')
+    .action(runner.wrap(showHistory));
   return sheet;
 };
 
+const showHistory = async (
+  context: CommandContext,
+  options: TargetOptions,
+): Promise<Result<ExitCode, CommandError>> => {
+  const target = resolveTarget(context, options);
+  if (target.isErr()) {
+    return err(target.error);
+  }
+  const history = await readHistory(context, target.value);
+  return history.map((view) => {
+    printValue(context, options.json ?? false, view, toHistoryListing);
+    return EXIT_CODES.success;
+  });
+};
+
 type SubmissionParameters = Partial<Omit<SheetSubmission, 'text'>>;
 
 const applyParameters = ({
@@ -73,17 +99,39 @@
   ...(expectedRevision === undefined ? {} : {expectedRevision}),
 });
 
-const keepChanges = (result: SheetResult): SheetResult => result;
+/** Checks a sheet with the parser that the hosts use, and asks none. */
+const checkSheet = async (
+  context: CommandContext,
+  file: string,
+  options: TargetOptions,
+): Promise<Result<ExitCode, CommandError>> => {
+  const text = await context.readText(file);
+  return text.map((sheet) => {
+    const today = new Date().toISOString().slice(0, DATE_LENGTH);
+    return parseSheet(sheet, today).match(
+      (rows) => {
+        const value = {kind: 'valid' as const, rows: rows.length};
+        printValue(context, options.json ?? false, value, () => ({
+          headings: ['sheet', 'rows'],
+          rows: [['valid', rows.length]],
+        }));
+        return EXIT_CODES.success;
+      },
+      (faults) => {
+        printResult(context, options, {kind: 'invalid', faults: [...faults]});
+        return EXIT_CODES.invalidSheet;
+      },
+    );
+  });
+};
 
-const ignoreChanges = (result: SheetResult): SheetResult =>
-  result.kind === 'difference' ? {...result, changes: []} : result;
+const DATE_LENGTH = 'YYYY-MM-DD'.length;
 
 const submitSheet = async (
   context: CommandContext,
   file: string,
   options: TargetOptions,
   parameters: SubmissionParameters,
-  present: (result: SheetResult) => SheetResult = keepChanges,
 ): Promise<Result<ExitCode, CommandError>> => {
   const target = resolveTarget(context, options);
   if (target.isErr()) {
@@ -104,7 +152,7 @@
     context.signal,
   );
   return answer.map(({result}) => {
-    printResult(context, options, present(result));
+    printResult(context, options, result);
     return EXIT_CODE_BY_RESULT[result.kind];
   });
 };
--- a/packages/core/src/configuration/index.ts
+++ b/packages/core/src/configuration/index.ts
@@ -6,9 +6,12 @@
 export * from './sheet-result.js';
 export * from './adapter-entry.js';
 export * from './selectors.js';
+export {storedHead} from './adoption.js';
 export {
   type ConfigurationHead,
   configurationHeadSchema,
+  type RevisionNote,
+  revisionNoteSchema,
   type SigningKey,
   signingKeySchema,
 } from './head.js';
--- a/packages/daemon/src/operators/operators-part.ts
+++ b/packages/daemon/src/operators/operators-part.ts
@@ -1,6 +1,7 @@
 import type {DaemonContext} from '../context.js';
 import type {Part, PartTools} from '../part.js';
 import {SheetRoutes} from './sheet-routes.js';
+import {registerViewRoutes} from './view-routes.js';
 
 /** The operators' interface. */
 export const createOperatorsPart = (
@@ -12,6 +13,7 @@
     runners: sheets.runners,
     registerRoutes: (app) => {
       sheets.register(app);
+      registerViewRoutes(app, context, authenticator);
     },
   };
 };
