--- a/packages/daemon/src/ingress/http-requester.ts
+++ b/packages/daemon/src/ingress/http-requester.ts
@@ -8,6 +8,7 @@
 } from '@basilworks/core';
 
 import type {DaemonContext} from '../context.js';
+import {ChunkWriter} from '../http/chunk-writer.js';
 import {refuseEarly, toErrorAnswer} from '../http/errors.js';
 import type {AnswerHead} from '../lib/answer.js';
 import type {AttemptPlace, Ingress, Requester} from './ingress.js';
@@ -31,7 +32,10 @@
  */
 export class HttpRequester implements Requester {
   private readonly startedMs: number;
+  private readonly writer: ChunkWriter;
   private finished = false;
+  private streaming = false;
+  private relayedBytes = 0;
 
   constructor(
     private readonly context: DaemonContext,
@@ -39,11 +43,11 @@
     private readonly response: ServerResponse,
     private readonly identity: HttpAnswerIdentity,
   ) {
-    this.startedMs = context.loop.now().monotonicMs;
-    response.on('drain', () => {
+    this.writer = new ChunkWriter(response, () => {
       context.timers.cancel(this.stallTimer);
       ingress.resume(identity.requestId);
     });
+    this.startedMs = context.loop.now().monotonicMs;
     response.on('close', () => {
       this.closed();
     });
@@ -51,9 +55,10 @@
 
   head(head: AnswerHead, place: AttemptPlace): void {
     const {requestId, priorityClass} = this.identity;
+    this.streaming = head.contentType.startsWith('text/event-stream');
     const token = this.issueToken(place);
     const {readiness} = this.context;
-    this.response.writeHead(head.status, {
+    this.writer.begin(head.status, {
       'content-type': head.contentType,
       'cache-control': 'no-store',
       'x-request-id': requestId,
@@ -70,8 +75,8 @@
   }
 
   data(chunk: Buffer): boolean {
-    this.context.metrics.relayedBytes.inc(chunk.length);
-    if (this.response.write(chunk)) {
+    this.relayedBytes += chunk.length;
+    if (this.writer.write(chunk)) {
       return true;
     }
     const {timers, settings} = this.context;
@@ -84,7 +89,7 @@
   finish(status: number): void {
     this.finished = true;
     if (this.response.headersSent) {
-      this.response.end();
+      this.writer.end();
       this.log('answered', {status});
       return;
     }
@@ -101,7 +106,28 @@
     this.context.metrics.countRefusal(refusal.code);
     const {code, notRun, detail} = refusal;
     this.log('refused', {code, notRun, detail});
-    writeRefusal(this.response, refusal, this.identity.requestId);
+    this.writeRefusal(refusal);
+  }
+
+  /**
+   * Tells a caller of a refusal: as an error answer, or, when a stream has
+   * begun, as its last event. Any other answer that has begun is cut, as a
+   * clean end would make it look whole.
+   */
+  private writeRefusal(refusal: Refusal): void {
+    const {response, writer} = this;
+    const {requestId} = this.identity;
+    const {status, headers, body} = toErrorAnswer(refusal, requestId);
+    const text = JSON.stringify(body);
+    if (!response.headersSent) {
+      const contentType = {'content-type': 'application/json'};
+      response.writeHead(status, {...contentType, ...headers}).end(text);
+    } else if (this.streaming) {
+      writer.write(Buffer.from(`\n\nevent: error\ndata: ${text}\n\n`));
+      writer.end();
+    } else {
+      response.destroy();
+    }
   }
 
   private issueToken({attemptId, server}: AttemptPlace): string | undefined {
@@ -120,7 +146,9 @@
   }
 
   private closed(): void {
-    this.context.timers.cancel(this.stallTimer);
+    const {timers, metrics} = this.context;
+    timers.cancel(this.stallTimer);
+    metrics.relayedBytes.inc(this.relayedBytes);
     if (!this.finished) {
       this.finished = true;
       this.log('abandoned by its caller', {});
@@ -137,31 +165,6 @@
   }
 }
 
-/**
- * Tells a caller of a refusal: as an error answer, or, when the answer has
- * begun, as a last event of its stream. An answer of any other type is cut, as
- * a clean end would make it look whole.
- */
-export const writeRefusal = (
-  response: ServerResponse,
-  refusal: Refusal,
-  requestId: RequestId,
-): void => {
-  const {status, headers, body} = toErrorAnswer(refusal, requestId);
-  const text = JSON.stringify(body);
-  if (!response.headersSent) {
-    const contentType = {'content-type': 'application/json'};
-    response.writeHead(status, {...contentType, ...headers}).end(text);
-    return;
-  }
-  const contentType = String(response.getHeader('content-type') ?? '');
-  if (contentType.startsWith('text/event-stream')) {
-    response.end(`\n\nevent: error\ndata: ${text}\n\n`);
-  } else {
-    response.destroy();
-  }
-};
-
 /** Refusal of a request above the number that this host holds at once. */
 export const tooManyRequests = (): Refusal =>
   refuseEarly('overloaded', 'too many requests at this host', 1_000);
--- a/packages/daemon/src/lib/count-tokens.ts
+++ b/packages/daemon/src/lib/count-tokens.ts
@@ -3,14 +3,8 @@
 /** Average length of a token in a whole answer, bytes. */
 const BYTES_PER_TOKEN = 4;
 
-/**
- * Estimates the tokens in a chunk of an answer without decoding it: the events
- * of a stream, otherwise the length over the average length of a token.
- */
-export const countTokens = (chunk: Buffer): number => {
-  if (!chunk.subarray(0, 6).equals(DATA_FIELD)) {
-    return Math.ceil(chunk.length / BYTES_PER_TOKEN);
-  }
+/** Counts the events in a chunk of a stream, without decoding it. */
+export const countEvents = (chunk: Buffer): number => {
   let events = 0;
   for (
     let index = chunk.indexOf(EVENT_END);
@@ -22,4 +16,6 @@
   return events;
 };
 
-const DATA_FIELD = Buffer.from('data: ');
+/** Estimates the tokens in a chunk of a whole answer from its length. */
+export const estimateTokens = (chunk: Buffer): number =>
+  Math.ceil(chunk.length / BYTES_PER_TOKEN);
--- a/packages/daemon/src/owner/executions.ts
+++ b/packages/daemon/src/owner/executions.ts
@@ -8,7 +8,7 @@
 
 import type {DaemonContext} from '../context.js';
 import type {AnswerHead, AnswerSink, AnswerSource} from '../lib/answer.js';
-import {countTokens} from '../lib/count-tokens.js';
+import {countEvents, estimateTokens} from '../lib/count-tokens.js';
 import {notSent, unknownOutcome} from '../peers/frames.js';
 import type {EffectRunner, RunnersOf} from '../runner-table.js';
 
@@ -241,7 +241,9 @@
       this.started = true;
       this.report.started();
     }
-    this.tokens += countTokens(chunk);
+    this.tokens += this.execution.canBeResumed
+      ? countEvents(chunk)
+      : estimateTokens(chunk);
     return this.execution.sink.data(chunk);
   }
 
--- a/packages/protocol/src/platform/engine.ts
+++ b/packages/protocol/src/platform/engine.ts
@@ -5,8 +5,9 @@
  *
  * - `POST /v1/chat/completions` with an OpenAI-style body whose `model` is
  *   `adapter@version` and `stream` true or false. Headers: `x-request-id`,
- *   `x-execution-id`, `x-fencing-number`, `x-priority` (smaller first). Answers
- *   200 with headers `x-adapter` and `x-version` (what ran) and, for a stream,
+ *   `x-execution-id`, `x-fencing-number`, `x-priority` (smaller first),
+ *   `x-prompt-cache-key` (names the prefix in cache events; may be empty).
+ *   Answers 200 with headers `x-adapter` and `x-version` (what ran) and, for a stream,
  *   `text/event-stream` ending in `data: [DONE]`. 404 `adapter-not-resident`,
  *   412 `stale-fencing` and 429 `queue-full`, with `engineErrorSchema`, say
  *   that nothing ran.
