--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,1 +1,10 @@
-process.exitCode = 1;
+import {Command} from 'commander';
+
+import {capacityCommand} from './capacity/index.js';
+import {policyCommand} from './policy/index.js';
+
+await new Command('bench')
+  .description('Measurements of basilworks.')
+  .addCommand(capacityCommand())
+  .addCommand(policyCommand())
+  .parseAsync();
--- a/packages/bench/src/policy/basilworks-contender.ts
+++ b/packages/bench/src/policy/basilworks-contender.ts
@@ -33,10 +33,10 @@
 
   constructor(
     private readonly arena: Arena,
-    overrides: Partial<CoreSettings> = {},
+    mechanisms: CoreSettings['mechanisms'],
   ) {
     const {scheduler, seed} = arena;
-    const settings = {...settingsOf(arena), ...overrides};
+    const settings = {...settingsOf(arena), mechanisms};
     this.state = createState(settings, {incarnation: `${HOST}#1`, seed});
     const handle = (event: CoreEvent): void => {
       this.handle(event);
--- a/packages/bench/src/policy/policy-command.ts
+++ b/packages/bench/src/policy/policy-command.ts
@@ -1,5 +1,6 @@
 import {Command, InvalidArgumentError, Option} from 'commander';
 
+import {reportAblation} from './ablation.js';
 import {POLICY_NAMES, type PolicyName} from './policies.js';
 import {reportAll} from './report.js';
 import {runScenario} from './run-scenario.js';
@@ -12,6 +13,7 @@
   readonly seeds: readonly number[];
   readonly json?: true;
   readonly all?: true;
+  readonly ablation?: true;
   readonly report?: string;
 }
 
@@ -35,6 +37,7 @@
     .option('--seed <number>', 'seed of the arrivals', parseSeed, 1)
     .option('--json', 'print the result as JSON on the last line')
     .option('--all', 'run every scenario under every policy')
+    .option('--ablation', 'run with each mechanism switched off in turn')
     .option('--seeds <list>', 'seeds of --all', parseSeeds, REPORT_SEEDS)
     .option('--report <directory>', 'where --all writes its table and plots')
     .action(run);
@@ -44,6 +47,10 @@
     await reportAll(options.seeds, options.report);
     return;
   }
+  if (options.ablation) {
+    reportAblation(options.seeds);
+    return;
+  }
   const scenario = SCENARIOS.find(({name}) => name === options.scenario);
   if (scenario === undefined) {
     return;
--- a/packages/bench/src/policy/report.ts
+++ b/packages/bench/src/policy/report.ts
@@ -1,7 +1,7 @@
 import {mkdir, writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
 
-import {POLICY_NAMES, type PolicyName} from './policies.js';
+import {POLICY_NAMES} from './policies.js';
 import type {PolicyResult} from './result.js';
 import {runScenario} from './run-scenario.js';
 import {SCENARIOS} from './scenarios.js';
@@ -35,9 +35,10 @@
   }
 };
 
-const meanOf = (
+/** Means of the runs of one scenario and policy. */
+export const meanOf = (
   scenario: string,
-  policy: PolicyName,
+  policy: string,
   results: readonly PolicyResult[],
 ): MeanResult => {
   const mean = (select: (result: PolicyResult) => number): number =>
--- a/packages/bench/src/policy/run-scenario.ts
+++ b/packages/bench/src/policy/run-scenario.ts
@@ -8,7 +8,12 @@
 import {generateArrivals} from './arrivals.js';
 import type {Arena, Contender} from './contender.js';
 import {ENGINE_OPTIONS, serversOf} from './deployments.js';
-import {POLICIES, type PolicyName} from './policies.js';
+import {
+  ALL_MECHANISMS,
+  type Mechanisms,
+  POLICIES,
+  type PolicyName,
+} from './policies.js';
 import {Recorder} from './recorder.js';
 import {type PolicyResult, summarize, totalBatchUse} from './result.js';
 import type {Incident, Scenario} from './scenarios.js';
@@ -27,10 +32,11 @@
   scenario: Scenario,
   policy: PolicyName,
   seed: number,
+  mechanisms: Mechanisms = ALL_MECHANISMS,
 ): PolicyResult => {
   const scheduler = new VirtualScheduler();
   const arena = createArena(scenario, scheduler, seed);
-  const contender = POLICIES[policy](arena);
+  const contender = POLICIES[policy](arena, mechanisms);
   for (const arrival of arena.arrivals) {
     scheduler.schedule(arrival.atMs, () => {
       contender.submit(arrival);
--- a/packages/core/src/load-budget/area.ts
+++ b/packages/core/src/load-budget/area.ts
@@ -89,7 +89,7 @@
   refillTokens(budget, nowMs);
   dropExpired(budget, nowMs);
   while (budget.tokens >= 1 && hasRoomInTransit(budget)) {
-    const load = nextLoad(budget.pending.values(), nowMs);
+    const load = nextLoad(budget, nowMs);
     if (!load) {
       break;
     }
--- a/packages/core/src/load-budget/order.ts
+++ b/packages/core/src/load-budget/order.ts
@@ -1,4 +1,4 @@
-import type {PendingLoad} from './state.js';
+import type {LoadBudgetState, PendingLoad} from './state.js';
 
 /** Slack below which a shorter one makes little difference. */
 const SHORT_SLACK_MS = 2_000;
@@ -9,12 +9,15 @@
  * have. Waiting shortens that time, so no load starves.
  */
 export const nextLoad = (
-  pending: Iterable<PendingLoad>,
+  {pending, settings}: LoadBudgetState,
   nowMs: number,
 ): PendingLoad | undefined => {
+  if (!settings.mechanisms.loadOrder) {
+    return pending.values().next().value;
+  }
   let best: PendingLoad | undefined;
   let bestWeight = -1;
-  for (const load of pending) {
+  for (const load of pending.values()) {
     const weight = loadWeight(load, nowMs);
     if (weight > bestWeight) {
       best = load;
--- a/packages/core/src/residency/eviction.ts
+++ b/packages/core/src/residency/eviction.ts
@@ -101,4 +101,6 @@
  * slots of a server, so it does not change the order.
  */
 const stallCost = (state: CoreState, slot: Slot, nowMs: number): number =>
-  demandOf(state.residency.demand, slot.key, nowMs);
+  state.settings.mechanisms.evictionCost
+    ? demandOf(state.residency.demand, slot.key, nowMs)
+    : 1 / (1 + nowMs - slot.lastUsedMs);
--- a/packages/core/src/routing/choose-server.ts
+++ b/packages/core/src/routing/choose-server.ts
@@ -55,13 +55,18 @@
   const queueMs = queueWaitMs(view, request.priorityClass);
   const loadMs = loadWaitMs(view, settings);
   const zoneMs = description.zone === settings.zone ? 0 : ZONE_PRICE_MS;
-  const savedMs = prefixServer === description.server ? PREFIX_SAVING_MS : 0;
+  const savedMs =
+    settings.mechanisms.prefixAffinity && prefixServer === description.server
+      ? PREFIX_SAVING_MS
+      : 0;
   const priceMs =
     view.slot === 'absent'
-      ? LOAD_PRICE_MS + view.evictionRate * EVICTION_PRICE_MS
+      ? LOAD_PRICE_MS + evictionPriceMs(view, settings)
       : 0;
   const fill = Math.min(1, view.busy / description.batchPositions);
-  const packingMs = settings.objectives.batchEfficiencyWeight * PACKING_MS;
+  const packingMs = settings.mechanisms.packing
+    ? settings.objectives.batchEfficiencyWeight * PACKING_MS
+    : 0;
   const waitMs = queueMs + loadMs;
   return {
     view,
@@ -70,6 +75,9 @@
   };
 };
 
+const evictionPriceMs = (view: ServerView, settings: CoreSettings): number =>
+  settings.mechanisms.evictionPrice ? view.evictionRate * EVICTION_PRICE_MS : 0;
+
 /** Expected wait for a batch position behind equal and higher classes. */
 export const queueWaitMs = (
   view: ServerView,
--- a/packages/core/src/routing/held.ts
+++ b/packages/core/src/routing/held.ts
@@ -31,6 +31,7 @@
   choice: Choice,
   turn: Turn,
 ): boolean =>
+  state.settings.mechanisms.heldWork &&
   placement.request.priorityClass === 'deferrable' &&
   !isDue(state, placement, choice, turn);
 
--- a/packages/core/src/routing/home.ts
+++ b/packages/core/src/routing/home.ts
@@ -4,6 +4,7 @@
 import type {Refusal} from '../refusal.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
+import type {Choice} from './choose-server.js';
 import {holdPlacement, shouldHold} from './held.js';
 import type {PlacementRequested} from './messages.js';
 import {chooseFor, grantPlacement, sendGrant} from './placements.js';
@@ -33,7 +34,7 @@
   }
   const placement = newPlacement(message, sender, turn);
   const choice = chooseFor(state, placement, turn);
-  const refusal = choice ? admitPlacement(placement, choice, turn) : noServer;
+  const refusal = choice ? refusalOf(state, placement, choice, turn) : noServer;
   if (!choice || refusal) {
     refuse(placement, refusal ?? noServer, turn);
     return;
@@ -47,6 +48,16 @@
   }
 };
 
+const refusalOf = (
+  state: CoreState,
+  placement: Placement,
+  choice: Choice,
+  turn: Turn,
+): Refusal | undefined =>
+  state.settings.mechanisms.admission
+    ? admitPlacement(placement, choice, turn)
+    : undefined;
+
 const newPlacement = (
   message: PlacementRequested,
   sender: Sender,
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -23,6 +23,27 @@
   idempotent: z.boolean(),
 });
 
+/**
+ * Mechanisms of the policy that a measurement may switch off one by one.
+ * Deployments leave all of them on.
+ */
+export const mechanismSettingsSchema = z.object({
+  /** Holds work that can wait until it fills idle positions. */
+  heldWork: z.boolean().default(true),
+  /** Refuses requests that would miss their deadlines. */
+  admission: z.boolean().default(true),
+  /** Orders loads by urgency and slack rather than by arrival. */
+  loadOrder: z.boolean().default(true),
+  /** Evicts by expected cost rather than by last use. */
+  evictionCost: z.boolean().default(true),
+  /** Places loads where the eviction costs least. */
+  evictionPrice: z.boolean().default(true),
+  /** Prefers servers that have work, to fill their batches. */
+  packing: z.boolean().default(true),
+  /** Prefers the server that may have the prompt's prefix cached. */
+  prefixAffinity: z.boolean().default(true),
+});
+
 /** The part of the settings that the reducer reads. */
 export const coreSettingsSchema = z.object({
   host: hostIdSchema,
@@ -39,6 +60,7 @@
       batchEfficiencyWeight: z.number().min(0).max(1).default(0.3),
     })
     .prefault({}),
+  mechanisms: mechanismSettingsSchema.prefault({}),
 });
 export type CoreSettings = z.infer<typeof coreSettingsSchema>;
 
