--- a/packages/core/src/admission/admit.ts
+++ b/packages/core/src/admission/admit.ts
@@ -9,9 +9,9 @@
  * get less, so that they are shed first when the load rises.
  */
 const WAIT_SHARE: Readonly<Record<PriorityClass, number>> = {
-  urgent: 1,
-  standard: 0.8,
-  deferrable: 0.6,
+  urgent: 0.7,
+  standard: 0.6,
+  deferrable: 0.5,
 };
 
 /** Shortest time after which a refused caller may try again. */
--- a/packages/core/src/load-budget/order.ts
+++ b/packages/core/src/load-budget/order.ts
@@ -1,7 +1,7 @@
 import type {LoadBudgetState, PendingLoad} from './state.js';
 
 /** Slack below which a shorter one makes little difference. */
-const SHORT_SLACK_MS = 2_000;
+const SHORT_SLACK_MS = 20_000;
 
 /**
  * Returns the load that is to start next: the one for which waiting costs
--- a/packages/core/src/residency/demand.ts
+++ b/packages/core/src/residency/demand.ts
@@ -4,11 +4,11 @@
 /** Gap after which a request counts as a new visit. */
 const VISIT_GAP_MS = 5_000;
 
-/** Time in which the chance that a visit goes on falls to 1/e. */
+/** Time after which a visit that goes on is silent with a chance of 1/e. */
 const SESSION_MEMORY_MS = 20_000;
 
 /** Chance that a request is followed by another of the same visit. */
-const SESSION_CHANCE = 0.6;
+const SESSION_CHANCE = 0.8;
 
 /** Entries at which those with the least demand are dropped. */
 const DEMAND_CAPACITY = 20_000;
@@ -69,8 +69,9 @@
     return 0;
   }
   const visitRate = (decayedVisits(entry, nowMs) * 1_000) / VISIT_MEMORY_MS;
-  const chance =
+  const silent =
     SESSION_CHANCE * Math.exp((entry.lastMs - nowMs) / SESSION_MEMORY_MS);
+  const chance = silent / (silent + 1 - SESSION_CHANCE);
   return visitRate + (entry.weight * chance * 1_000) / SESSION_MEMORY_MS;
 };
 
--- a/packages/core/src/residency/urgency.ts
+++ b/packages/core/src/residency/urgency.ts
@@ -14,8 +14,8 @@
  * together than the cost of waiting, as a load costs the same for all.
  */
 const MISS_WEIGHT: Readonly<Record<PriorityClass, number>> = {
-  urgent: 3,
-  standard: 2,
+  urgent: 2,
+  standard: 1,
   deferrable: 1,
 };
 
