--- a/packages/histories/src/checks/proofs.ts
+++ b/packages/histories/src/checks/proofs.ts
@@ -87,7 +87,8 @@
         type: 'platform-state-answered',
         ask,
         records: records.map((record) => ({...record, ageMs: READ_MS})),
-        unheard: [],
+        revision: 0,
+        silent: [],
       },
     });
   }
