--- a/packages/bench/src/data-path/measure-saturation.ts
+++ b/packages/bench/src/data-path/measure-saturation.ts
@@ -7,8 +7,8 @@
 const RATE_STEP = 1.25;
 const HIGHEST_RATE = 20_000;
 
-/** A step belongs to saturation once this share is no longer answered. */
-const SATURATED_SHARE = 0.9;
+/** Steps without a higher goodput after which the peak is taken as found. */
+const STEPS_BEYOND_PEAK = 2;
 
 /** Goodput of one host: answers within a second, per second. */
 export interface Saturation {
@@ -45,15 +45,7 @@
     return onTimePerSecond(result, seconds);
   };
   try {
-    let peak = 0;
-    let rate = FIRST_RATE;
-    for (; rate <= HIGHEST_RATE; rate *= RATE_STEP) {
-      const goodput = await goodputAt(rate);
-      peak = Math.max(peak, goodput);
-      if (goodput < SATURATED_SHARE * rate) {
-        break;
-      }
-    }
+    const peak = await findPeak(goodputAt);
     const overload = await goodputAt(2 * peak);
     return {
       peakRequestsPerSecond: peak,
@@ -65,5 +57,23 @@
   }
 };
 
+/** Raises the rate until goodput has stopped growing. */
+const findPeak = async (
+  goodputAt: (requestsPerSecond: number) => Promise<number>,
+): Promise<number> => {
+  let peak = 0;
+  let stepsBeyond = 0;
+  for (
+    let rate = FIRST_RATE;
+    rate <= HIGHEST_RATE && stepsBeyond < STEPS_BEYOND_PEAK;
+    rate *= RATE_STEP
+  ) {
+    const goodput = await goodputAt(rate);
+    stepsBeyond = goodput > peak ? 0 : stepsBeyond + 1;
+    peak = Math.max(peak, goodput);
+  }
+  return peak;
+};
+
 const onTimePerSecond = (result: LoadResult, seconds: number): number =>
   result.answered / seconds;
--- a/packages/demo/src/launch/free-port.ts
+++ b/packages/demo/src/launch/free-port.ts
@@ -1,20 +1,35 @@
 import {once} from 'node:events';
-import {type AddressInfo, createServer} from 'node:net';
+import {createServer} from 'node:net';
 
-/** Finds ports of the loopback interface that nothing listens on. */
+/** Below the range from which systems give ports to connections. */
+const LOWEST_PORT = 20_000;
+const HIGHEST_PORT = 32_000;
+
+/**
+ * Finds ports of the loopback interface that nothing listens on, and that are
+ * not given to connections meanwhile.
+ */
 export const findFreePorts = async (count: number): Promise<number[]> => {
-  const servers = Array.from({length: count}, () =>
-    createServer().listen(0, '127.0.0.1'),
-  );
-  await Promise.all(servers.map((server) => once(server, 'listening')));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise((resolve) => {
-          server.close(resolve);
-        }),
-    ),
-  );
-  return ports;
+  const ports = new Set<number>();
+  while (ports.size < count) {
+    const span = HIGHEST_PORT - LOWEST_PORT;
+    const port = LOWEST_PORT + Math.floor(Math.random() * span);
+    if (!ports.has(port) && (await isFree(port))) {
+      ports.add(port);
+    }
+  }
+  return [...ports];
+};
+
+const isFree = async (port: number): Promise<boolean> => {
+  const server = createServer();
+  try {
+    server.listen(port, '127.0.0.1');
+    await once(server, 'listening');
+    return true;
+  } catch {
+    return false;
+  } finally {
+    server.close();
+  }
 };
