--- a/packages/demo/src/report.ts
+++ b/packages/demo/src/report.ts
@@ -1,5 +1,10 @@
 import {type HistoryVerdict, type Violation} from './check-history.js';
-import type {DemoHistory, ModelRecord} from './history.js';
+import type {
+  Attempt,
+  CallerRecord,
+  DemoHistory,
+  ModelRecord,
+} from './history.js';
 
 const SHOWN_VIOLATIONS = 20;
 
@@ -53,7 +58,7 @@
 export const formatReport = (
   summary: DemoSummary,
   {counts, violations}: HistoryVerdict,
-  {standIns}: DemoHistory,
+  {callers, standIns}: DemoHistory,
 ): string[] => {
   const storeCalls = Object.entries(standIns.storeCalls)
     .map(([kind, calls]) => `${kind} ${calls}`)
@@ -68,6 +73,7 @@
     `batch efficiency   ${summary.batchEfficiency}`,
     `adapter loads      ${standIns.loads}`,
     `object API calls   ${storeCalls}`,
+    `negative answers   ${countRefusals(callers) || 'none'}`,
     '',
     promiseLine('every answer by the adapter named', counts.wrongAdapter),
     promiseLine('no unrepeatable call ran twice', counts.doubled),
@@ -80,6 +86,20 @@
   ];
 };
 
+/** Negative answers to single attempts, by code; most are tried again. */
+const countRefusals = (callers: readonly CallerRecord[]): string => {
+  const counts = new Map<string, number>();
+  for (const {end} of callers.flatMap(attemptsOf)) {
+    if (end.kind === 'refused') {
+      counts.set(end.code, (counts.get(end.code) ?? 0) + 1);
+    }
+  }
+  return [...counts].map(([code, count]) => `${code} ${count}`).join(', ');
+};
+
+const attemptsOf = (record: CallerRecord): readonly Attempt[] =>
+  record.kind === 'work' ? [record.submission] : record.attempts;
+
 const promiseLine = (promise: string, broken: number): string =>
   `${broken === 0 ? 'kept  ' : 'BROKEN'} ${promise}` +
   (broken === 0 ? '' : `: ${broken}`);
