--- a/packages/core/src/ownership/review.ts
+++ b/packages/core/src/ownership/review.ts
@@ -7,11 +7,11 @@
   incarnationOf,
   listedHosts,
   listedServers,
-  listedZones,
   liveHosts,
   silentSince,
   standingOf,
 } from '../membership/selectors.js';
+import {concernedZones, concerningOwners} from './selectors.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import {assignUnowned, planMoves, type ZoneAssignment} from './assignment.js';
@@ -56,7 +56,7 @@
   repeatWrites(state, turn);
   noteAnswering(state, turn.at);
   extendOutageProof(state, turn.at);
-  for (const zone of listedZones(state)) {
+  for (const zone of concernedZones(state)) {
     if (isWritable(state, zone, turn.at)) {
       reviewZone(state, zone, turn);
     }
@@ -90,19 +90,15 @@
 };
 
 /**
- * Owners from other zones, from the time when this one had no host, are not
- * asked anyway: whether they still run must be found out.
+ * Owners from other zones, from the time when a zone had no host, are not asked
+ * anyway: whether they still run must be found out.
  */
 const askDistantOwners = (state: CoreState, turn: Turn): void => {
-  const {host: self, zone} = state.settings;
-  const zones = new Map(
-    listedHosts(state).map((host) => [host.host, host.zone]),
+  const zoneOf = new Map(
+    listedHosts(state).map(({host, zone}) => [host, zone]),
   );
-  const owners = new Set(
-    Object.values(claimsOf(state, zone)).map(({owner}) => owner),
-  );
-  for (const host of owners) {
-    if (host !== self && zones.has(host) && zones.get(host) !== zone) {
+  for (const host of concerningOwners(state)) {
+    if (zoneOf.has(host) && zoneOf.get(host) !== state.settings.zone) {
       turn.raise({type: 'peer-wanted', host});
     }
   }
