--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -58,6 +58,49 @@
     .describe('Weight of full engine batches, 0 to 1.'),
 });
 
+/**
+ * Mechanisms of the policy that a measurement may switch off one by one.
+ * Deployments leave all of them on.
+ */
+export const mechanismSettingsSchema = z.object({
+  heldWork: z
+    .boolean()
+    .default(true)
+    .describe(
+      'Leave on. Holds work that can wait until it fills idle positions.',
+    ),
+  admission: z
+    .boolean()
+    .default(true)
+    .describe('Leave on. Refuses requests that would miss their deadlines.'),
+  loadOrder: z
+    .boolean()
+    .default(true)
+    .describe(
+      'Leave on. Orders loads by urgency and slack rather than by arrival.',
+    ),
+  evictionCost: z
+    .boolean()
+    .default(true)
+    .describe('Leave on. Evicts by expected cost rather than by last use.'),
+  evictionPrice: z
+    .boolean()
+    .default(true)
+    .describe('Leave on. Places loads where the eviction costs least.'),
+  packing: z
+    .boolean()
+    .default(true)
+    .describe(
+      'Leave on. Prefers servers that have work, to fill their batches.',
+    ),
+  prefixAffinity: z
+    .boolean()
+    .default(true)
+    .describe(
+      'Leave on. Prefers the server that may have the prompt prefix cached.',
+    ),
+});
+
 /** The part of the settings that the reducer reads. */
 export const coreSettingsSchema = z.object({
   host: hostIdSchema.describe('Name of this entry host, unique.'),
@@ -76,6 +119,7 @@
     .default([])
     .describe('Operations of plain services; others are refused.'),
   objectives: objectivesSchema.prefault({}),
+  mechanisms: mechanismSettingsSchema.prefault({}),
 });
 export type CoreSettings = z.infer<typeof coreSettingsSchema>;
 
