--- a/packages/core/src/calls/retention-state.ts
+++ b/packages/core/src/calls/retention-state.ts
@@ -28,6 +28,6 @@
 /** Returns the state at the start of a process. */
 export const createRetentionState = (seed: number): RetentionState => ({
   known: undefined,
-  sweep: new ShardSweep(CLAIM_KIND, CLEAN_UP_PAGE),
+  sweep: new ShardSweep(CLAIM_KIND, CLEAN_UP_PAGE, seed),
   phaseMs: Math.abs(seed) % PHASE_RANGE_MS,
 });
--- a/packages/core/src/calls/retention.ts
+++ b/packages/core/src/calls/retention.ts
@@ -136,7 +136,9 @@
     firstSeenAt: sentAt,
     lastSeenAt: sentAt,
   };
-  retention.sweep.begin(state);
+  if (!retention.sweep.active) {
+    retention.sweep.begin(state);
+  }
   turn.raise({type: 'epoch-began', epoch});
   setCleanUpTimer(turn);
 };
--- a/packages/core/src/deferred/result-retention.ts
+++ b/packages/core/src/deferred/result-retention.ts
@@ -13,7 +13,9 @@
 
 /** Begins a pass over the results with each epoch. */
 export const startCleanUp = (state: CoreState, turn: Turn): void => {
-  state.deferred.cleanUp.begin(state);
+  if (!state.deferred.cleanUp.active) {
+    state.deferred.cleanUp.begin(state);
+  }
   setTimer(turn);
 };
 
--- a/packages/core/src/deferred/state.ts
+++ b/packages/core/src/deferred/state.ts
@@ -118,15 +118,15 @@
 /** Returns the state at the start of a process. */
 export const createDeferredState = (
   settings: CoreSettings,
-  _identity: CoreIdentity,
+  identity: CoreIdentity,
 ): DeferredState => ({
   settings,
   entries: new Map(),
   names: new Map(),
   adopting: new Set(),
   store: new StoreCalls('deferred'),
-  scan: new ShardSweep(WORK_KIND, SCAN_PAGE),
-  cleanUp: new ShardSweep(RESULT_KIND, CLEAN_UP_PAGE),
+  scan: new ShardSweep(WORK_KIND, SCAN_PAGE, identity.seed),
+  cleanUp: new ShardSweep(RESULT_KIND, CLEAN_UP_PAGE, identity.seed),
   running: 0,
   runningBytes: 0,
   sequence: 0,
--- a/packages/core/src/lib/shard-sweep.ts
+++ b/packages/core/src/lib/shard-sweep.ts
@@ -14,9 +14,14 @@
   readonly after: string;
 }
 
+/** Hexadecimal digits of the name at which a pass begins in each shard. */
+const START_DIGITS = 4;
+
 /**
  * Passes over all objects of a kind, page by page. Each host takes the shards
- * whose home it is, so that together they list every object once.
+ * whose home it is, so that together they list every object. Passes begin at a
+ * place that the seed chooses and come round to it, so that hosts that are
+ * restarted before the end of a pass see other objects each time.
  */
 export class ShardSweep {
   private readonly pages: Page[] = [];
@@ -24,6 +29,7 @@
   constructor(
     private readonly kind: string,
     private readonly pageSize: number,
+    private readonly seed: number,
   ) {}
 
   /** Whether pages are left to be listed. */
@@ -34,10 +40,17 @@
   /** Begins a new pass over the shards of this host. */
   begin(state: CoreState): void {
     this.pages.length = 0;
-    for (const shard of SHARDS) {
-      if (homeOf(state, `${this.kind}/${shard}`) === state.settings.host) {
-        this.pages.push({shard, after: ''});
-      }
+    const mine = SHARDS.filter(
+      (shard) => homeOf(state, `${this.kind}/${shard}`) === state.settings.host,
+    );
+    const start = Math.abs(this.seed)
+      .toString(SHARD_COUNT)
+      .slice(-START_DIGITS);
+    for (const shard of mine) {
+      this.pages.push({shard, after: shard + start});
+    }
+    for (const shard of mine) {
+      this.pages.push({shard, after: ''});
     }
   }
 
