Roll versions over in the middle of the demo

Cause: the demo did not check that an accepted sheet is in force everywhere and never reverts, and load began while hosts were still taking the first sheet: 20 of some 130 attempts were refused for an unknown adapter.

Change: the load begins once the first sheet is known at every host; a second sheet gives the most popular adapters a new version, and some requests name the adapter alone, for which the old version is wrong once the new one is in force everywhere. A fault script that fails ends the run with its processes. The bench's latency histograms take long answers.

--- a/packages/bench/src/data-path/open-loop.ts
+++ b/packages/bench/src/data-path/open-loop.ts
@@ -12,6 +12,9 @@
 const MICROSECONDS_PER_MS = 1_000;
 const CONNECT_TIMEOUT_MS = 2_000;
 
+/** Highest latency that can be recorded. */
+const HIGHEST_LATENCY_MICROSECONDS = 600_000_000;
+
 /** Requests of a fixed kind, sent at a fixed rate whatever comes back. */
 export interface OpenLoopOptions {
   readonly url: string;
@@ -45,7 +48,9 @@
 };
 
 class OpenLoopRun {
-  private readonly histogram: Histogram = build();
+  private readonly histogram: Histogram = build({
+    highestTrackableValue: HIGHEST_LATENCY_MICROSECONDS,
+  });
   private readonly agent = new Agent({
     connect: {timeout: CONNECT_TIMEOUT_MS},
     connections: null,
--- a/packages/demo/src/callers/model-answer.ts
+++ b/packages/demo/src/callers/model-answer.ts
@@ -14,6 +14,10 @@
 /** A model request to be sent. */
 export interface ModelCall {
   readonly adapter: CatalogueAdapter;
+  /** As the caller names it: `adapter@version`, or the adapter alone. */
+  readonly model: string;
+  /** Versions that are right for what was named. */
+  readonly versions: readonly string[];
   readonly nonce: string;
   readonly stream: boolean;
   readonly tokens: number;
@@ -23,7 +27,7 @@
 /** Body of a model request; the nonce makes its answer unique. */
 export const toModelBody = (call: ModelCall, member: string): string =>
   JSON.stringify({
-    model: `${call.adapter.adapter}@${call.adapter.version}`,
+    model: call.model,
     messages: [{role: 'user', content: call.nonce}],
     user: member,
     stream: call.stream,
@@ -31,13 +35,14 @@
     priority_class: call.adapter.priorityClass,
   });
 
-/** The one right answer to a model request. */
+/** The one right answer to a model request by an adapter's version. */
 export const expectedAnswer = (
   call: ModelCall,
   member: string,
   requestId: string,
+  version: string,
 ): Buffer => {
-  const {adapter, version} = call.adapter;
+  const {adapter} = call.adapter;
   const text = new AnswerText({
     requestId,
     adapter,
@@ -57,6 +62,8 @@
   readonly error: ErrorBody | undefined;
   /** Identity that the host gave the request; empty if unknown. */
   readonly requestId: string;
+  /** Version that the answer says it is from; empty if unknown. */
+  readonly version: string;
   /** Continues the answer on any host; empty if there is none. */
   readonly resumeToken: string;
 }
@@ -76,6 +83,7 @@
     delivered: index < 0 ? body : body.subarray(0, index),
     error,
     requestId: headerOf(answer, 'x-request-id') || (error?.requestId ?? ''),
+    version: headerOf(answer, 'x-version'),
     resumeToken: headerOf(answer, 'x-resume-token'),
   };
 };
--- a/packages/demo/src/callers/model-caller.ts
+++ b/packages/demo/src/callers/model-caller.ts
@@ -24,6 +24,8 @@
 interface AttemptResult {
   readonly attempt: Attempt;
   readonly delivered: Buffer;
+  /** Version that the answer says it is from. */
+  readonly version: string;
   readonly resumeToken: string;
   /** When it is worthwhile to go on. */
   readonly retryMs: number;
@@ -64,24 +66,23 @@
       }
       await sleep(Math.min(last.retryMs, remainingMs));
     }
-    const {adapter, version, priorityClass} = call.adapter;
+    const {adapter, priorityClass} = call.adapter;
     return {
       kind: 'model',
       nonce: call.nonce,
       member: this.member.name,
       adapter,
       priorityClass,
-      versions: [version],
+      versions: call.versions,
       sentMs,
       attempts,
     };
   }
 
   private async addressFor(
-    {adapter}: ModelCall,
+    {model}: ModelCall,
     attempts: readonly Attempt[],
   ): Promise<string> {
-    const model = `${adapter.adapter}@${adapter.version}`;
     const addresses = await this.addresses.lookUp({model});
     const failed = attempts.filter(({end}) => isHostSuspect(end));
     return addresses[failed.length % Math.max(1, addresses.length)] ?? '';
@@ -105,15 +106,17 @@
       timeoutMs: remainingMs + SILENCE_MARGIN_MS,
     });
     const read = readAnswer(answer);
-    const expected = expectedAnswer(call, this.member.name, read.requestId);
+    const {requestId} = read;
+    const expected = this.expect(call, requestId, read.version);
     return {
       attempt: {
-        requestId: read.requestId,
+        requestId,
         address,
         resumed: false,
         end: judgeAnswer(answer, read, expected),
       },
       delivered: read.delivered,
+      version: read.version,
       resumeToken: read.resumeToken,
       retryMs: read.error?.retryAfterMs ?? DEFAULT_RETRY_MS,
     };
@@ -123,7 +126,7 @@
     call: ModelCall,
     address: string,
     remainingMs: number,
-    {attempt: {requestId}, delivered, resumeToken}: AttemptResult,
+    {attempt: {requestId}, delivered, resumeToken, version}: AttemptResult,
   ): Promise<AttemptResult> {
     const answer = await exchange({
       address,
@@ -134,7 +137,7 @@
     });
     const read = readAnswer(answer);
     const all = Buffer.concat([delivered, read.delivered]);
-    const expected = expectedAnswer(call, this.member.name, requestId);
+    const expected = this.expect(call, requestId, version);
     return {
       attempt: {
         requestId,
@@ -143,11 +146,16 @@
         end: judgeAnswer(answer, {...read, delivered: all}, expected),
       },
       delivered: all,
+      version,
       resumeToken: read.resumeToken || resumeToken,
       retryMs: read.error?.retryAfterMs ?? DEFAULT_RETRY_MS,
     };
   }
 
+  private expect(call: ModelCall, requestId: string, version: string): Buffer {
+    return expectedAnswer(call, this.member.name, requestId, version);
+  }
+
   private get headers(): Record<string, string> {
     return {authorization: `Bearer ${this.member.token}`};
   }
--- a/packages/demo/src/callers/work-caller.ts
+++ b/packages/demo/src/callers/work-caller.ts
@@ -35,7 +35,7 @@
 
   /** Submits once; polls until a result, a failure, or long past the time. */
   async send(call: ModelCall): Promise<WorkRecord> {
-    const model = `${call.adapter.adapter}@${call.adapter.version}`;
+    const {model} = call;
     const [address = ''] = await this.addresses.lookUp({model});
     const answer = await this.submit(call, address);
     const accepted =
@@ -53,7 +53,7 @@
       nonce: call.nonce,
       member: this.member.name,
       adapter: call.adapter.adapter,
-      versions: [call.adapter.version],
+      versions: call.versions,
       accepted: accepted !== undefined,
       submission,
       result: accepted && (await this.waitFor(call, accepted.requestId)),
@@ -79,16 +79,12 @@
     call: ModelCall,
     requestId: string,
   ): Promise<AttemptEnd> {
-    const {adapter, version} = call.adapter;
     const endMs = performance.now() + call.deadlineMs + LOSS_MARGIN_MS;
     while (performance.now() < endMs) {
       await sleep(POLL_MS);
-      const status = await this.query(`${adapter}@${version}`, requestId);
+      const status = await this.query(call.model, requestId);
       if (status?.status === 'done') {
-        const expected = expectedAnswer(call, this.member.name, requestId);
-        return status.answer === expected.toString('utf8')
-          ? {kind: 'whole', adapter, version}
-          : {kind: 'wrong', detail: `result of ${requestId} differs`};
+        return this.judgeResult(call, requestId, status.answer);
       }
       if (status?.status === 'failed') {
         return {kind: 'refused', ...status.refusal, deliveredBytes: 0};
@@ -97,6 +93,22 @@
     return {kind: 'silent'};
   }
 
+  private judgeResult(
+    call: ModelCall,
+    requestId: string,
+    answer: string,
+  ): AttemptEnd {
+    const {adapter} = call.adapter;
+    const version = call.versions.find((candidate) =>
+      expectedAnswer(call, this.member.name, requestId, candidate).equals(
+        Buffer.from(answer),
+      ),
+    );
+    return version === undefined
+      ? {kind: 'wrong', detail: `result of ${requestId} differs`}
+      : {kind: 'whole', adapter, version};
+  }
+
   /** Asks the hosts in turn, as the one that took the work may be gone. */
   private async query(model: string, requestId: string) {
     for (const address of await this.addresses.lookUp({model})) {
--- a/packages/demo/src/run-demo.ts
+++ b/packages/demo/src/run-demo.ts
@@ -7,8 +7,9 @@
 import {type FaultContext, type FaultName, FAULTS} from './faults.js';
 import {Fleet} from './fleet.js';
 import type {DemoHistory, LeavingServer} from './history.js';
-import {applySheet} from './operator.js';
+import {applySheet, waitUntilKnown} from './operator.js';
 import {type DemoSummary, formatReport, summarize} from './report.js';
+import {rollOver} from './roll-over.js';
 import {Workload} from './workload.js';
 
 const PROGRESS_INTERVAL_MS = 2_000;
@@ -74,7 +75,15 @@
     fleet.operator,
     catalogue.toSheet(),
   );
-  report(`sheet of ${adapters} adapters: ${result.kind}`);
+  const last = catalogue.adapters.at(-1);
+  const waitedMs = await waitUntilKnown(
+    fleet.hosts.map(({entry}) => entry.callerAddress),
+    `${last?.adapter ?? ''}@${last?.version ?? ''}`,
+  );
+  report(
+    `sheet of ${adapters} adapters: ${result.kind}, ` +
+      `in force everywhere ${Math.round(waitedMs)} ms later`,
+  );
   const random = seededRandom(seed);
   const workload = new Workload(fleet, catalogue, random, {
     seconds,
@@ -92,14 +101,19 @@
     const {sentCount, records} = workload;
     report(`${records.length} of ${sentCount} requests are over`);
   }, PROGRESS_INTERVAL_MS);
-  const scripts = faults.map((fault) => FAULTS[fault](context));
-  const callers = await workload.run();
-  await Promise.all(scripts);
-  clearInterval(progress);
-  return {
-    callers,
-    standIns: await fleet.platform.readHistory(),
-    leaving,
-    enginesRestarted: faults.includes('engine-restart'),
-  };
+  try {
+    const [callers] = await Promise.all([
+      workload.run(),
+      rollOver(fleet, catalogue, seconds, report),
+      ...faults.map((fault) => FAULTS[fault](context)),
+    ]);
+    return {
+      callers,
+      standIns: await fleet.platform.readHistory(),
+      leaving,
+      enginesRestarted: faults.includes('engine-restart'),
+    };
+  } finally {
+    clearInterval(progress);
+  }
 };
--- a/packages/demo/src/workload.ts
+++ b/packages/demo/src/workload.ts
@@ -22,6 +22,9 @@
 const CALL_SHARE = 0.25;
 const WORK_SHARE = 0.08;
 
+/** Share of the model requests that name a version. */
+const VERSIONED_SHARE = 0.7;
+
 /** Share of the calls that are sent at two hosts at once. */
 const CONCURRENT_SHARE = 0.2;
 
@@ -108,8 +111,15 @@
 
   private toModelCall(nonce: string): ModelCall {
     const {random} = this;
+    const adapter = this.catalogue.pick(random);
+    const {version, versions} = adapter;
+    const named =
+      random() < VERSIONED_SHARE
+        ? {model: `${adapter.adapter}@${version}`, versions: [version]}
+        : {model: adapter.adapter, versions};
     return {
-      adapter: this.catalogue.pick(random),
+      adapter,
+      ...named,
       nonce,
       stream: random() < STREAMED_SHARE,
       tokens:
