--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,8 +1,12 @@
 import {Command} from 'commander';
 
+import {capacityCommand} from './capacity/index.js';
 import {dataPathCommand} from './data-path/index.js';
+import {policyCommand} from './policy/index.js';
 
 await new Command('bench')
   .description('Measurements of basilworks.')
+  .addCommand(capacityCommand())
   .addCommand(dataPathCommand())
+  .addCommand(policyCommand())
   .parseAsync();
--- a/packages/core/src/load-budget/order.ts
+++ b/packages/core/src/load-budget/order.ts
@@ -1,7 +1,7 @@
-import type {PendingLoad} from './state.js';
+import type {LoadBudgetState, PendingLoad} from './state.js';
 
 /** Slack below which a shorter one makes little difference. */
-const SHORT_SLACK_MS = 8_000;
+const SHORT_SLACK_MS = 20_000;
 
 /**
  * Returns the load that is to start next: the one for which waiting costs
@@ -9,12 +9,15 @@
  * have. Waiting shortens that time, so no load starves.
  */
 export const nextLoad = (
-  pending: Iterable<PendingLoad>,
+  {pending, settings}: LoadBudgetState,
   nowMs: number,
 ): PendingLoad | undefined => {
+  if (!settings.mechanisms.loadOrder) {
+    return pending.values().next().value;
+  }
   let best: PendingLoad | undefined;
   let bestWeight = -1;
-  for (const load of pending) {
+  for (const load of pending.values()) {
     const weight = loadWeight(load, nowMs);
     if (weight > bestWeight) {
       best = load;
