--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -16,6 +16,7 @@
   readonly seed: number;
   readonly keepFiles: boolean;
   readonly short: boolean;
+  readonly commands: boolean;
   readonly json: boolean;
 }
 
@@ -60,7 +61,9 @@
   if (options.json) {
     process.stdout.write(`${JSON.stringify(result.summary)}\n`);
   }
-  process.exitCode = result.verdict.violations.length > 0 ? 1 : 0;
+  const failures =
+    result.verdict.violations.length + result.failedCommands.length;
+  process.exitCode = failures > 0 ? 1 : 0;
 };
 
 await new Command('demo')
@@ -81,6 +84,7 @@
   )
   .option('--seed <n>', 'seed of all random choices', parseNumber, 1)
   .option('--short', 'a short run for CI', false)
+  .option('--commands', 'also run every command of the operators pages', false)
   .option('--keep-files', 'keep settings and logs', false)
   .option('--json', 'print the figures as JSON in the last line', false)
   .action(run)
--- a/packages/demo/src/run-demo.ts
+++ b/packages/demo/src/run-demo.ts
@@ -4,6 +4,11 @@
 
 import {Catalogue} from './catalogue.js';
 import {checkHistory, type HistoryVerdict} from './check-history.js';
+import {
+  documentedCommands,
+  type FailedCommand,
+  runDocumentedCommands,
+} from './documented-commands.js';
 import {type FaultContext, type FaultName, FAULTS} from './faults.js';
 import {Fleet} from './fleet.js';
 import type {DemoHistory, LeavingServer} from './history.js';
@@ -22,6 +27,8 @@
   readonly adapters: number;
   readonly faults: readonly FaultName[];
   readonly seed: number;
+  /** Runs every command of the operators' pages after the load. */
+  readonly commands: boolean;
   /** Keeps settings and logs for inspection. */
   readonly keepFiles: boolean;
 }
@@ -30,6 +37,8 @@
   readonly summary: DemoSummary;
   readonly verdict: HistoryVerdict;
   readonly report: readonly string[];
+  /** Commands of the operators' pages that did not work. */
+  readonly failedCommands: readonly FailedCommand[];
 }
 
 /** Runs one deployment under load and checks what happened. */
@@ -54,7 +63,10 @@
     const verdict = checkHistory(history);
     const summary = summarize(history, verdict);
     const lines = formatReport(summary, verdict, history);
-    return {summary, verdict, report: lines};
+    const failedCommands = options.commands
+      ? await runCommands(fleet, options, history, report)
+      : [];
+    return {summary, verdict, report: lines, failedCommands};
   } finally {
     await fleet.end(options);
     process.off('SIGINT', end);
@@ -62,6 +74,31 @@
   }
 };
 
+const runCommands = async (
+  fleet: Fleet,
+  {adapters}: DemoOptions,
+  {callers}: DemoHistory,
+  report: (message: string) => void,
+): Promise<readonly FailedCommand[]> => {
+  const [first] = fleet.hosts;
+  const request = callers.find((record) => record.kind === 'model');
+  const commands = await documentedCommands();
+  const failed = await runDocumentedCommands(commands, {
+    host: first?.entry.callerAddress ?? '',
+    token: fleet.operator.token,
+    sheet: new Catalogue(fleet.deployment, adapters).toSheet(),
+    requestId: request?.attempts.at(-1)?.requestId ?? '',
+  });
+  report(
+    `${commands.length - failed.length} of ${commands.length} commands of ` +
+      `the operators' pages worked`,
+  );
+  for (const {page, words, exitCode, output} of failed) {
+    report(`${page}: basilworks ${words.join(' ')}: ${exitCode}\n${output}`);
+  }
+  return failed;
+};
+
 const recordHistory = async (
   fleet: Fleet,
   {seconds, requestsPerSecond, adapters, faults, seed}: DemoOptions,
