Exit with 8 when no host has a decision about what explain names

An empty table with exit code 0 looked like a success; the README promises 8 for what is not known. A test covers it, and 9 for a host that is silent.

--- a/packages/command-line/src/commands/explain.ts
+++ b/packages/command-line/src/commands/explain.ts
@@ -31,6 +31,7 @@
             answer: decisionsViewSchema,
             combine: combineDecisions,
             toListing: toDecisionListing,
+            isUnknown: (decisions) => decisions.length === 0,
           }),
       ),
     );
--- a/packages/command-line/src/lib/fleet-command.ts
+++ b/packages/command-line/src/lib/fleet-command.ts
@@ -4,7 +4,7 @@
 import type {CommandContext} from './command-context.js';
 import type {CommandError} from './command-error.js';
 import {askEveryHost, reportSilent} from './every-host.js';
-import type {ExitCode} from './exit-code.js';
+import {EXIT_CODES, type ExitCode} from './exit-code.js';
 import {printValue, type Listing} from './output.js';
 import {resolveTarget, type TargetOptions} from './target-options.js';
 
@@ -15,13 +15,15 @@
   /** Makes one value of what the hosts answered. */
   readonly combine: (answers: readonly Answer[]) => Value;
   readonly toListing: (value: Value) => Listing;
+  /** Whether the value shows that no host knows what was asked for. */
+  readonly isUnknown?: (value: Value) => boolean;
 }
 
 /** Asks all hosts, prints the combined value and names the silent hosts. */
 export const showFleetView = async <Answer, Value>(
   context: CommandContext,
   options: TargetOptions,
-  {path, answer, combine, toListing}: FleetView<Answer, Value>,
+  {path, answer, combine, toListing, isUnknown}: FleetView<Answer, Value>,
 ): Promise<Result<ExitCode, CommandError>> => {
   const target = resolveTarget(context, options);
   if (target.isErr()) {
@@ -33,5 +35,10 @@
   }
   const value = combine(received.value.answers);
   printValue(context, options.json ?? false, value, toListing);
-  return ok(reportSilent(context, received.value));
+  const exitCode = reportSilent(context, received.value);
+  return ok(
+    exitCode === EXIT_CODES.success && isUnknown?.(value) === true
+      ? EXIT_CODES.notFound
+      : exitCode,
+  );
 };
--- a/packages/command-line/src/test/command-line_test.ts
+++ b/packages/command-line/src/test/command-line_test.ts
@@ -2,7 +2,7 @@
 import {createServer, type Server} from 'node:http';
 
 import type {SheetResult} from '@basilworks/core';
-import {SHEET_RESULT_STATUS} from '@basilworks/protocol';
+import {OPERATOR_PATHS, SHEET_RESULT_STATUS} from '@basilworks/protocol';
 import test from 'ava';
 import {ok} from 'neverthrow';
 
@@ -46,6 +46,18 @@
 const hostOf = (server: Server): string =>
   `127.0.0.1:${(server.address() as AddressInfo).port}`;
 
+const HOST_STATUS = {
+  host: 'entry-1',
+  zone: 'fairhaven',
+  incarnation: 'entry-1#1',
+  standing: 'serving',
+  ready: true,
+  reason: '',
+  revision: 1,
+  ownedServers: 0,
+  unrecorded: 0,
+};
+
 const exitCodes: readonly (readonly [SheetResult, ExitCode])[] = [
   [{kind: 'applied', revision: 4, changes: []}, EXIT_CODES.success],
   [{kind: 'unchanged', revision: 4}, EXIT_CODES.success],
@@ -90,6 +102,39 @@
   t.regex(withoutToken.messages.join(), /BASILWORKS_TOKEN/);
 });
 
+test('a view of all hosts names the silent and the unknown', async (t) => {
+  const entryHost = (host: string, callerAddress: string) => ({
+    host,
+    zone: 'fairhaven',
+    peerAddress: '127.0.0.1:1',
+    callerAddress,
+    state: 'live',
+  });
+  let hosts: unknown[] = [];
+  const server = createServer((request, response) => {
+    const body =
+      request.url === OPERATOR_PATHS.hosts
+        ? {...HOST_STATUS, hosts}
+        : {host: 'entry-1', decisions: []};
+    response.end(JSON.stringify(body));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => server.close());
+  const target = ['--host', hostOf(server), '--token', 'secret'];
+  hosts = [entryHost('entry-1', hostOf(server))];
+  const unknown = await run(['explain', 'request', 'r1', ...target]);
+  t.is(unknown.exitCode, EXIT_CODES.notFound);
+  const closed = await serveResult({kind: 'unchanged', revision: 1});
+  const silentAddress = hostOf(closed);
+  await new Promise((resolve) => closed.close(resolve));
+  hosts.push(entryHost('entry-2', silentAddress));
+  const partial = await run(['explain', 'request', 'r1', ...target]);
+  t.is(partial.exitCode, EXIT_CODES.partial);
+  t.regex(partial.messages.join(), /no answer from entry-2/);
+});
+
 test('an unknown option and an unreachable host have exit codes', async (t) => {
   t.is((await run(['sheet', 'apply', '--nope'])).exitCode, EXIT_CODES.usage);
   const server = await serveResult({kind: 'unchanged', revision: 1});
