--- /dev/null
+++ b/packages/bench/src/decisions/index.ts
@@ -0,0 +1,1 @@
+export * from './decisions-command.js';
--- a/packages/bench/src/policy/basilworks-contender.ts
+++ b/packages/bench/src/policy/basilworks-contender.ts
@@ -30,10 +30,13 @@
   private readonly store: ObjectStoreModel;
   private readonly engineEffects: EngineEffects;
   private readonly lost = new Set<string>();
+  private events = 0;
+  private reducingMs = 0;
 
   constructor(
     private readonly arena: Arena,
     mechanisms: CoreSettings['mechanisms'],
+    private readonly clock: () => number = () => 0,
   ) {
     const {scheduler, seed} = arena;
     const settings = {...settingsOf(arena), mechanisms};
@@ -66,9 +69,18 @@
     this.readHostList();
   }
 
+  /** Events reduced so far and the time that they took. */
+  reducerUse(): {readonly events: number; readonly reducingMs: number} {
+    const {events, reducingMs} = this;
+    return {events, reducingMs};
+  }
+
   /** Reduces one event and runs its effects, as the daemon's loop does. */
   private handle(event: CoreEvent): void {
+    const startedMs = this.clock();
     const {effects} = reduce(this.state, event, this.now());
+    this.reducingMs += this.clock() - startedMs;
+    this.events += 1;
     for (const effect of effects) {
       this.run(effect);
     }
--- a/packages/bench/src/policy/contender.ts
+++ b/packages/bench/src/policy/contender.ts
@@ -1,6 +1,6 @@
 import type {
   EngineModel,
-  Scheduler,
+  VirtualScheduler,
   WeightStoreModel,
 } from '@basilworks/stand-ins';
 
@@ -10,7 +10,7 @@
 
 /** What a policy of the bench decides over: engines on virtual time. */
 export interface Arena {
-  readonly scheduler: Scheduler;
+  readonly scheduler: VirtualScheduler;
   readonly deployment: Deployment;
   readonly engines: ReadonlyMap<string, EngineModel>;
   readonly weightStore: WeightStoreModel;
--- a/packages/bench/src/policy/report.ts
+++ b/packages/bench/src/policy/report.ts
@@ -1,6 +1,7 @@
 import {mkdir, writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
 
+import {drawPlots} from './plots.js';
 import {POLICY_NAMES} from './policies.js';
 import type {PolicyResult} from './result.js';
 import {runScenario} from './run-scenario.js';
@@ -28,6 +29,9 @@
   if (directory !== undefined) {
     await mkdir(directory, {recursive: true});
     await writeFile(join(directory, 'policy.md'), table);
+    for (const {name, svg} of await drawPlots(means)) {
+      await writeFile(join(directory, `${name}.svg`), svg);
+    }
     await writeFile(
       join(directory, 'policy.json'),
       `${JSON.stringify(means, undefined, 2)}\n`,
--- a/packages/bench/src/policy/run-scenario.ts
+++ b/packages/bench/src/policy/run-scenario.ts
@@ -5,9 +5,9 @@
   WeightStoreModel,
 } from '@basilworks/stand-ins';
 
-import {generateArrivals} from './arrivals.js';
+import {type Arrival, generateArrivals} from './arrivals.js';
 import type {Arena, Contender} from './contender.js';
-import {ENGINE_OPTIONS, serversOf} from './deployments.js';
+import {type Deployment, ENGINE_OPTIONS, serversOf} from './deployments.js';
 import {
   ALL_MECHANISMS,
   type Mechanisms,
@@ -34,8 +34,9 @@
   seed: number,
   mechanisms: Mechanisms = ALL_MECHANISMS,
 ): PolicyResult => {
-  const scheduler = new VirtualScheduler();
-  const arena = createArena(scenario, scheduler, seed);
+  const arrivals = generateArrivals(scenario, seed);
+  const arena = createArena(scenario.deployment, arrivals, seed);
+  const {scheduler} = arena;
   const contender = POLICIES[policy](arena, mechanisms);
   for (const arrival of arena.arrivals) {
     scheduler.schedule(arrival.atMs, () => {
@@ -57,12 +58,13 @@
   return summarize(scenario, policy, seed, arena.recorder, use);
 };
 
-const createArena = (
-  scenario: Scenario,
-  scheduler: VirtualScheduler,
+/** Makes the engines and the weight store of a deployment. */
+export const createArena = (
+  deployment: Deployment,
+  arrivals: readonly Arrival[],
   seed: number,
 ): Arena => {
-  const {deployment} = scenario;
+  const scheduler = new VirtualScheduler();
   const random = seededRandom(seed + MODEL_SEED_OFFSET);
   const weightStore = new WeightStoreModel(
     scheduler,
@@ -84,7 +86,7 @@
     engines,
     weightStore,
     recorder: new Recorder(scheduler),
-    arrivals: generateArrivals(scenario, seed),
+    arrivals,
     seed,
   };
 };
--- a/packages/core/src/residency/area.ts
+++ b/packages/core/src/residency/area.ts
@@ -18,6 +18,7 @@
 import {acquireServer, loseServer, stopNewWork} from './owned-servers.js';
 import {scheduleReports, takeReport} from './reports.js';
 import {announceServer, subscribeHome} from './summaries.js';
+import {warmNewVersions} from './versions.js';
 
 /** Handlers of the residency area: this host as the owner of servers. */
 export const residencyArea: Area = {
@@ -35,6 +36,9 @@
     'server-described': (state, {server}, turn) => {
       resumeWork(state, server, turn);
     },
+    'configuration-applied': (state, _event, turn) => {
+      warmNewVersions(state, turn);
+    },
     'execution-requested': requestExecution,
     'execution-abandoned': abandonExecution,
     'execution-finished': finishExecution,
--- a/packages/core/src/residency/demand.ts
+++ b/packages/core/src/residency/demand.ts
@@ -75,6 +75,19 @@
   return visitRate + (entry.weight * chance * 1_000) / SESSION_MEMORY_MS;
 };
 
+/** Expects the requests of one adapter version for another from now on. */
+export const moveDemand = (
+  table: DemandTable,
+  from: string,
+  to: string,
+): void => {
+  const entry = table.get(from);
+  if (entry && !table.has(to)) {
+    table.delete(from);
+    table.set(to, entry);
+  }
+};
+
 const decayedVisits = (entry: Demand, nowMs: number): number =>
   entry.visits * Math.exp((entry.visitsAtMs - nowMs) / VISIT_MEMORY_MS);
 
--- a/packages/core/src/routing/choose-server.ts
+++ b/packages/core/src/routing/choose-server.ts
@@ -5,8 +5,14 @@
 /** Price of a load beyond its wait: it delays the loads of others. */
 const LOAD_PRICE_MS = 500;
 
-/** Price of an eviction, per expected miss and second that it causes. */
-const EVICTION_PRICE_MS = 10_000;
+/**
+ * Price of an eviction, per expected miss and second that it causes, where
+ * stalls and batches weigh the same.
+ */
+const EVICTION_PRICE_MS = 1_800;
+
+/** Least weight of batch efficiency that the price is divided by. */
+const MINIMUM_BATCH_WEIGHT = 0.05;
 
 /** Cost of a server in another zone than the home. */
 const ZONE_PRICE_MS = 2;
@@ -75,8 +81,21 @@
   };
 };
 
-const evictionPriceMs = (view: ServerView, settings: CoreSettings): number =>
-  settings.mechanisms.evictionPrice ? view.evictionRate * EVICTION_PRICE_MS : 0;
+/**
+ * A high price spreads adapters over all slots and saves loads; a low one
+ * gathers the work on few servers and fills their batches.
+ */
+const evictionPriceMs = (
+  {evictionRate}: ServerView,
+  {mechanisms, objectives}: CoreSettings,
+): number => {
+  const {loadStallWeight, batchEfficiencyWeight} = objectives;
+  const ratio =
+    loadStallWeight / Math.max(MINIMUM_BATCH_WEIGHT, batchEfficiencyWeight);
+  return mechanisms.evictionPrice
+    ? evictionRate * EVICTION_PRICE_MS * ratio ** 2
+    : 0;
+};
 
 /** Expected wait for a batch position behind equal and higher classes. */
 export const queueWaitMs = (
--- a/packages/core/src/routing/held.ts
+++ b/packages/core/src/routing/held.ts
@@ -8,10 +8,10 @@
 const HELD_INTERVAL_MS = 500;
 
 /** Deviations of the service time that are kept in reserve. */
-const RESERVED_DEVIATIONS = 5;
+const RESERVED_DEVIATIONS = 8;
 
 /** Time kept in reserve for waiting, whatever is expected. */
-const RESERVED_MS = 20_000;
+const RESERVED_MS = 30_000;
 
 /** Share of a server's positions that work which can wait leaves free. */
 const DEFERRABLE_RESERVE = 0.2;
--- a/packages/core/src/test/residency/residency_test.ts
+++ b/packages/core/src/test/residency/residency_test.ts
@@ -196,3 +196,29 @@
   }
   t.deepEqual(order, ['r1.1', 'r4.1', 'r3.1', 'r2.1']);
 });
+
+test('a new version is loaded before a request needs it', (t) => {
+  const host = oneEngine(3);
+  holdSlots(host);
+  host.finish('r1.1');
+  host.finish('r2.1');
+  host.state.configuration.entries.set('a', {
+    adapter: 'a',
+    baseModel: 'base',
+    version: 'v2',
+    previousVersions: ['v1'],
+    priorityClass: 'urgent',
+    urgency: 50,
+    pool: 'assistant-models',
+    retired: false,
+  });
+  host.post({type: 'configuration-applied', revision: 2});
+  t.deepEqual(
+    host.endOrders('load').map(({adapter, version}) => [adapter, version]),
+    [['a', 'v2']],
+  );
+  t.deepEqual(host.take('order-adapter'), []);
+  host.effects = [];
+  host.submit('r3', 'a', {version: 'v2'});
+  t.deepEqual(dispatched(host), ['r3.1']);
+});
