--- a/packages/daemon/src/ingress/http-requester.ts
+++ b/packages/daemon/src/ingress/http-requester.ts
@@ -103,7 +103,6 @@
 
   refuse(refusal: Refusal): void {
     this.finished = true;
-    this.context.metrics.countRefusal(refusal.code);
     const {code, notRun, detail} = refusal;
     this.log('refused', {code, notRun, detail});
     this.writeRefusal(refusal);
--- a/packages/daemon/src/ingress/ingress.ts
+++ b/packages/daemon/src/ingress/ingress.ts
@@ -192,6 +192,7 @@
     const {requestId, member} = open.request;
     this.requests.set(requestId, open);
     this.outcomes.set(member, {requestId, state: 'open'});
+    this.context.metrics.countModelRequest(open.request.pool);
     this.context.metrics.openRequests.set(this.requests.size);
   }
 
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -145,6 +145,11 @@
     this.observers.refusals_total(1, {code});
   }
 
+  /** Counts a model request of a caller, resumes included. */
+  countModelRequest(pool: string): void {
+    this.observers.requests_total(1, {kind: 'model', pool});
+  }
+
   private counter(name: string, help: string, labelNames: string[]) {
     const registers = [this.registry];
     return new Counter({name: PREFIX + name, help, labelNames, registers});
