--- a/packages/core/src/membership/exchange.ts
+++ b/packages/core/src/membership/exchange.ts
@@ -170,18 +170,27 @@
   return peer;
 };
 
-/** Hosts of this zone that were heard once, but not for long. */
-const unheardHosts = (state: CoreState, at: Instant): HostId[] =>
-  listedHosts(state)
+/**
+ * Hosts of this zone that do not ask this host any more. Known only while it
+ * reads for the zone: then every other host asks it at each refresh.
+ */
+const unheardHosts = (state: CoreState, at: Instant): HostId[] => {
+  const {readerSince, peers} = state.membership;
+  if (readerSince === undefined) {
+    return [];
+  }
+  return listedHosts(state)
     .filter(({host, zone}) => {
-      const heardAt = state.membership.peers.get(host)?.heardAt;
+      const heardAt = peers.get(host)?.heardAt ?? readerSince;
       return (
         zone === state.settings.zone &&
-        heardAt !== undefined &&
+        host !== state.settings.host &&
+        elapsedMs(readerSince, at) > UNHEARD_AFTER_MS &&
         elapsedMs(heardAt, at) > UNHEARD_AFTER_MS
       );
     })
     .map(({host}) => host);
+};
 
 const relayedRecord = (
   state: CoreState,
--- a/packages/core/src/membership/refresh.ts
+++ b/packages/core/src/membership/refresh.ts
@@ -42,7 +42,11 @@
   expireAsks(state, turn);
   membership.refreshes += 1;
   const reader = zoneReader(state, state.settings.zone);
-  if (reader === undefined || reader === state.settings.host) {
+  const reads = reader === undefined || reader === state.settings.host;
+  membership.readerSince = reads
+    ? (membership.readerSince ?? turn.at)
+    : undefined;
+  if (reads) {
     readOwnZone(state, turn);
     refreshOtherZones(state, turn);
   } else {
--- a/packages/core/src/membership/state.ts
+++ b/packages/core/src/membership/state.ts
@@ -59,6 +59,8 @@
   /** Counts asks and reads; makes correlations unique. */
   sequence: number;
   refreshes: number;
+  /** Since when this host reads the platform for its zone. */
+  readerSince: Instant | undefined;
   /** When this host last read for itself what its reader relayed too late. */
   staleReadAt: Instant | undefined;
   claimsHandedOver: boolean;
@@ -84,6 +86,7 @@
     asks: new Map<string, PendingAsk>(),
     sequence: 0,
     refreshes: 0,
+    readerSince: undefined,
     staleReadAt: undefined,
     claimsHandedOver: false,
     addressGraceOver: false,
--- a/packages/histories/src/main.ts
+++ b/packages/histories/src/main.ts
@@ -3,12 +3,23 @@
 import {Command} from 'commander';
 
 import {checkHistories, countByPromise, countViolations} from './check.js';
+import {measureStoreCalls} from './measurements/store-calls.js';
 import {MUTATIONS} from './mutations/mutations.js';
 import {runMutations} from './mutations/run-mutations.js';
 
 /** Failed schedules that the report shows whole. */
 const SHOWN_FAILURES = 5;
 
+/** Hosts, zones, engines and adapters of each measured deployment. */
+const STORE_CALL_SIZES = [
+  [3, 3, 9, 100],
+  [9, 3, 9, 100],
+  [9, 3, 90, 100],
+  [9, 3, 9, 1_000],
+  [27, 3, 27, 100],
+  [81, 3, 81, 100],
+] as const;
+
 const writeLine = (line: string): void => {
   stdout.write(`${line}\n`);
 };
@@ -48,6 +59,24 @@
     },
   );
 
+program
+  .command('store-calls')
+  .description('measures calls to the object API and the spread of revisions')
+  .option('--seed <number>', 'seed of the runs', parseCount, 1)
+  .option('--json', 'print JSON lines', false)
+  .action(({seed, json}: {seed: number; json: boolean}) => {
+    for (const [hosts, zones, engines, adapters] of STORE_CALL_SIZES) {
+      const figures = measureStoreCalls(hosts, zones, engines, adapters, seed);
+      writeLine(
+        json
+          ? JSON.stringify(figures)
+          : Object.entries(figures)
+              .map(([name, value]) => `${name} ${value}`)
+              .join(', '),
+      );
+    }
+  });
+
 program
   .command('mutations')
   .description('applies deliberate faults and shows that each is caught')
--- a/packages/histories/src/schedules/actions.ts
+++ b/packages/histories/src/schedules/actions.ts
@@ -42,11 +42,12 @@
   fleet.store.setFaults({outage: false, delayMs: 0});
   for (const name of fleet.hostNames) {
     const host = fleet.host(name);
+    // What waited for a paused host may ask it to stop.
+    host?.resume();
     if (host === undefined || host.hasStopped || !isServing(host)) {
       restart(fleet, name);
     } else {
       fleet.listHost(name);
-      host.resume();
     }
   }
   for (const {description} of fleet.servers.values()) {
