Tell refused from unanswered requests past saturation

Cause: the saturation figures did not tell whether a host past its peak refuses or leaves callers waiting; and a host that ended at once after its restart in kill-host showed only as a sheet that never came into force.

Change: both shares at twice the peak are printed; the fault script checks that the restarted process still runs.

--- a/packages/bench/src/data-path/measure-saturation.ts
+++ b/packages/bench/src/data-path/measure-saturation.ts
@@ -16,6 +16,9 @@
   readonly overloadRequestsPerSecond: number;
   /** Goodput at twice the peak's rate over the peak. */
   readonly overloadShareOfPeak: number;
+  /** Shares of the requests at twice the peak's rate. */
+  readonly overloadRefusedShare: number;
+  readonly overloadUnansweredShare: number;
 }
 
 /** Raises the rate until goodput stops growing, then offers twice the peak. */
@@ -30,8 +33,8 @@
     batchPositions: 256,
     queueLimit: 256,
   });
-  const goodputAt = async (requestsPerSecond: number): Promise<number> => {
-    const result = await generateLoad(
+  const offer = (requestsPerSecond: number): Promise<LoadResult> =>
+    generateLoad(
       {
         url: `http://${host.hostAddress}/v1/chat/completions`,
         headers: {...host.headers, 'x-deadline-ms': `${ON_TIME_MS}`},
@@ -42,15 +45,18 @@
       },
       WORKERS,
     );
-    return onTimePerSecond(result, seconds);
-  };
+  const goodputAt = async (requestsPerSecond: number): Promise<number> =>
+    onTimePerSecond(await offer(requestsPerSecond), seconds);
   try {
     const peak = await findPeak(goodputAt);
-    const overload = await goodputAt(2 * peak);
+    const result = await offer(2 * peak);
+    const overload = onTimePerSecond(result, seconds);
     return {
       peakRequestsPerSecond: peak,
       overloadRequestsPerSecond: overload,
       overloadShareOfPeak: overload / peak,
+      overloadRefusedShare: result.refused / result.sent,
+      overloadUnansweredShare: result.failed / result.sent,
     };
   } finally {
     await host.end();
--- a/packages/demo/src/faults.ts
+++ b/packages/demo/src/faults.ts
@@ -4,10 +4,16 @@
 
 import type {Fleet} from './fleet.js';
 import type {LeavingServer} from './history.js';
-import type {EntryHostProcess} from './launch/entry-host-process.js';
+import {
+  type EntryHostProcess,
+  NotReadyError,
+} from './launch/entry-host-process.js';
 
 const MS_PER_SECOND = 1_000;
 
+/** Time after which a restarted process is known not to have failed at once. */
+const RESTART_CHECK_MS = 1_000;
+
 /** What a fault may use. */
 export interface FaultContext {
   readonly fleet: Fleet;
@@ -32,6 +38,10 @@
     await waitFor(context, 0.3);
     context.report(`${host.entry.host} starts again under its old address`);
     await host.start();
+    await sleep(RESTART_CHECK_MS);
+    if (!host.running) {
+      throw new NotReadyError(`${host.entry.host} ended after its restart`);
+    }
   },
   'pause-host': async (context) => {
     const host = pick(context, context.fleet.hosts);
