Don't report a new signing key as a conflict of sheets

Cause: the first signing key is a revision of its own, written by a host when a deployment starts. Ruled out: a separate object for the keys, which would be a second head to read. Conclusion: races of operators still end in a conflict.

--- a/packages/core/src/configuration/submission.ts
+++ b/packages/core/src/configuration/submission.ts
@@ -7,24 +7,26 @@
 import type {Turn} from '../turn.js';
 import {storedHead} from './adoption.js';
 import {deleteParts} from './garbage.js';
-import {compareSheet} from './difference.js';
 import type {SheetSubmittedEvent} from './events.js';
 import {
   type ConfigurationHead,
   configurationHeadSchema,
   PART_KIND,
-  type SigningKey,
 } from './head.js';
 import {
   dayOf,
   forgottenParts,
   planHead,
   type PlannedHead,
-  type RevisionPlan,
 } from './next-head.js';
-import {applyRevision, replaceEntries} from './revision.js';
-import {parseSheet, type SheetRow} from './sheet.js';
-import type {AdapterChange, SheetResult} from './sheet-result.js';
+import {applyRevision} from './revision.js';
+import {parseSheet} from './sheet.js';
+import type {SheetResult} from './sheet-result.js';
+import {
+  conflictWith,
+  haveAdaptersChanged,
+  planChange,
+} from './submission-plan.js';
 import type {Submission, SubmittedChange} from './state.js';
 
 /** Milliseconds after which one store call counts as lost. */
@@ -39,12 +41,6 @@
 /** Milliseconds that an operator is told to wait after an outage. */
 const RETRY_AFTER_MS = 2_000;
 
-/** Share of the adapters in force that a sheet retires without being asked. */
-const MASS_RETIREMENT_SHARE = 0.1;
-
-/** Retirements that no guard holds back. */
-const FREE_RETIREMENTS = 5;
-
 /** Checks a sheet and queues it behind earlier changes. */
 export const submitSheet = (
   state: CoreState,
@@ -174,11 +170,7 @@
   head: ConfigurationHead | undefined,
   turn: Turn,
 ): void => {
-  const {change} = submission;
-  const plan =
-    change.kind === 'key'
-      ? planKey(submission, head)
-      : planSheet(state, submission, change.event, change.rows, head);
+  const plan = planChange(state, submission, head);
   if ('kind' in plan) {
     finish(state, submission, plan, turn);
     return;
@@ -190,78 +182,6 @@
   writeParts(state, submission, submission.planned, turn);
 };
 
-const planKey = (
-  {change, nonce, startedAt}: Submission,
-  head: ConfigurationHead | undefined,
-): RevisionPlan | SheetResult => {
-  if (change.kind !== 'key') {
-    return {kind: 'unchanged', revision: head?.revision ?? 0};
-  }
-  const {keyId, secretBase64, operator, submission} = change.event;
-  // The first key, which hosts add by themselves, is added only once.
-  if (submission === '' && (head?.keys.length ?? 0) > 0) {
-    return {kind: 'unchanged', revision: head?.revision ?? 0};
-  }
-  const key: SigningKey = {
-    id: keyId,
-    secretBase64,
-    createdWallMs: startedAt.wallMs,
-  };
-  return {operator, nonce, replaced: new Map(), changes: [], key};
-};
-
-const planSheet = (
-  state: CoreState,
-  {nonce}: Submission,
-  event: SheetSubmittedEvent,
-  rows: readonly SheetRow[],
-  head: ConfigurationHead | undefined,
-): RevisionPlan | SheetResult => {
-  const revision = head?.revision ?? 0;
-  const {expectedRevision, operator} = event;
-  if (expectedRevision !== undefined && expectedRevision !== revision) {
-    return conflictWith(head, expectedRevision);
-  }
-  const {entries, changes, retired, total} = compareSheet(
-    state.configuration.entries,
-    rows,
-  );
-  if (changes.length === 0) {
-    return {kind: 'unchanged', revision};
-  }
-  if (event.dryRun) {
-    return {kind: 'difference', revision, changes: [...changes]};
-  }
-  if (
-    !event.allowMassRetirement &&
-    retired > Math.max(FREE_RETIREMENTS, total * MASS_RETIREMENT_SHARE)
-  ) {
-    return {kind: 'mass-retirement', retired, total};
-  }
-  const replaced = replaceEntries(state.configuration, entries);
-  return {operator, nonce, replaced, changes, key: undefined};
-};
-
-/** What others changed after the revision that an operator saw. */
-const conflictWith = (
-  head: ConfigurationHead | undefined,
-  seenRevision: number,
-): SheetResult => {
-  const notes = (head?.history ?? []).filter(
-    ({revision}) => revision > seenRevision,
-  );
-  const byAdapter = new Map<string, AdapterChange>();
-  for (const change of [...notes].reverse().flatMap(({changes}) => changes)) {
-    byAdapter.set(change.adapter, change);
-  }
-  return {
-    kind: 'conflict',
-    revision: head?.revision ?? 0,
-    changes: [...byAdapter.values()],
-    operator: head?.operator ?? '',
-  };
-};
-
 const writeParts = (
   state: CoreState,
   submission: Submission,
@@ -349,7 +269,7 @@
       accept(state, submission, planned, turn);
     } else {
       const basis = planned.head.revision - 1;
-      finish(state, submission, conflictWith(current, basis), turn);
+      decideAgain(state, submission, current, basis, turn);
     }
   } else if (result.type === 'unavailable' && !submission.isUncertain) {
     finishUnavailable(state, submission, turn);
@@ -358,6 +278,29 @@
   }
 };
 
+/**
+ * Another change came first. One that touched no adapter, such as a new signing
+ * key, does not concern this one, which is then decided on the new head.
+ */
+const decideAgain = (
+  state: CoreState,
+  submission: Submission,
+  current: ConfigurationHead | undefined,
+  basis: number,
+  turn: Turn,
+): void => {
+  if (
+    submission.change.kind === 'sheet' &&
+    haveAdaptersChanged(current, basis)
+  ) {
+    finish(state, submission, conflictWith(current, basis), turn);
+    return;
+  }
+  submission.stage = 'adopting';
+  submission.isUncertain = false;
+  submission.planned = undefined;
+};
+
 const observeHead = (
   version: number,
   value: string | undefined,
