--- a/packages/core/src/routing/ingress.ts
+++ b/packages/core/src/routing/ingress.ts
@@ -11,6 +11,16 @@
   ResumeSubmittedEvent,
 } from './events.js';
 import type {PlacementGranted, PlacementRefused} from './messages.js';
+import {
+  cancelTimer,
+  end,
+  findPlacing,
+  finishPlacement,
+  refusalOf,
+  refuse,
+  sendFinished,
+  setTimer,
+} from './ingress-entry.js';
 import {earnRetry, spendRetry} from './retry-budget.js';
 import {createIngressRequest, type IngressRequest} from './state.js';
 
@@ -32,9 +42,6 @@
 /** Continuations after which an interrupted answer is given up. */
 const MAXIMUM_RESUMES = 40;
 
-/** Time after which a caller may try again when nothing better is known. */
-const RETRY_AFTER_MS = 1_000;
-
 /** Refusals that another server would give as well. */
 const FINAL_CODES: ReadonlySet<FailureCode> = new Set([
   'timeout',
@@ -335,90 +342,3 @@
   entry.state = 'resuming';
   setTimer('resume', entry, RESUME_DELAY_MS, turn);
 };
-
-const findPlacing = (
-  state: CoreState,
-  requestId: string,
-  placementId: string,
-): IngressRequest | undefined => {
-  const entry = state.routing.requests.get(requestId);
-  return entry?.state === 'placing' && entry.placementId === placementId
-    ? entry
-    : undefined;
-};
-
-const refuse = (
-  state: CoreState,
-  entry: IngressRequest,
-  refusal: Refusal,
-  turn: Turn,
-): void => {
-  const {requestId} = entry.request;
-  turn.perform({type: 'refuse-request', requestId, refusal});
-  turn.perform({
-    type: 'observe-metric',
-    metric: 'refusals_total',
-    value: 1,
-    labels: {code: refusal.code},
-  });
-  end(state, entry, turn);
-};
-
-const end = (state: CoreState, entry: IngressRequest, turn: Turn): void => {
-  state.routing.requests.delete(entry.request.requestId);
-  for (const kind of TIMERS) {
-    cancelTimer(kind, entry, turn);
-  }
-  finishPlacement(state, entry, turn);
-};
-
-const finishPlacement = (
-  state: CoreState,
-  entry: IngressRequest,
-  turn: Turn,
-): void => {
-  sendFinished(homeOf(state, entry.request.adapter), entry.placementId, turn);
-};
-
-const sendFinished = (to: string, placementId: string, turn: Turn): void => {
-  turn.perform({
-    type: 'send-peer-message',
-    to,
-    message: {type: 'placement-finished', placementId},
-  });
-};
-
-const refusalOf = (code: FailureCode, notRun: boolean): Refusal => ({
-  code,
-  notRun,
-  detail: notRun
-    ? 'the request was not sent to any server'
-    : 'the request may have run',
-  retryAfterMs: RETRY_AFTER_MS,
-});
-
-type TimerKind = 'placement' | 'deadline' | 'resume';
-const TIMERS: readonly TimerKind[] = ['placement', 'deadline', 'resume'];
-
-const setTimer = (
-  kind: TimerKind,
-  entry: IngressRequest,
-  delayMs: number,
-  turn: Turn,
-): void => {
-  turn.perform({
-    type: 'set-timer',
-    area: 'routing',
-    timer: `${kind}/${entry.request.requestId}`,
-    delayMs: Math.max(0, delayMs),
-  });
-};
-
-const cancelTimer = (
-  kind: TimerKind,
-  entry: IngressRequest,
-  turn: Turn,
-): void => {
-  const timer = `${kind}/${entry.request.requestId}`;
-  turn.perform({type: 'cancel-timer', area: 'routing', timer});
-};
