Keep load and evict orders in the audit trail and explain them

Change: recordOrder keeps each order under its adapter and its server and audits it; taking a server is a decision too; an adapter's name stands for all versions. Conclusion: explain says why a resident adapter was loaded and for what another one was evicted.

--- a/packages/core/src/residency/loads.ts
+++ b/packages/core/src/residency/loads.ts
@@ -7,6 +7,7 @@
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import {chooseVictim, usableSlots} from './eviction.js';
+import {recordOrder} from './record-orders.js';
 import type {Execution, OwnedServer, Slot, Want} from './state.js';
 import {requestWeight} from './urgency.js';
 
@@ -121,6 +122,19 @@
   want.state = 'loading';
   owned.slots.set(want.key, slot);
   sendOrder(state, owned, slot, 'load', want.loadId, turn);
+  recordOrder(
+    {
+      server: owned.server,
+      key: want.key,
+      order: 'load',
+      inputs: {
+        waiting: owned.waiting.get(want.key)?.length ?? 0,
+        urgency: want.toldUrgency,
+        wantedForMs: Math.round(turn.at.monotonicMs - want.sinceMs),
+      },
+    },
+    turn,
+  );
 };
 
 /** Tells the holder that a load ended, or that its grant is not used. */
@@ -269,15 +283,15 @@
   victim.state = 'unloading';
   victim.changedMs = turn.at.monotonicMs;
   sendOrder(state, owned, victim, 'unload', want.loadId, turn);
-  turn.perform({
-    type: 'record-decision',
-    decision: {
-      subject: 'adapter',
-      name: victim.key,
-      decision: 'evicted',
-      inputs: {server: owned.server, for: want.key, uses: victim.uses},
+  recordOrder(
+    {
+      server: owned.server,
+      key: victim.key,
+      order: 'evict',
+      inputs: {for: want.key, uses: victim.uses},
     },
-  });
+    turn,
+  );
 };
 
 const sendOrder = (
--- a/packages/core/src/residency/owned-servers.ts
+++ b/packages/core/src/residency/owned-servers.ts
@@ -1,4 +1,5 @@
 import type {ServerId} from '../identifiers.js';
+import {fencingNumberOf} from '../ownership/selectors.js';
 import type {CoreState} from '../state.js';
 import type {Turn} from '../turn.js';
 import {refuseUnsent} from './dispatch.js';
@@ -22,6 +23,15 @@
   }
   state.residency.servers.set(server, owned);
   scheduleReports(owned, turn);
+  turn.perform({
+    type: 'record-decision',
+    decision: {
+      subject: 'server',
+      name: server,
+      decision: 'ownership-taken',
+      inputs: {fencingNumber: fencingNumberOf(state, server)},
+    },
+  });
 };
 
 /** Stops acting at once; what was not sent is refused as not run. */
--- a/packages/daemon/src/operators/view-routes.ts
+++ b/packages/daemon/src/operators/view-routes.ts
@@ -63,6 +63,10 @@
   );
 };
 
+/** An adapter's name stands for all of its versions. */
+const isAbout = (recorded: string, name: string): boolean =>
+  recorded === name || recorded.startsWith(`${name}@`);
+
 const explain = (
   {settings, decisions}: DaemonContext,
   subject: string | undefined,
@@ -76,7 +80,8 @@
     decisions: decisions
       .list()
       .filter(
-        (decision) => decision.subject === subject && decision.name === name,
+        (decision) =>
+          decision.subject === subject && isAbout(decision.name, name ?? ''),
       ),
   };
   return toJsonResponse(view, 200);
