Measure a host's memory without the models of servers it does not own

Change: a single host owns all servers (upper bound per owned server), and a host that only lists them gives the cost of a listed server.

--- a/packages/bench/src/capacity/run-capacity.ts
+++ b/packages/bench/src/capacity/run-capacity.ts
@@ -10,7 +10,7 @@
   ZONE_SIZES,
 } from './size.js';
 import {extrapolate, fitSlope, type Slope} from './slopes.js';
-import {TARGET, TARGET_HOSTS_PER_ZONE} from './target.js';
+import {TARGET, TARGET_HOSTS_PER_ZONE, TARGET_OWNED_SERVERS} from './target.js';
 
 /** Everything that the capacity bench measured. */
 export interface CapacityReport {
@@ -36,8 +36,10 @@
   readonly coreSharePerServer: Slope;
   /** Heap of a host's state over the adapters, megabytes. */
   readonly megabytesPerAdapter: Slope;
-  /** Heap of a host's state over all servers, megabytes. */
-  readonly megabytesPerServer: Slope;
+  /** Heap of a host's state over the servers that it owns, megabytes. */
+  readonly megabytesPerOwnedServer: Slope;
+  /** Heap of a host's state over the servers of the host list, megabytes. */
+  readonly megabytesPerListedServer: Slope;
 }
 
 /** Figures worked out for the target, beyond what was measured. */
@@ -50,7 +52,7 @@
 }
 
 /** Hosts of the deployments whose memory is measured. */
-const MEMORY_HOSTS = {hosts: 3, zones: 1};
+const MEMORY_HOSTS = {hosts: 1, zones: 1};
 
 const MEMORY_SERIES: readonly Series[] = [
   {dimension: 'adapters', values: [3_000, 7_000, 14_000]},
@@ -107,13 +109,15 @@
   const fitMemory = (
     usages: readonly MemoryUsage[],
     dimension: keyof Size,
+    figureOf: (usage: MemoryUsage) => number,
   ): Slope =>
     fitSlope(
-      usages.map(({size, heapMegabytesPerHost}) => ({
-        value: size[dimension],
-        figure: heapMegabytesPerHost,
+      usages.map((usage) => ({
+        value: usage.size[dimension],
+        figure: figureOf(usage),
       })),
     );
+  const owning = ({owningMegabytes}: MemoryUsage): number => owningMegabytes;
   return {
     busiestBytesPerHostOfZone: fitControl(
       perHosts,
@@ -140,8 +144,13 @@
       ({servers}) => servers,
       (usage) => usage.coreShare,
     ),
-    megabytesPerAdapter: fitMemory(memory.slice(0, 3), 'adapters'),
-    megabytesPerServer: fitMemory(memory.slice(3), 'servers'),
+    megabytesPerAdapter: fitMemory(memory.slice(0, 3), 'adapters', owning),
+    megabytesPerOwnedServer: fitMemory(memory.slice(3), 'servers', owning),
+    megabytesPerListedServer: fitMemory(
+      memory.slice(3),
+      'servers',
+      (usage) => usage.listingMegabytes,
+    ),
   };
 };
 
@@ -158,5 +167,6 @@
   coreShare: extrapolate(slopes.coreSharePerServer, TARGET.servers),
   stateMegabytes:
     extrapolate(slopes.megabytesPerAdapter, TARGET.adapters) +
-    slopes.megabytesPerServer.perUnit * TARGET.servers,
+    slopes.megabytesPerOwnedServer.perUnit * TARGET_OWNED_SERVERS +
+    slopes.megabytesPerListedServer.perUnit * TARGET.servers,
 });
