--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,6 +6,7 @@
   {
     ignores: [
       '**/dist/**',
+      'target/**',
       '**/node_modules/**',
       '**/reports/**',
       'packages/protocol/src/generated/**',
@@ -13,7 +14,7 @@
   },
   eslint.configs.recommended,
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     extends: [
       typescriptEslint.configs.strictTypeChecked,
       typescriptEslint.configs.stylisticTypeChecked,
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -35,10 +35,17 @@
   }
 }
 
-/** Reads and checks a settings file, JSON with comments. */
+/** Reads and checks the daemon's settings file, JSON with comments. */
 export const readSettings = (
   file: string,
-): Result<DaemonSettings, SettingsError> => {
+): Result<DaemonSettings, SettingsError> =>
+  readSettingsFile(file, daemonSettingsSchema);
+
+/** Reads a settings file, JSON with comments, and checks it by a schema. */
+export const readSettingsFile = <Schema extends z.ZodType>(
+  file: string,
+  schema: Schema,
+): Result<z.infer<Schema>, SettingsError> => {
   let text: string;
   try {
     text = readFileSync(file, 'utf8');
@@ -46,20 +53,28 @@
     const problem = `cannot be read: ${(error as Error).message}`;
     return err(new SettingsError(file, [{key: '', line: 1, problem}]));
   }
-  return parseSettings(file, text);
+  return parseSettingsText(file, text, schema);
 };
 
-/** Checks the text of a settings file and reports every fault at once. */
+/** Checks the text of the daemon's settings; see `parseSettingsText`. */
 export const parseSettings = (
   file: string,
   text: string,
-): Result<DaemonSettings, SettingsError> => {
+): Result<DaemonSettings, SettingsError> =>
+  parseSettingsText(file, text, daemonSettingsSchema);
+
+/** Checks the text of a settings file and reports every fault at once. */
+export const parseSettingsText = <Schema extends z.ZodType>(
+  file: string,
+  text: string,
+  schema: Schema,
+): Result<z.infer<Schema>, SettingsError> => {
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, {allowTrailingComma: true});
   if (root === undefined || errors.length > 0) {
     return err(new SettingsError(file, syntaxFaults(text, errors)));
   }
-  const parsed = daemonSettingsSchema.safeParse(getNodeValue(root), {
+  const parsed = schema.safeParse(getNodeValue(root), {
     reportInput: true,
   });
   return parsed.success
--- /dev/null
+++ b/packages/dispatch/src/adapters/adapter-versions.ts
@@ -0,0 +1,22 @@
+import type {AdapterVersionRecord} from '../servers/index.js';
+import {adapterKey, type AdapterName} from './adapter-key.js';
+
+/** Version of an adapter for which nothing newer was announced. */
+export const FIRST_VERSION = 1;
+
+/** The newest announced version of each adapter. */
+export class AdapterVersions {
+  private readonly newest = new Map<string, number>();
+
+  /** Takes over announcements; versions never go back. */
+  update(records: readonly AdapterVersionRecord[]): void {
+    for (const record of records) {
+      const key = adapterKey(record);
+      this.newest.set(key, Math.max(this.get(record), record.version));
+    }
+  }
+
+  get(name: AdapterName): number {
+    return this.newest.get(adapterKey(name)) ?? FIRST_VERSION;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/adapters/places-events.ts
@@ -0,0 +1,116 @@
+import type {AdapterName} from './adapter-key.js';
+
+/** A load or unload order to one server. */
+export interface Order {
+  /** Matches the answer to the order. */
+  readonly serial: number;
+  readonly operation: 'load' | 'unload';
+  readonly model: string;
+  /** The adapter; undefined where the order is about the base model. */
+  readonly adapter: string | undefined;
+  /** Version to load; undefined loads the newest. */
+  readonly version: number | undefined;
+  /**
+   * Orders that the server has accepted so far: it refuses this one if another
+   * was accepted since, so that a late copy never undoes a newer order.
+   */
+  readonly expectedOrders: number;
+}
+
+/**
+ * How an order ended:
+ *
+ * - `accepted`: it is being carried out.
+ * - `holds`: what it asks for is so already.
+ * - `conflict`: another order is under way, or the count of orders differs.
+ * - `invalid`: there is no such adapter or version.
+ * - `misdirected`: another server answers at the address.
+ * - `unanswered`: it may have been accepted, or may be carried out later.
+ * - `withheld`: it was not sent, as this host may not issue orders now.
+ */
+export type OrderEnd =
+  | 'accepted'
+  | 'holds'
+  | 'conflict'
+  | 'invalid'
+  | 'misdirected'
+  | 'unanswered'
+  | 'withheld';
+
+/** What a server reports about its adapters; a little out of date. */
+export interface PlacesReport {
+  /** Orders accepted since its start. */
+  readonly ordersAccepted: number;
+  /** Base models that it holds. */
+  readonly models: readonly string[];
+  readonly resident: readonly (AdapterName & {readonly version: number})[];
+  /** Adapters on their way. */
+  readonly coming: readonly (AdapterName & {readonly version: number})[];
+}
+
+/** A host wants an adapter resident for a request. */
+export interface PrepareRequest extends AdapterName {
+  readonly requestId: string;
+  /** Oldest version that will do. */
+  readonly version: number;
+  /** Longest useful wait, milliseconds. */
+  readonly maximumWaitMs: number;
+  /** Rank of the request; 0 is first. */
+  readonly priority: number;
+  /** Requests sent on the last promise for the adapter. */
+  readonly uses: number;
+}
+
+/** The answer to a host that wants an adapter. */
+export type PrepareAnswer =
+  | {
+      readonly outcome: 'resident';
+      readonly version: number;
+      /** It stays resident for this long at least, milliseconds. */
+      readonly validMs: number;
+    }
+  | {
+      readonly outcome: 'refused';
+      readonly reason: PrepareRefusal;
+      /** When it may be worth another try, milliseconds. */
+      readonly retryAfterMs: number;
+    };
+
+/** Why an adapter can't be made resident at a server. */
+export type PrepareRefusal =
+  | 'no-place'
+  | 'too-long'
+  | 'not-issuer'
+  | 'unknown-adapter'
+  | 'server-gone'
+  | 'unreachable';
+
+export type PlacesEvent =
+  | {readonly type: 'prepare-requested'; readonly request: PrepareRequest}
+  | {readonly type: 'prepare-cancelled'; readonly requestId: string}
+  | {
+      readonly type: 'order-ended';
+      readonly order: Order;
+      readonly end: OrderEnd;
+    }
+  | {readonly type: 'report-read'; readonly report: PlacesReport}
+  | {readonly type: 'report-failed'}
+  | {readonly type: 'issuing-changed'; readonly issuing: boolean}
+  | {
+      readonly type: 'models-wanted';
+      readonly models: readonly string[];
+      /** Adapters that fit next to them. */
+      readonly capacity: number;
+    }
+  | {readonly type: 'server-gone'}
+  | {readonly type: 'woken'};
+
+export type PlacesEffect =
+  | {readonly type: 'send-order'; readonly order: Order}
+  | {readonly type: 'read-report'}
+  | {
+      readonly type: 'answer-prepare';
+      readonly requestId: string;
+      readonly answer: PrepareAnswer;
+    }
+  | {readonly type: 'wake-after'; readonly delayMs: number};
--- /dev/null
+++ b/packages/dispatch/src/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './configuration.js';
+export * from './route-table.js';
--- /dev/null
+++ b/packages/dispatch/src/fleet/claims.ts
@@ -0,0 +1,127 @@
+import {chooseByRendezvous, elapsedMs, type Instant} from '@basilworks/core';
+
+import type {ClaimRecord} from './records.js';
+
+/**
+ * A holder issues orders for this long after the start of the last read that
+ * showed its claim. Long enough to keep loading through a store outage of
+ * several seconds; a taker waits as long.
+ */
+export const CLAIM_VALIDITY_MS = 8_000;
+
+/** Allowance for timers that fire late and clocks that drift, milliseconds. */
+const TAKEOVER_MARGIN_MS = 500;
+
+/** Silence of a holder after which its claims may be taken, milliseconds. */
+export const HOLDER_SILENCE_MS = 3_000;
+
+/** A host that hears too few others waits this long before it takes claims. */
+const MINORITY_PATIENCE_MS = 10_000;
+
+/** A claim and the revision to change it at. */
+export interface StoredClaim {
+  readonly record: ClaimRecord;
+  readonly revision: number;
+}
+
+/** What a review of the claims looks at. */
+export interface ClaimReview {
+  readonly at: Instant;
+  readonly self: string;
+  /** Names of the live hosts, this one included. */
+  readonly live: readonly string[];
+  /** Identities of the servers that take orders. */
+  readonly servers: readonly string[];
+  readonly claims: ReadonlyMap<string, StoredClaim>;
+  /** Claims of this host that were taken over and have waited long enough. */
+  readonly settled: ReadonlySet<string>;
+  /** Milliseconds for which fewer than half of the known hosts were heard. */
+  readonly minorityMs: number;
+  silentMs(host: string): number;
+}
+
+/** A change of a claim that this host should write. */
+export interface ClaimChange {
+  readonly record: ClaimRecord;
+  /** Revision that it replaces; undefined creates the claim. */
+  readonly replaces: number | undefined;
+}
+
+/**
+ * Returns the claims that this host should write now. A claim stays where it
+ * is while its holder is heard; a holder that comes back before anybody took
+ * its claim simply goes on.
+ */
+export const reviewClaims = (review: ClaimReview): readonly ClaimChange[] => {
+  const {self, live, servers, claims, settled, minorityMs} = review;
+  return servers.flatMap((server) => {
+    const claim = claims.get(server);
+    if (claim?.record.takenOver === true && settled.has(server)) {
+      const record = {...claim.record, takenOver: false};
+      return [{record, replaces: claim.revision}];
+    }
+    if (claim !== undefined && !isAbandoned(claim.record, review)) {
+      return [];
+    }
+    // A host that is cut off from the others must not take what they hold.
+    if (minorityMs > 0 && minorityMs < MINORITY_PATIENCE_MS) {
+      return [];
+    }
+    const candidates = live.map((name) => ({name, weight: 1}));
+    if (chooseByRendezvous(server, candidates) !== self) {
+      return [];
+    }
+    const record: ClaimRecord = {
+      type: 'claim',
+      server,
+      host: self,
+      fence: (claim?.record.fence ?? 0) + 1,
+      takenOver: claim !== undefined,
+    };
+    return [{record, replaces: claim?.revision}];
+  });
+};
+
+const isAbandoned = (
+  {host}: ClaimRecord,
+  {self, live, silentMs}: ClaimReview,
+): boolean =>
+  host !== self &&
+  !live.includes(host) &&
+  silentMs(host) > HOLDER_SILENCE_MS;
+
+/** How a claim of this host came about, as far as this process knows. */
+export interface HeldClaim {
+  readonly record: ClaimRecord;
+  /** When this process first knew that it holds the claim. */
+  readonly heldSince: Instant;
+}
+
+/** What decides whether an order may be issued. */
+export interface OrderProof {
+  /** Milliseconds since the claims were known to be current. */
+  readonly claimsAgeMs: number;
+  /** Longest turn-taking of two issuers that servers may see, milliseconds. */
+  readonly leaseMs: number;
+  readonly at: Instant;
+}
+
+/**
+ * Whether the holder may issue an order now: its claim was not revoked as of a
+ * recent read, and where it took the claim from another host, that host's proof
+ * has run out and the silence between two issuers has passed.
+ */
+export const mayIssueOrders = (
+  claim: HeldClaim,
+  {claimsAgeMs, leaseMs, at}: OrderProof,
+): boolean =>
+  claimsAgeMs < CLAIM_VALIDITY_MS &&
+  (!claim.record.takenOver || takeoverSettled(claim, leaseMs, at));
+
+/** Whether a claim that was taken over has waited long enough. */
+export const takeoverSettled = (
+  {heldSince}: HeldClaim,
+  leaseMs: number,
+  at: Instant,
+): boolean =>
+  elapsedMs(heldSince, at) >= CLAIM_VALIDITY_MS + leaseMs + TAKEOVER_MARGIN_MS;
--- /dev/null
+++ b/packages/dispatch/src/fleet/store-views.ts
@@ -0,0 +1,103 @@
+import {elapsedMs, type Instant} from '@basilworks/core';
+
+/** What is read from the platform's store. */
+export const STORE_KINDS = [
+  'configuration',
+  'servers',
+  'adapter-versions',
+  'records',
+] as const;
+export type StoreKind = (typeof STORE_KINDS)[number];
+
+/** One object of a kind, in the product's own types. */
+export interface StoredItem {
+  readonly name: string;
+  /** Revision of its last change. */
+  readonly revision: number;
+  readonly value: unknown;
+}
+
+/** All objects of a kind as of one revision of the store. */
+export interface Snapshot {
+  readonly kind: StoreKind;
+  /** Revision of the store that the objects are read at. */
+  readonly at: number;
+  readonly items: readonly StoredItem[];
+  /**
+   * Milliseconds since the store answered again after an outage, as the reader
+   * saw it; undefined when there was none lately.
+   */
+  readonly sinceOutageMs?: number | undefined;
+}
+
+/** A snapshot and when it was known to be current. */
+export interface View {
+  readonly snapshot: Snapshot;
+  /** Start of the latest read that confirmed it. */
+  readonly freshAt: Instant;
+  /** When the store came back after an outage that the reader saw. */
+  readonly outageEndedAt: Instant | undefined;
+}
+
+/** An instant `milliseconds` before another. */
+export const before = (at: Instant, milliseconds: number): Instant => ({
+  monotonicMs: at.monotonicMs - milliseconds,
+  wallMs: at.wallMs - milliseconds,
+});
+
+/**
+ * The newest known snapshot of each kind, read here or passed on by another
+ * host. A snapshot never gives way to an older one, so that what this host
+ * believes never goes backwards in one life.
+ */
+export class StoreViews {
+  private readonly views = new Map<StoreKind, View>();
+
+  get(kind: StoreKind): View | undefined {
+    return this.views.get(kind);
+  }
+
+  /** Revision of the newest known snapshot, 0 when there is none. */
+  revision(kind: StoreKind): number {
+    return this.views.get(kind)?.snapshot.at ?? 0;
+  }
+
+  /** Milliseconds since the view was known to be current. */
+  ageMs(kind: StoreKind, at: Instant): number {
+    const view = this.views.get(kind);
+    return view === undefined ? Infinity : elapsedMs(view.freshAt, at);
+  }
+
+  /** Takes a snapshot that was current at `freshAt`; true when it is newer. */
+  offer(snapshot: Snapshot, freshAt: Instant, at: Instant): boolean {
+    const known = this.views.get(snapshot.kind);
+    if (known !== undefined && snapshot.at < known.snapshot.at) {
+      return false;
+    }
+    const newer = known === undefined || snapshot.at > known.snapshot.at;
+    const outageEndedAt =
+      snapshot.sinceOutageMs === undefined
+        ? known?.outageEndedAt
+        : before(at, snapshot.sinceOutageMs);
+    this.views.set(snapshot.kind, {
+      snapshot: newer ? snapshot : known.snapshot,
+      freshAt:
+        known !== undefined && elapsedMs(known.freshAt, freshAt) < 0
+          ? known.freshAt
+          : freshAt,
+      outageEndedAt,
+    });
+    return newer;
+  }
+
+  /** Notes that the snapshot at `revision` is still current. */
+  confirm(kind: StoreKind, revision: number, freshAt: Instant): void {
+    const known = this.views.get(kind);
+    if (
+      known?.snapshot.at === revision &&
+      elapsedMs(known.freshAt, freshAt) > 0
+    ) {
+      this.views.set(kind, {...known, freshAt});
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,5 @@
+export * from './adapters/index.js';
+export * from './configuration/index.js';
+export * from './fleet/index.js';
+export * from './requests/index.js';
+export * from './servers/index.js';
--- /dev/null
+++ b/packages/dispatch/src/requests/index.ts
@@ -0,0 +1,3 @@
+export * from './next-step.js';
+export * from './retry-budget.js';
+export * from './retry-after.js';
--- /dev/null
+++ b/packages/dispatch/src/servers/server-evidence.ts
@@ -0,0 +1,184 @@
+import {elapsedMs, type Instant} from '@basilworks/core';
+
+/** Load that a server reported with an answer. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** How an attempt at a server ended, as far as the server's health goes. */
+export type AttemptVerdict =
+  'served' | 'failed' | 'refused' | 'unreachable' | 'misdirected' | 'cancelled';
+
+/** A reported load is used for this long, milliseconds: a few answers' time. */
+const LOAD_VALIDITY_MS = 1_000;
+
+/** Weight of the newest sample in a running mean: about the last ten. */
+const SAMPLE_WEIGHT = 0.1;
+
+/** First and longest pause after a server was unreachable, milliseconds. */
+const FIRST_PAUSE_MS = 500;
+const LONGEST_PAUSE_MS = 4_000;
+
+/**
+ * What this host has seen of one run of a server. Direct evidence: it says
+ * nothing about what other hosts see.
+ */
+export class ServerEvidence {
+  /** Requests of this host that are at the server. */
+  inFlight = 0;
+  /** Share of recent attempts that failed, 0 to 1. */
+  failureShare = 0;
+  /** Mean time to the head of a served answer, milliseconds. */
+  responseMs: number | undefined;
+
+  private reported: (ReportedLoad & {at: Instant}) | undefined;
+  private sentSinceReport = 0;
+  private endedSinceReport = 0;
+  private failuresInRow = 0;
+  private pausedSince: Instant | undefined;
+  private lastHeard: Instant | undefined;
+  private silentSince: Instant | undefined;
+  private unanswered = 0;
+
+  /** A request goes to the server. */
+  sent(at: Instant): void {
+    this.inFlight += 1;
+    this.sentSinceReport += 1;
+    if (this.unanswered === 0) {
+      this.silentSince = at;
+    }
+    this.unanswered += 1;
+  }
+
+  /** Bytes arrived from the server. */
+  heard(at: Instant): void {
+    this.lastHeard = at;
+    this.silentSince = at;
+  }
+
+  /** The head of an answer arrived after `waitedMs`. */
+  answered(waitedMs: number, load: ReportedLoad | undefined, at: Instant): void {
+    this.heard(at);
+    this.unanswered = Math.max(0, this.unanswered - 1);
+    this.responseMs = mix(this.responseMs ?? waitedMs, waitedMs);
+    if (load !== undefined) {
+      this.reported = {...load, at};
+      this.sentSinceReport = 0;
+      this.endedSinceReport = 0;
+    }
+  }
+
+  /** A request ended; `beforeHead` when no head had arrived. */
+  ended(verdict: AttemptVerdict, beforeHead: boolean, at: Instant): void {
+    this.inFlight = Math.max(0, this.inFlight - 1);
+    this.endedSinceReport += 1;
+    if (beforeHead) {
+      this.unanswered = Math.max(0, this.unanswered - 1);
+    }
+    VERDICTS[verdict](this, at);
+  }
+
+  /** A health check ended. */
+  checked(healthy: boolean, at: Instant): void {
+    if (healthy) {
+      this.heard(at);
+      this.recover();
+    } else {
+      this.pause(at);
+    }
+  }
+
+  /** Requests at the server, of all hosts, as far as known. */
+  load(at: Instant): number {
+    const {reported} = this;
+    if (
+      reported === undefined ||
+      elapsedMs(reported.at, at) > LOAD_VALIDITY_MS
+    ) {
+      return this.inFlight;
+    }
+    const since = this.sentSinceReport - this.endedSinceReport;
+    return Math.max(
+      this.inFlight,
+      reported.running + reported.waiting + since,
+    );
+  }
+
+  /** Whether it was unreachable lately and has not been heard since. */
+  paused(at: Instant): boolean {
+    return (
+      this.pausedSince !== undefined &&
+      elapsedMs(this.pausedSince, at) < this.pauseMs()
+    );
+  }
+
+  /** Whether a check has to succeed before it is used again. */
+  needsCheck(): boolean {
+    return this.pausedSince !== undefined;
+  }
+
+  /** Milliseconds for which requests have waited without any byte from it. */
+  silentMs(at: Instant): number {
+    return this.unanswered === 0 || this.silentSince === undefined
+      ? 0
+      : elapsedMs(this.silentSince, at);
+  }
+
+  /** Whether it was heard within `milliseconds`. */
+  heardWithin(milliseconds: number, at: Instant): boolean {
+    return (
+      this.lastHeard !== undefined &&
+      elapsedMs(this.lastHeard, at) <= milliseconds
+    );
+  }
+
+  /** Counts a success. */
+  recover(): void {
+    this.failureShare = mix(this.failureShare, 0);
+    this.failuresInRow = 0;
+    this.pausedSince = undefined;
+  }
+
+  /** Counts a failure of a request that it had taken. */
+  fail(): void {
+    this.failureShare = mix(this.failureShare, 1);
+  }
+
+  /** Keeps requests off it for a while, longer each time in a row. */
+  pause(at: Instant): void {
+    this.failuresInRow += 1;
+    this.pausedSince = at;
+  }
+
+  private pauseMs(): number {
+    return Math.min(
+      LONGEST_PAUSE_MS,
+      FIRST_PAUSE_MS * 2 ** Math.min(10, this.failuresInRow - 1),
+    );
+  }
+}
+
+const mix = (mean: number, sample: number): number =>
+  mean + SAMPLE_WEIGHT * (sample - mean);
+
+const VERDICTS: Readonly<
+  Record<AttemptVerdict, (evidence: ServerEvidence, at: Instant) => void>
+> = {
+  served: (evidence) => {
+    evidence.recover();
+  },
+  failed: (evidence) => {
+    evidence.fail();
+  },
+  // A refusal shows that it lives; its load says why.
+  refused: () => undefined,
+  unreachable: (evidence, at) => {
+    evidence.fail();
+    evidence.pause(at);
+  },
+  misdirected: (evidence, at) => {
+    evidence.pause(at);
+  },
+  cancelled: () => undefined,
+};
--- /dev/null
+++ b/packages/entry-host/src/entry-host.ts
@@ -0,0 +1,430 @@
+import {randomBytes} from 'node:crypto';
+import {createServer, type Server as HttpServer} from 'node:http';
+
+import {getRequestListener} from '@hono/node-server';
+import {elapsedMs, type Instant} from '@basilworks/core';
+import {
+  type Clock,
+  createLogger,
+  ListenError,
+  type Logger,
+  systemClock,
+  TimerService,
+} from '@basilworks/daemon';
+import {
+  AdapterVersions,
+  adapterVersionRecordSchema,
+  addressAnswer,
+  type HostStatus,
+  Membership,
+  ResidencyCache,
+  RouteTable,
+  type ServerEntry,
+  serverEntrySchema,
+  ServerTable,
+  servingConfigurationSchema,
+  type StoreKind,
+  StoreViews,
+} from '@basilworks/dispatch';
+import {Hono} from 'hono';
+import {ok, type Result} from 'neverthrow';
+
+import type {EntryHostContext} from './context.js';
+import {FrontListener, ServerSelector} from './front/index.js';
+import {EntryHostMetrics} from './metrics.js';
+import {AdapterBroker, ClaimKeeper} from './orders/index.js';
+import {FleetPeerService, PeerExchange} from './peers/index.js';
+import type {PlatformProtocol} from './ports.js';
+import type {EntryHostSettings} from './settings-schema.js';
+import {StoreReader} from './store/index.js';
+import {ServerCaller, UpstreamPools} from './upstream/index.js';
+
+/** How often entries that lapsed and servers in doubt are looked at, ms. */
+const UPKEEP_PERIOD_MS = 250;
+
+/** Longest wait for a health check, milliseconds. */
+const CHECK_TIMEOUT_MS = 500;
+
+/** Between two health checks of a server in doubt, milliseconds. */
+const CHECK_PERIOD_MS = 1_000;
+
+/** A lapsed entry may be an effect of an outage that ended this recently. */
+const OUTAGE_EFFECT_MS = 2_500;
+
+/** Share of the grace after which a stop no longer waits for answers. */
+const STOP_SHARE = 0.9;
+
+/** How long a stopping host serves on so that callers turn away, ms. */
+const LEAVING_MS = 1_200;
+
+/** Between two looks whether all answers are out, milliseconds. */
+const STOP_CHECK_MS = 50;
+
+/** Between two measurements of the loop's lag, milliseconds. */
+const LAG_PERIOD_MS = 500;
+
+/** Parts that tests put in place of the real ones. */
+export interface EntryHostOverrides {
+  readonly clock?: Clock;
+  readonly logger?: Logger;
+  readonly random?: () => number;
+}
+
+/** One entry host whose requests go straight to the servers. */
+export class EntryHost {
+  readonly context: EntryHostContext;
+  private readonly abort = new AbortController();
+  private readonly listeners: HttpServer[] = [];
+  private readonly versions = new AdapterVersions();
+  private readonly pools: UpstreamPools;
+  private readonly caller: ServerCaller;
+  private readonly reader: StoreReader;
+  private readonly exchange: PeerExchange;
+  private readonly claims: ClaimKeeper;
+  private readonly broker: AdapterBroker;
+  private readonly peerService: FleetPeerService;
+  private readonly front: FrontListener;
+  private readonly checkedAt = new Map<string, Instant>();
+  private routes: RouteTable | undefined;
+  private stopping = false;
+
+  constructor(
+    private readonly settings: EntryHostSettings,
+    platform: PlatformProtocol,
+    /** Called when a planned stop is complete. */
+    private readonly onStopped: () => void,
+    overrides: EntryHostOverrides = {},
+  ) {
+    const incarnation = randomBytes(8).toString('hex');
+    const clock = overrides.clock ?? systemClock;
+    const timers = new TimerService();
+    const metrics = new EntryHostMetrics();
+    this.context = {
+      settings,
+      platform,
+      clock,
+      timers,
+      metrics,
+      logger:
+        overrides.logger ?? createLogger(settings.host, settings.logLevel),
+      membership: new Membership(() => this.status(incarnation)),
+      views: new StoreViews(),
+      servers: new ServerTable(),
+      signal: this.abort.signal,
+      random: overrides.random ?? Math.random,
+    };
+    const onNewer = (kind: StoreKind) => {
+      VIEW_HANDLERS[kind](this);
+    };
+    const names = platform.forwarding.headers;
+    this.pools = new UpstreamPools(
+      names.requestId.toLowerCase(),
+      timers,
+      (service) => {
+        metrics.connections.inc({service});
+      },
+    );
+    this.caller = new ServerCaller(this.pools, timers, names);
+    this.reader = new StoreReader(this.context, onNewer);
+    this.exchange = new PeerExchange(this.context, onNewer);
+    this.claims = new ClaimKeeper(this.context, () => {
+      this.broker.review();
+    });
+    this.broker = new AdapterBroker(
+      this.context,
+      this.claims,
+      this.caller,
+      () => this.routes,
+      (host) => this.exchange.linkTo(host),
+    );
+    this.peerService = new FleetPeerService(this.exchange, this.broker);
+    const selector = new ServerSelector(
+      this.context,
+      this.broker,
+      new ResidencyCache(),
+      this.versions,
+    );
+    this.front = new FrontListener(this.context, this.pools, selector);
+  }
+
+  /** Whether this host can serve callers. */
+  get ready(): boolean {
+    return (
+      !this.stopping &&
+      this.routes !== undefined &&
+      this.context.servers.all().length > 0
+    );
+  }
+
+  /** Listens and starts all parts. */
+  async start(): Promise<Result<void, ListenError>> {
+    const {settings} = this;
+    const peers = await this.peerService.listen(settings.peerAddress);
+    if (peers.isErr()) {
+      return peers.map(() => undefined);
+    }
+    const [host, port] = splitAddress(settings.callerAddress);
+    const front = await this.front.listen(host, port);
+    if (front.isErr()) {
+      return front.map(() => undefined);
+    }
+    this.serve(settings.readinessAddress, this.readinessRoutes());
+    this.serve(settings.directoryAddress, this.directoryRoutes());
+    if (settings.metricsAddress !== undefined) {
+      this.serve(settings.metricsAddress, this.metricsRoutes());
+    }
+    this.reader.start();
+    this.exchange.start();
+    this.claims.start();
+    this.broker.start();
+    this.startUpkeep();
+    this.context.logger.info('started', {
+      incarnation: this.context.membership.self().incarnation,
+    });
+    return ok(undefined);
+  }
+
+  /** Begins a planned stop; further calls do nothing. */
+  requestStop(): void {
+    if (this.stopping) {
+      return;
+    }
+    this.stopping = true;
+    const {logger, timers, clock} = this.context;
+    logger.info('planned stop requested', {unfinished: this.front.unfinished});
+    this.front.beginClosing();
+    this.exchange.announce();
+    const since = clock.now();
+    timers.every('stop/check', STOP_CHECK_MS, () => {
+      const elapsed = elapsedMs(since, clock.now());
+      const done = elapsed > LEAVING_MS && this.front.unfinished === 0;
+      if (done || elapsed > this.settings.stopGraceS * 1_000 * STOP_SHARE) {
+        timers.cancel('stop/check');
+        logger.info('stopped', {unfinished: this.front.unfinished});
+        this.onStopped();
+      }
+    });
+  }
+
+  /** Closes everything at once. */
+  close(): void {
+    this.abort.abort();
+    this.context.timers.close();
+    this.front.close();
+    this.peerService.close();
+    this.exchange.close();
+    this.pools.close();
+    for (const listener of this.listeners) {
+      listener.close();
+      listener.closeAllConnections();
+    }
+  }
+
+  /** Handlers of newer views; see `VIEW_HANDLERS`. */
+  useConfiguration(): void {
+    const {views, logger} = this.context;
+    const value = views.get('configuration')?.snapshot.items[0]?.value;
+    if (value === undefined) {
+      return;
+    }
+    const parsed = servingConfigurationSchema.safeParse(value);
+    if (!parsed.success) {
+      const problem = parsed.error.message;
+      logger.error('a configuration is malformed', {problem});
+      return;
+    }
+    if (parsed.data.version < (this.routes?.configuration.version ?? 0)) {
+      return;
+    }
+    this.routes = new RouteTable(parsed.data);
+    this.front.use(this.routes);
+    this.broker.review();
+    logger.info('configuration in use', {
+      version: parsed.data.version,
+      routes: parsed.data.routes.length,
+      ageMs: Math.round(views.ageMs('configuration', this.context.clock.now())),
+    });
+  }
+
+  useServers(): void {
+    const {views, servers, clock, logger} = this.context;
+    const view = views.get('servers');
+    const at = clock.now();
+    const entries = (view?.snapshot.items ?? []).flatMap(({name, value}) => {
+      const parsed = serverEntrySchema.safeParse(value);
+      if (!parsed.success) {
+        logger.warn('a server entry is malformed', {server: name});
+        return [];
+      }
+      return [parsed.data satisfies ServerEntry];
+    });
+    const afterOutage =
+      view?.outageEndedAt !== undefined &&
+      elapsedMs(view.outageEndedAt, at) < OUTAGE_EFFECT_MS;
+    const before = describe(servers);
+    servers.update(entries, afterOutage, at);
+    const after = describe(servers);
+    if (before !== after) {
+      logger.info('servers changed', {
+        servers: after,
+        revision: view?.snapshot.at,
+        afterOutage,
+      });
+    }
+    this.pools.retain(new Set(servers.all().map(({key}) => key)));
+    this.broker.review();
+  }
+
+  useVersions(): void {
+    const {views, logger} = this.context;
+    const items = views.get('adapter-versions')?.snapshot.items ?? [];
+    this.versions.update(
+      items.flatMap(({name, value}) => {
+        const parsed = adapterVersionRecordSchema.safeParse(value);
+        if (!parsed.success) {
+          logger.warn('an adapter version is malformed', {name});
+          return [];
+        }
+        return [parsed.data];
+      }),
+    );
+  }
+
+  useRecords(): void {
+    this.claims.recordsChanged();
+  }
+
+  private status(incarnation: string): HostStatus {
+    const {host, zone, peerAddress, callerAddress} = this.settings;
+    return {
+      host,
+      incarnation,
+      zone,
+      peerAddress,
+      callerAddress,
+      ready: this.ready,
+      readsStore: this.reader.working,
+    };
+  }
+
+  private startUpkeep(): void {
+    const {timers, signal, servers, clock, metrics} = this.context;
+    timers.every(
+      'upkeep',
+      UPKEEP_PERIOD_MS,
+      () => {
+        servers.expire(clock.now());
+        this.checkDoubtful();
+      },
+      {signal},
+    );
+    let expected = clock.now().monotonicMs + LAG_PERIOD_MS;
+    timers.every(
+      'loop-lag',
+      LAG_PERIOD_MS,
+      () => {
+        const now = clock.now().monotonicMs;
+        metrics.loopLagSeconds.set(Math.max(0, now - expected) / 1_000);
+        expected = now + LAG_PERIOD_MS;
+      },
+      {signal},
+    );
+  }
+
+  /** Asks servers that were unreachable whether they serve again. */
+  private checkDoubtful(): void {
+    const {servers, clock, logger} = this.context;
+    const at = clock.now();
+    for (const server of servers.all()) {
+      const path = this.routes?.service(server.entry.service)?.healthPath;
+      const last = this.checkedAt.get(server.key);
+      if (
+        path === undefined ||
+        server.entry.leaving ||
+        !server.evidence.needsCheck() ||
+        server.evidence.paused(at) ||
+        (last !== undefined && elapsedMs(last, at) < CHECK_PERIOD_MS)
+      ) {
+        continue;
+      }
+      this.checkedAt.set(server.key, at);
+      void this.caller
+        .call(server, {method: 'GET', path, body: ''}, CHECK_TIMEOUT_MS)
+        .then((answer) => {
+          const status = answer instanceof Error ? 0 : answer.status;
+          server.evidence.checked(status === 200, clock.now());
+          logger.info('server checked', {server: server.entry.id, status});
+        });
+    }
+  }
+
+  private readinessRoutes(): Hono {
+    return new Hono().get(this.context.platform.host.readyPath, (call) =>
+      call.body(null, this.ready ? 200 : 503),
+    );
+  }
+
+  private directoryRoutes(): Hono {
+    const {platform, membership, clock} = this.context;
+    const {host} = platform;
+    return new Hono().get(host.addressPath, (call) => {
+      const addresses = addressAnswer(
+        membership.live(clock.now()),
+        call.req.query(host.zoneParameter),
+        membership.self(),
+      );
+      return call.json(
+        host.addressAnswer(addresses, this.settings.addressLifetimeS),
+      );
+    });
+  }
+
+  private metricsRoutes(): Hono {
+    const {registry} = this.context.metrics;
+    return new Hono().get('/metrics', async (call) =>
+      call.text(await registry.metrics()),
+    );
+  }
+
+  private serve(address: string, app: Hono): void {
+    const [host, port] = splitAddress(address);
+    const server = createServer(getRequestListener(app.fetch));
+    server.on('error', (error) => {
+      this.context.logger.error('a listener failed', {
+        address,
+        error: error.message,
+      });
+    });
+    server.listen({host, port});
+    this.listeners.push(server);
+  }
+}
+
+const VIEW_HANDLERS: Readonly<Record<StoreKind, (host: EntryHost) => void>> = {
+  configuration: (host) => {
+    host.useConfiguration();
+  },
+  servers: (host) => {
+    host.useServers();
+  },
+  'adapter-versions': (host) => {
+    host.useVersions();
+  },
+  records: (host) => {
+    host.useRecords();
+  },
+};
+
+const describe = (servers: ServerTable): string =>
+  servers
+    .all()
+    .map(
+      ({entry, missingSince}) =>
+        `${entry.id}${entry.leaving ? ' leaving' : ''}${missingSince === undefined ? '' : ' missing'}`,
+    )
+    .join(', ');
+
+const splitAddress = (address: string): readonly [string, number] => {
+  const [host = '', port = ''] = address.split(':');
+  return [host, Number(port)];
+};
--- /dev/null
+++ b/packages/entry-host/src/front/caller-request.ts
@@ -0,0 +1,137 @@
+import type {IncomingMessage} from 'node:http';
+
+import type {Instant} from '@basilworks/core';
+
+import type {HeaderNames} from '../ports.js';
+import {headerValue} from '../upstream/index.js';
+
+/** A request as a caller sent it, read whole. */
+export interface CallerRequest {
+  readonly id: string;
+  readonly method: string;
+  /** Path and query, unchanged. */
+  readonly target: string;
+  readonly host: string;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  readonly arrivedAt: Instant;
+  /** Milliseconds that the caller waits from its arrival; none if not told. */
+  readonly callerWaitMs: number | undefined;
+  /** Base model and adapter that it names. */
+  readonly model: string | undefined;
+}
+
+/** Headers that concern one connection only, in lower case. */
+const HOP_BY_HOP = new Set([
+  'connection',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Returns the headers without those that concern one connection only. */
+export const endToEndHeaders = (
+  rawHeaders: readonly string[],
+  dropped: ReadonlySet<string>,
+): readonly string[] => {
+  const nominated = new Set<string>();
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]?.toLowerCase() === 'connection') {
+      for (const name of (rawHeaders[index + 1] ?? '').split(',')) {
+        nominated.add(name.trim().toLowerCase());
+      }
+    }
+  }
+  const kept: string[] = [];
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index] ?? '';
+    const lower = name.toLowerCase();
+    if (
+      !HOP_BY_HOP.has(lower) &&
+      !nominated.has(lower) &&
+      !dropped.has(lower)
+    ) {
+      kept.push(name, rawHeaders[index + 1] ?? '');
+    }
+  }
+  return kept;
+};
+
+/** Reads what matters of a request whose body has arrived. */
+export const readCallerRequest = (
+  message: IncomingMessage,
+  body: Buffer,
+  arrivedAt: Instant,
+  names: HeaderNames,
+): CallerRequest => {
+  const {rawHeaders} = message;
+  const value = (name: string) => headerValue(rawHeaders, name.toLowerCase());
+  const waitMs = Number(value(names.deadlineMs));
+  return {
+    id: value(names.requestId) ?? '',
+    method: message.method ?? 'GET',
+    target: message.url ?? '/',
+    host: message.headers.host ?? '',
+    rawHeaders,
+    body,
+    arrivedAt,
+    callerWaitMs: waitMs > 0 ? waitMs : undefined,
+    model: value(names.model),
+  };
+};
+
+/** What this host adds to a request on its way to a server. */
+export interface SendDetails {
+  readonly server: string;
+  readonly remainingMs: number;
+  readonly version: number | undefined;
+  readonly priority: number;
+  /** Last event that the caller has of a stream that goes on. */
+  readonly resumeAfter: string | undefined;
+}
+
+/** Writes the head of a request to a server. */
+export const writeRequestHead = (
+  request: CallerRequest,
+  names: HeaderNames,
+  details: SendDetails,
+): string => {
+  const dropped = new Set(
+    [
+      ...names.reserved,
+      names.deadlineMs,
+      names.expectServer,
+      names.expectVersion,
+      names.priority,
+      'content-length',
+      ...(details.resumeAfter === undefined ? [] : [names.lastEventId]),
+    ].map((name) => name.toLowerCase()),
+  );
+  const lines = [`${request.method} ${request.target} HTTP/1.1`];
+  const kept = endToEndHeaders(request.rawHeaders, dropped);
+  for (let index = 0; index < kept.length; index += 2) {
+    lines.push(`${kept[index] ?? ''}: ${kept[index + 1] ?? ''}`);
+  }
+  lines.push(
+    `${names.deadlineMs}: ${Math.max(1, Math.floor(details.remainingMs))}`,
+    `${names.expectServer}: ${details.server}`,
+    `${names.priority}: ${details.priority}`,
+  );
+  if (details.version !== undefined) {
+    lines.push(`${names.expectVersion}: ${details.version}`);
+  }
+  if (details.resumeAfter !== undefined) {
+    lines.push(`${names.lastEventId}: ${details.resumeAfter}`);
+  }
+  const hasBody = request.body.length > 0;
+  if (hasBody || !['GET', 'HEAD', 'DELETE'].includes(request.method)) {
+    lines.push(`Content-Length: ${request.body.length}`);
+  }
+  return [...lines, '', ''].join('\r\n');
+};
--- /dev/null
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -0,0 +1,245 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {Socket} from 'node:net';
+
+import {ListenError} from '@basilworks/daemon';
+import type {CallerLimits, RetryBudget, RouteTable} from '@basilworks/dispatch';
+import {chooseTarget, RetryBudget as Budget} from '@basilworks/dispatch';
+import {ResultAsync} from 'neverthrow';
+
+import type {EntryHostContext} from '../context.js';
+import type {UpstreamPools} from '../upstream/index.js';
+import {CallerAnswer} from './caller-answer.js';
+import {readCallerRequest} from './caller-request.js';
+import {RequestRun} from './request-run.js';
+import type {ServerSelector} from './server-selection.js';
+
+/** Largest head that is parsed at all, bytes; the configured limit is less. */
+const PARSER_HEAD_BYTES = 65_536;
+
+/** How often slow heads and idle connections are looked for, milliseconds. */
+const CONNECTION_CHECK_MS = 500;
+
+/** Limits before a configuration is known. */
+const FIRST_LIMITS: CallerLimits = {
+  maximumHeaderBytes: 16_384,
+  maximumBodyBytes: 1_048_576,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** Answers to connections whose bytes are no proper request. */
+const REJECTIONS: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+/** Takes requests of callers. */
+export class FrontListener {
+  private readonly server: Server;
+  private readonly budgets = new Map<string, RetryBudget>();
+  private routes: RouteTable | undefined;
+  private limits = FIRST_LIMITS;
+  private inProgress = 0;
+  private closing = false;
+
+  constructor(
+    private readonly context: EntryHostContext,
+    private readonly pools: UpstreamPools,
+    private readonly selector: ServerSelector,
+  ) {
+    this.server = createServer(
+      {
+        maxHeaderSize: PARSER_HEAD_BYTES,
+        connectionsCheckingInterval: CONNECTION_CHECK_MS,
+        keepAlive: true,
+        noDelay: true,
+      },
+      (request, response) => {
+        void this.handle(request, response);
+      },
+    );
+    this.server.requestTimeout = 0;
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      this.rejectBytes(error, socket as Socket);
+    });
+    this.applyLimits();
+  }
+
+  /** Requests that have no final answer yet. */
+  get unfinished(): number {
+    return this.inProgress;
+  }
+
+  /** Takes a newer configuration into use. */
+  use(routes: RouteTable): void {
+    this.routes = routes;
+    this.limits = routes.configuration.limits;
+    this.applyLimits();
+  }
+
+  listen(host: string, port: number): ResultAsync<number, ListenError> {
+    return ResultAsync.fromPromise(
+      new Promise<number>((resolve, reject) => {
+        this.server.once('error', reject);
+        this.server.listen({host, port, backlog: 1_024}, () => {
+          const address = this.server.address();
+          resolve(typeof address === 'object' ? (address?.port ?? 0) : 0);
+        });
+      }),
+      (error) => new ListenError(`${host}:${port}`, String(error)),
+    );
+  }
+
+  /** Lets connections end with their answers from now on. */
+  beginClosing(): void {
+    this.closing = true;
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private applyLimits(): void {
+    this.server.headersTimeout = this.limits.headerTimeoutMs;
+    this.server.keepAliveTimeout = this.limits.idleTimeoutMs;
+  }
+
+  private async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {clock, platform} = this.context;
+    const arrivedAt = clock.now();
+    this.inProgress += 1;
+    response.once('close', () => {
+      this.inProgress -= 1;
+    });
+    const answer = new CallerAnswer(response, () => this.closing);
+    const refuse = (status: number, reason: string) => {
+      this.reject(message, answer, status, reason);
+    };
+    const {rawHeaders} = message;
+    const headBytes = rawHeaders.reduce(
+      (sum, text) => sum + text.length + 2,
+      (message.url ?? '').length,
+    );
+    if (headBytes > this.limits.maximumHeaderBytes) {
+      refuse(431, 'the head is too large');
+      return;
+    }
+    const body = await readBody(message, this.limits.maximumBodyBytes);
+    if (body === 'too-large') {
+      refuse(413, 'the body is too large');
+      return;
+    }
+    if (body === 'cut') {
+      answer.abort();
+      return;
+    }
+    const request = readCallerRequest(
+      message,
+      body,
+      arrivedAt,
+      platform.forwarding.headers,
+    );
+    if (this.routes === undefined) {
+      refuse(503, 'no configuration is known yet');
+      return;
+    }
+    if (request.id === '') {
+      refuse(400, 'the request has no identity');
+      return;
+    }
+    const route = this.routes.match(request.host, request.target);
+    if (route === undefined) {
+      refuse(404, 'no route');
+      return;
+    }
+    const service = this.routes.service(
+      chooseTarget(route, this.context.random()) ?? '',
+    );
+    if (service === undefined) {
+      refuse(503, 'the route has no service');
+      return;
+    }
+    const {context, pools, selector} = this;
+    const budget = this.budgetOf(service.name);
+    const parts = {context, pools, selector, budget};
+    const run = new RequestRun(parts, request, route, service, answer);
+    await run.run();
+  }
+
+  private budgetOf(service: string): RetryBudget {
+    const known = this.budgets.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const budget = new Budget(this.context.settings.retryBudget);
+    this.budgets.set(service, budget);
+    return budget;
+  }
+
+  private reject(
+    message: IncomingMessage,
+    answer: CallerAnswer,
+    status: number,
+    reason: string,
+  ): void {
+    const {logger, metrics} = this.context;
+    const outcome = 'rejected';
+    metrics.requests.inc({route: 'none', outcome});
+    logger.info('request rejected', {
+      status,
+      reason,
+      host: message.headers.host,
+      target: message.url,
+      configuration: this.routes?.configuration.version,
+    });
+    answer.send(status, [], Buffer.alloc(0));
+  }
+
+  private rejectBytes(error: NodeJS.ErrnoException, socket: Socket): void {
+    const code = error.code ?? '';
+    this.context.logger.info('connection rejected', {code});
+    if (code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const status = REJECTIONS[code] ?? '400 Bad Request';
+    socket.end(
+      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+    );
+  }
+}
+
+/** Reads a body up to a limit. */
+const readBody = (
+  message: IncomingMessage,
+  maximumBytes: number,
+): Promise<Buffer | 'too-large' | 'cut'> =>
+  new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    message.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maximumBytes) {
+        resolve('too-large');
+        message.removeAllListeners('data');
+        message.resume();
+        return;
+      }
+      chunks.push(chunk);
+    });
+    message.on('end', () => {
+      resolve(Buffer.concat(chunks));
+    });
+    message.on('close', () => {
+      resolve('cut');
+    });
+  });
--- /dev/null
+++ b/packages/entry-host/src/front/request-run.ts
@@ -0,0 +1,412 @@
+import {elapsedMs, type Instant} from '@basilworks/core';
+import {
+  mayRepeat,
+  nextStep,
+  retryAfterMs,
+  type RetryBudget,
+  type Route,
+  type SendEnd,
+  type Server,
+  type Service,
+} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+import type {ResponseHead, UpstreamPools} from '../upstream/index.js';
+import type {CallerAnswer} from './caller-answer.js';
+import {type CallerRequest, endToEndHeaders} from './caller-request.js';
+import {EventSplitter} from './event-splitter.js';
+import {type SendResult, ServerSend} from './server-send.js';
+import type {Selection, ServerSelector} from './server-selection.js';
+
+/** What a run needs besides its request. */
+export interface RunParts {
+  readonly context: EntryHostContext;
+  readonly pools: UpstreamPools;
+  readonly selector: ServerSelector;
+  readonly budget: RetryBudget;
+}
+
+/** Statuses that promise that a request has not run and never will. */
+const PROMISES = new Set([408, 421, 429, 503]);
+
+/** Largest plain answer that is held until it is whole, bytes. */
+const MAXIMUM_HELD_BYTES = 262_144;
+
+/** A caller that takes no bytes for this long has left, milliseconds. */
+const STALLED_CALLER_MS = 10_000;
+
+/** Tells the timers of runs apart. */
+let serial = 0;
+
+/** Serves one request of a caller, from its choice of a server to its end. */
+export class RequestRun {
+  private readonly abort = new AbortController();
+  private readonly tried = new Set<string>();
+  private readonly splitter = new EventSplitter();
+  private readonly held: Buffer[] = [];
+  private readonly timer = `run/${(serial += 1)}`;
+  private heldBytes = 0;
+  private heldHead: ResponseHead | undefined;
+  private send: ServerSend | undefined;
+  private sends = 0;
+  private runs = 0;
+  private lastEventId: string | undefined;
+  private over = false;
+  private abandoned = false;
+  private outcome = 'open';
+  private headAt: Instant | undefined;
+
+  constructor(
+    private readonly parts: RunParts,
+    private readonly request: CallerRequest,
+    private readonly route: Route,
+    private readonly service: Service,
+    private readonly answer: CallerAnswer,
+  ) {}
+
+  /** Resolves when the caller has its final answer, or has left. */
+  async run(): Promise<void> {
+    const {timers, clock} = this.parts.context;
+    this.parts.budget.deposit(clock.now());
+    this.answer.onAbandoned(() => {
+      this.abandoned = true;
+      this.giveUp('abandoned by its caller');
+    });
+    this.answer.onDrain(() => {
+      timers.cancel(`${this.timer}/stalled`);
+      this.send?.resume();
+    });
+    timers.after(this.timer, this.remainingMs(), () => {
+      this.timedOut();
+    });
+    while (!this.over) {
+      const selection = await this.select();
+      if (this.isOver()) {
+        break;
+      }
+      if (selection.type === 'none') {
+        this.endWithout(selection);
+        break;
+      }
+      const result = await this.sendTo(selection);
+      if (this.isOver()) {
+        break;
+      }
+      this.take(result, selection.server);
+    }
+    timers.cancel(this.timer);
+    timers.cancel(`${this.timer}/stalled`);
+  }
+
+  private isOver(): boolean {
+    return this.over;
+  }
+
+  private select(): Promise<Selection> {
+    const {clock} = this.parts.context;
+    const elapsed = elapsedMs(this.request.arrivedAt, clock.now());
+    return this.parts.selector.select({
+      request: this.request,
+      route: this.route,
+      service: this.service,
+      remainingMs: this.remainingMs(),
+      untilLateMs: this.route.targetLatencyMs - elapsed,
+      tried: this.tried,
+      signal: this.abort.signal,
+    });
+  }
+
+  private async sendTo({
+    server,
+    version,
+    reason,
+  }: Selection & {type: 'server'}): Promise<SendResult> {
+    const {context, pools} = this.parts;
+    this.sends += 1;
+    this.tried.add(server.key);
+    this.splitter.reset();
+    this.held.length = 0;
+    this.heldBytes = 0;
+    this.heldHead = undefined;
+    const send = new ServerSend(
+      context,
+      pools,
+      server,
+      this.service.maximumConnections,
+      {
+        head: (head) => {
+          this.takeHead(head);
+        },
+        data: (chunk) => {
+          this.takeData(chunk);
+        },
+      },
+    );
+    this.send = send;
+    const result = await send.run(this.request, {
+      server: server.entry.id,
+      remainingMs: this.remainingMs(),
+      version,
+      priority: Math.min(
+        this.route.priority,
+        context.platform.forwarding.lowestPriority,
+      ),
+      resumeAfter: this.lastEventId,
+    });
+    this.send = undefined;
+    const end = result.type === 'no-answer' ? result.end : result.type;
+    context.metrics.sends.inc({service: this.service.name, end});
+    if (result.type !== 'answered') {
+      context.logger.info('send ended', {
+        requestId: this.request.id,
+        server: server.entry.id,
+        chosen: reason,
+        load: server.evidence.load(context.clock.now()),
+        end,
+        status: result.type === 'failure' ? result.head.status : result.status,
+        detail: result.type === 'no-answer' ? result.detail : undefined,
+        elapsedMs: this.elapsedMs(),
+      });
+    }
+    return result;
+  }
+
+  private take(result: SendResult, server: Server): void {
+    if (result.type === 'answered') {
+      this.complete();
+      return;
+    }
+    const end: SendEnd = result.type === 'failure' ? 'failed' : result.end;
+    if (end === 'failed' || end === 'unknown') {
+      this.runs += 1;
+    }
+    if (end === 'not-run' && result.type === 'no-answer') {
+      if (result.status === 421) {
+        this.parts.selector.refuted(this.request, server);
+        // It may be resident by the next try.
+        this.tried.delete(server.key);
+      }
+    }
+    const {budget, context} = this.parts;
+    const at = context.clock.now();
+    const hosts = context.membership.live(at).length;
+    const step = nextStep(
+      end,
+      {
+        route: this.route,
+        sends: this.sends,
+        runs: this.runs,
+        remainingMs: this.remainingMs(),
+        answerBegun: this.answer.begun,
+      },
+      () => budget.withdraw(hosts, at),
+    );
+    if (step === 'send-again') {
+      return;
+    }
+    if (step === 'refuse') {
+      this.refuse('refused by servers', 0);
+    } else if (step === 'pass-on-failure' && result.type === 'failure') {
+      this.passOnFailure(result.head, result.body);
+    } else {
+      this.fail(502, 'no answer from its server');
+    }
+  }
+
+  private takeHead(head: ResponseHead): void {
+    if (this.over) {
+      return;
+    }
+    this.headAt = this.parts.context.clock.now();
+    if (this.answer.begun) {
+      // A resumed stream keeps the head of its first server.
+      return;
+    }
+    if (this.route.kind === 'stream') {
+      this.answer.begin(head.status, this.callerHeaders(head, true));
+    } else {
+      this.heldHead = head;
+    }
+  }
+
+  private takeData(chunk: Buffer): void {
+    if (this.over) {
+      return;
+    }
+    if (this.route.kind !== 'stream') {
+      this.hold(chunk);
+    } else if (mayRepeat(this.route)) {
+      for (const {id, bytes} of this.splitter.feed(chunk)) {
+        this.lastEventId = id ?? this.lastEventId;
+        this.writeOn(bytes);
+      }
+    } else {
+      this.writeOn(chunk);
+    }
+  }
+
+  private writeOn(chunk: Buffer): void {
+    if (this.answer.write(chunk)) {
+      return;
+    }
+    this.send?.pause();
+    const {timers} = this.parts.context;
+    timers.after(`${this.timer}/stalled`, STALLED_CALLER_MS, () => {
+      this.giveUp('the caller takes no bytes');
+      this.answer.abort();
+    });
+  }
+
+  /** Keeps a plain answer until it is whole, so that it can be repeated. */
+  private hold(chunk: Buffer): void {
+    if (this.heldHead === undefined) {
+      this.writeOn(chunk);
+      return;
+    }
+    this.held.push(chunk);
+    this.heldBytes += chunk.length;
+    if (this.heldBytes > MAXIMUM_HELD_BYTES) {
+      const head = this.heldHead;
+      this.heldHead = undefined;
+      this.answer.begin(head.status, this.callerHeaders(head, true));
+      this.writeOn(Buffer.concat(this.held));
+      this.held.length = 0;
+    }
+  }
+
+  private complete(): void {
+    if (this.heldHead !== undefined) {
+      const {heldHead} = this;
+      this.finish('answered', heldHead.status);
+      this.answer.send(
+        heldHead.status,
+        this.callerHeaders(heldHead, false),
+        Buffer.concat(this.held),
+      );
+      return;
+    }
+    this.finish('answered', 200);
+    this.answer.end();
+  }
+
+  private passOnFailure(head: ResponseHead, body: Buffer): void {
+    if (this.answer.begun) {
+      this.fail(502, 'a resumed stream failed');
+      return;
+    }
+    if (PROMISES.has(head.status)) {
+      // Without the proof of its server, this status would promise too much.
+      this.fail(502, `the server answered ${head.status} without a proof`);
+      return;
+    }
+    this.finish('failed by its server', head.status);
+    this.answer.send(head.status, this.callerHeaders(head, false), body);
+  }
+
+  private endWithout({reason, retryAfterMs: waitMs}: Selection & {
+    type: 'none';
+  }): void {
+    if (this.runs === 0 && !this.answer.begun) {
+      this.refuse(reason, waitMs);
+    } else {
+      this.fail(502, reason);
+    }
+  }
+
+  private refuse(reason: string, expectedWaitMs: number): void {
+    const {random} = this.parts.context;
+    const waitMs = retryAfterMs(expectedWaitMs, this.remainingMs(), random);
+    this.finish('refused', 503, reason);
+    this.answer.send(
+      503,
+      ['Retry-After', (waitMs / 1_000).toFixed(2)],
+      Buffer.alloc(0),
+    );
+  }
+
+  private fail(status: number, reason: string): void {
+    this.finish('failed', status, reason);
+    if (this.answer.begun) {
+      this.answer.abort();
+    } else {
+      this.answer.send(status, [], Buffer.alloc(0));
+    }
+  }
+
+  private timedOut(): void {
+    if (this.over) {
+      return;
+    }
+    const atServer = this.runs > 0 || this.send !== undefined;
+    const {send} = this;
+    if (atServer) {
+      this.fail(504, 'the time of the route is over');
+    } else {
+      this.refuse('no server was found in time', 0);
+    }
+    send?.cancel();
+    this.abort.abort();
+  }
+
+  private giveUp(reason: string): void {
+    if (!this.over) {
+      const {send} = this;
+      this.finish(this.abandoned ? 'abandoned' : 'failed', 0, reason);
+      send?.cancel();
+      this.abort.abort();
+    }
+  }
+
+  private finish(outcome: string, status: number, reason?: string): void {
+    this.over = true;
+    this.outcome = outcome;
+    const {logger, metrics} = this.parts.context;
+    const {name} = this.route;
+    metrics.requests.inc({route: name, outcome});
+    const headMs =
+      this.headAt === undefined
+        ? undefined
+        : Math.round(elapsedMs(this.request.arrivedAt, this.headAt));
+    if (headMs !== undefined) {
+      metrics.answerSeconds.observe({route: name}, headMs / 1_000);
+    }
+    const level = outcome === 'answered' ? 'debug' : 'info';
+    logger[level]('request ended', {
+      requestId: this.request.id,
+      route: name,
+      model: this.request.model,
+      outcome: this.outcome,
+      status,
+      reason,
+      sends: this.sends,
+      runs: this.runs,
+      headMs,
+      elapsedMs: this.elapsedMs(),
+    });
+  }
+
+  private callerHeaders(
+    head: ResponseHead,
+    streamed: boolean,
+  ): readonly string[] {
+    return endToEndHeaders(head.rawHeaders, streamed ? STREAMED : WHOLE);
+  }
+
+  private elapsedMs(): number {
+    const {clock} = this.parts.context;
+    return Math.round(elapsedMs(this.request.arrivedAt, clock.now()));
+  }
+
+  private remainingMs(): number {
+    const {clock} = this.parts.context;
+    const limit = Math.min(
+      this.route.timeoutMs,
+      this.request.callerWaitMs ?? Infinity,
+    );
+    return limit - elapsedMs(this.request.arrivedAt, clock.now());
+  }
+}
+
+/** Framing is this host's own where an answer is passed on as it arrives. */
+const STREAMED: ReadonlySet<string> = new Set(['content-length']);
+const WHOLE: ReadonlySet<string> = new Set(['content-length']);
--- /dev/null
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -0,0 +1,282 @@
+import {
+  type AdapterVersions,
+  admit,
+  type ChoiceContext,
+  chooseLeastLoaded,
+  FIRST_VERSION,
+  occupancy,
+  parseModelReference,
+  type PrepareRequest,
+  rankByAffinity,
+  type ResidencyCache,
+  type Route,
+  type Server,
+  type Service,
+} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+import type {AdapterBroker} from '../orders/index.js';
+import {headerValue} from '../upstream/index.js';
+import type {CallerRequest} from './caller-request.js';
+
+/** Where to send a request next. */
+export type Selection =
+  | {
+      readonly type: 'server';
+      readonly server: Server;
+      /** Version that the server has to have; undefined for any. */
+      readonly version: number | undefined;
+      readonly reason: string;
+    }
+  | {
+      readonly type: 'none';
+      readonly reason: string;
+      /** When there should be room, milliseconds. */
+      readonly retryAfterMs: number;
+    };
+
+/** Where a request stands when a server is chosen. */
+export interface SelectionRequest {
+  readonly request: CallerRequest;
+  readonly route: Route;
+  readonly service: Service;
+  /** Milliseconds left of its time. */
+  readonly remainingMs: number;
+  /** Milliseconds left until its answer would be late. */
+  readonly untilLateMs: number;
+  /** Keys of servers that were tried. */
+  readonly tried: ReadonlySet<string>;
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Silence with requests waiting after which a server counts as dark, ms: an
+ * engine makes an event every few tens of milliseconds once it runs anything,
+ * and a plain answer takes about as long.
+ */
+const SILENCE_LIMIT_MS = 800;
+
+/** Share of its slots above which another server is asked for a replica. */
+const FULL_SHARE = 0.9;
+
+/** Servers that are asked for an adapter, one after the other. */
+const MAXIMUM_PREPARES = 3;
+
+/** Share of the time to a late answer that a first choice may take. */
+const PREPARE_SHARE = 0.75;
+
+/** Share of all the remaining time that the last choice may take. */
+const LAST_PREPARE_SHARE = 0.5;
+
+/** Shortest wait that a load is given, milliseconds. */
+const SHORTEST_PREPARE_MS = 300;
+
+/** Wait that is told when there is no server at all, milliseconds. */
+const NO_SERVER_RETRY_MS = 1_000;
+
+/** Chooses servers for requests. */
+export class ServerSelector {
+  constructor(
+    private readonly context: EntryHostContext,
+    private readonly broker: AdapterBroker,
+    private readonly residency: ResidencyCache,
+    private readonly versions: AdapterVersions,
+  ) {}
+
+  /** Chooses a server; for an adapter, waits until it is resident there. */
+  async select(selection: SelectionRequest): Promise<Selection> {
+    const {request, route, service, remainingMs} = selection;
+    const {servers, clock} = this.context;
+    const open = servers.open(service.name);
+    if (open.length === 0) {
+      return none('no server is open', NO_SERVER_RETRY_MS);
+    }
+    const admission = admit(
+      open,
+      {remainingMs, priority: route.priority},
+      undefined,
+      clock.now(),
+    );
+    if (!admission.admitted) {
+      return none('all servers are full', admission.retryAfterMs);
+    }
+    const choice = this.choiceContext(selection.tried);
+    if (service.engine === undefined || request.model === undefined) {
+      const server = chooseLeastLoaded(open, choice);
+      return server === undefined
+        ? none('no server is left to try', NO_SERVER_RETRY_MS)
+        : {type: 'server', server, version: undefined, reason: 'least loaded'};
+    }
+    const {model, adapter} = parseModelReference(request.model);
+    const holders = open.filter(({entry}) =>
+      entry.models.some(({name}) => name === model),
+    );
+    if (holders.length === 0) {
+      return none('no server holds the model', NO_SERVER_RETRY_MS);
+    }
+    return adapter === undefined
+      ? this.selectForModel(selection, holders, choice)
+      : this.selectForAdapter(selection, {model, adapter}, holders, choice);
+  }
+
+  /** The server said that it does not hold what it should. */
+  refuted(request: CallerRequest, server: Server): void {
+    const {model, adapter} = parseModelReference(request.model ?? '');
+    if (adapter !== undefined) {
+      this.residency.refuted({model, adapter}, server.key);
+    }
+  }
+
+  private selectForModel(
+    {request}: SelectionRequest,
+    holders: readonly Server[],
+    choice: ChoiceContext,
+  ): Selection {
+    const {forwarding} = this.context.platform;
+    const parts = headerValue(
+      request.rawHeaders,
+      forwarding.headers.promptParts.toLowerCase(),
+    );
+    // Requests that share parts of their prompts meet on a server that keeps
+    // those parts.
+    const shared = forwarding.readSharedParts(parts ?? '').join(',');
+    const key = `${request.model ?? ''} ${shared}`;
+    const [server] = rankByAffinity(key, holders, choice);
+    return server === undefined
+      ? none('no server is left to try', NO_SERVER_RETRY_MS)
+      : {type: 'server', server, version: undefined, reason: 'prompt parts'};
+  }
+
+  private async selectForAdapter(
+    selection: SelectionRequest,
+    name: {model: string; adapter: string},
+    holders: readonly Server[],
+    choice: ChoiceContext,
+  ): Promise<Selection> {
+    const {clock, metrics} = this.context;
+    const version = this.versions.get(name);
+    const ranked = rankByAffinity(
+      `${name.model}/${name.adapter}`,
+      holders,
+      choice,
+    );
+    const promised = ranked.find((server) => {
+      const at = clock.now();
+      return (
+        occupancy(server, at) < FULL_SHARE &&
+        this.residency.valid(name, server.key, version, at) !== undefined
+      );
+    });
+    if (promised !== undefined) {
+      const at = clock.now();
+      const promise = this.residency.valid(name, promised.key, version, at);
+      if (promise !== undefined) {
+        promise.uses += 1;
+        return found(promised, promise.version, 'promised');
+      }
+    }
+    let retryAfterMs = 0;
+    const reasons: string[] = [];
+    const able = ranked.filter((server) => this.broker.hasIssuer(server));
+    for (let index = 0; index < MAXIMUM_PREPARES; index += 1) {
+      const last = index === MAXIMUM_PREPARES - 1 || index >= able.length;
+      const server = last ? able[0] : able[index];
+      if (server === undefined || selection.signal.aborted) {
+        break;
+      }
+      const askedAt = clock.now();
+      const answer = await this.broker.request(
+        server,
+        this.prepareRequest(selection, name, version, server, last),
+        selection.signal,
+      );
+      metrics.prepares.inc({
+        outcome: answer.outcome === 'resident' ? 'resident' : answer.reason,
+      });
+      if (answer.outcome === 'resident') {
+        this.residency.promise(
+          name,
+          server.key,
+          answer.version,
+          answer.validMs,
+          askedAt,
+        );
+        return found(server, answer.version, last ? 'last choice' : 'prepared');
+      }
+      retryAfterMs = Math.max(retryAfterMs, answer.retryAfterMs);
+      reasons.push(`${server.entry.id} ${answer.reason}`);
+      if (last) {
+        break;
+      }
+    }
+    // The issuers can't be asked: go by what was last known.
+    const at = clock.now();
+    const believed = ranked.find(
+      (server) =>
+        this.residency.believed(name, server.key, version, at) ||
+        listsAdapter(server, name, version),
+    );
+    return believed === undefined
+      ? none(`adapter not resident: ${reasons.join(', ')}`, retryAfterMs)
+      : found(believed, version, 'believed');
+  }
+
+  private prepareRequest(
+    {request, route, remainingMs, untilLateMs}: SelectionRequest,
+    name: {model: string; adapter: string},
+    version: number,
+    server: Server,
+    last: boolean,
+  ): PrepareRequest {
+    const wantedMs = last
+      ? remainingMs * LAST_PREPARE_SHARE
+      : Math.max(SHORTEST_PREPARE_MS, untilLateMs * PREPARE_SHARE);
+    return {
+      ...name,
+      requestId: `${request.id}/${(this.serial += 1)}`,
+      version,
+      maximumWaitMs: Math.min(wantedMs, remainingMs * LAST_PREPARE_SHARE),
+      priority: route.priority,
+      uses: this.residency.takeUses(name, server.key),
+    };
+  }
+
+  private serial = 0;
+
+  private choiceContext(tried: ReadonlySet<string>): ChoiceContext {
+    const {clock, settings, random} = this.context;
+    return {
+      at: clock.now(),
+      zone: settings.zone,
+      tried,
+      silenceLimitMs: SILENCE_LIMIT_MS,
+      random,
+    };
+  }
+}
+
+const found = (server: Server, version: number, reason: string): Selection => ({
+  type: 'server',
+  server,
+  version: version > FIRST_VERSION ? version : undefined,
+  reason,
+});
+
+const none = (reason: string, retryAfterMs: number): Selection => ({
+  type: 'none',
+  reason,
+  retryAfterMs,
+});
+
+const listsAdapter = (
+  {entry}: Server,
+  {model, adapter}: {model: string; adapter: string},
+  version: number,
+): boolean =>
+  entry.models.some(
+    ({name, adapters}) =>
+      name === model &&
+      adapters.some(
+        (held) => held.name === adapter && held.version >= version,
+      ),
+  );
--- /dev/null
+++ b/packages/entry-host/src/front/server-send.ts
@@ -0,0 +1,238 @@
+import type {AttemptVerdict, SendEnd, Server} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+import {
+  type ExchangeHandle,
+  headerValue,
+  type ResponseHead,
+  UpstreamError,
+  type UpstreamPools,
+} from '../upstream/index.js';
+import {
+  type CallerRequest,
+  type SendDetails,
+  writeRequestHead,
+} from './caller-request.js';
+
+/** Receives the answer to a send, once it is known to be the server's own. */
+export interface SendObserver {
+  /** False if the answer is not wanted any more. */
+  head(head: ResponseHead): void;
+  data(chunk: Buffer): void;
+}
+
+/** How a send ended. */
+export type SendResult =
+  | {readonly type: 'answered'}
+  | {
+      readonly type: 'no-answer';
+      readonly end: SendEnd;
+      readonly detail: string;
+      /** Status of an answer that said "not run", if there was one. */
+      readonly status: number | undefined;
+    }
+  /** The server ran it and answered with a failure of its own. */
+  | {
+      readonly type: 'failure';
+      readonly head: ResponseHead;
+      readonly body: Buffer;
+    };
+
+/** Statuses that promise that a request has not run and never will. */
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+
+/** Largest failure answer that is kept, bytes. */
+const MAXIMUM_FAILURE_BYTES = 65_536;
+
+/** Share of a server's connections that one host may use, split evenly. */
+const CONNECTION_SHARE = 0.85;
+
+/** Most pauses of a server's stream; callers that take nothing are cut. */
+export interface SendControl {
+  pause(): void;
+  resume(): void;
+  cancel(): void;
+}
+
+/** One send of a request to one server. */
+export class ServerSend implements SendControl {
+  private handle: ExchangeHandle | undefined;
+  private headSeen = false;
+  private mode: 'pending' | 'pass-on' | 'failure' | 'refused' = 'pending';
+  private head: ResponseHead | undefined;
+  private readonly kept: Buffer[] = [];
+  private keptBytes = 0;
+  private cancelled = false;
+  private done: (result: SendResult) => void = () => undefined;
+
+  constructor(
+    private readonly context: EntryHostContext,
+    private readonly pools: UpstreamPools,
+    private readonly server: Server,
+    private readonly maximumConnections: number,
+    private readonly observer: SendObserver,
+  ) {}
+
+  /** Sends; resolves when the answer, or the lack of one, is complete. */
+  run(request: CallerRequest, details: SendDetails): Promise<SendResult> {
+    const {platform, membership, clock} = this.context;
+    const names = platform.forwarding.headers;
+    const {evidence} = this.server;
+    const sentAt = clock.now();
+    const hosts = Math.max(1, membership.live(sentAt).length);
+    const share = (this.maximumConnections * CONNECTION_SHARE) / hosts;
+    return new Promise((resolve) => {
+      evidence.sent(sentAt);
+      this.done = (result) => {
+        evidence.ended(this.verdict(result), !this.headSeen, clock.now());
+        resolve(result);
+      };
+      const handle = this.pools.of(this.server).start(
+        {
+          method: request.method,
+          head: writeRequestHead(request, names, details),
+          body: request.body,
+          requestId: request.id,
+        },
+        Math.max(2, Math.floor(share)),
+        {
+          head: (head) => {
+            const at = clock.now();
+            this.headSeen = true;
+            const waitedMs = at.monotonicMs - sentAt.monotonicMs;
+            evidence.answered(waitedMs, this.readLoad(head), at);
+            this.takeHead(head);
+          },
+          data: (chunk) => {
+            evidence.heard(clock.now());
+            this.takeData(chunk);
+          },
+          end: () => {
+            this.finish();
+          },
+          failed: (error) => {
+            this.fail(error);
+          },
+        },
+      );
+      if (handle instanceof UpstreamError) {
+        this.fail(handle);
+      } else {
+        this.handle = handle;
+      }
+    });
+  }
+
+  pause(): void {
+    this.handle?.pause();
+  }
+
+  resume(): void {
+    this.handle?.resume();
+  }
+
+  /** Gives the send up; its connection is closed. */
+  cancel(): void {
+    this.cancelled = true;
+    this.handle?.cancel();
+  }
+
+  private takeHead(head: ResponseHead): void {
+    const {headers} = this.context.platform.forwarding;
+    const value = (name: string) =>
+      headerValue(head.rawHeaders, name.toLowerCase());
+    this.head = head;
+    const success = head.status >= 200 && head.status < 300;
+    if (value(headers.notRun) !== undefined || head.status === 421) {
+      this.mode = 'refused';
+    } else if (success || (head.status >= 300 && head.status < 500)) {
+      const own =
+        value(headers.signature) !== undefined &&
+        value('content-encoding') === undefined;
+      if (success && !own) {
+        // Bytes of something else than the server that was asked.
+        this.handle?.cancel();
+        return;
+      }
+      this.mode = NOT_RUN_STATUSES.has(head.status) ? 'failure' : 'pass-on';
+      if (this.mode === 'pass-on') {
+        this.observer.head(head);
+      }
+    } else {
+      this.mode = 'failure';
+    }
+  }
+
+  private takeData(chunk: Buffer): void {
+    if (this.mode === 'pass-on') {
+      this.observer.data(chunk);
+    } else if (this.keptBytes < MAXIMUM_FAILURE_BYTES) {
+      this.kept.push(chunk);
+      this.keptBytes += chunk.length;
+    }
+  }
+
+  private finish(): void {
+    const {head} = this;
+    const status = head?.status;
+    if (head !== undefined && this.mode === 'failure') {
+      this.done({type: 'failure', head, body: Buffer.concat(this.kept)});
+    } else if (this.mode === 'refused') {
+      const detail = `the server refused with ${status ?? 0}`;
+      this.done({type: 'no-answer', end: 'not-run', detail, status});
+    } else {
+      this.done({type: 'answered'});
+    }
+  }
+
+  private fail(error: UpstreamError): void {
+    const detail = `${error.reason}: ${error.message}`;
+    const end = !error.sent
+      ? 'not-sent'
+      : this.mode === 'refused'
+        ? 'not-run'
+        : 'unknown';
+    const status = this.head?.status;
+    this.done({type: 'no-answer', end, detail, status});
+  }
+
+  private verdict(result: SendResult): AttemptVerdict {
+    if (this.cancelled) {
+      return 'cancelled';
+    }
+    if (result.type === 'answered') {
+      return 'served';
+    }
+    if (result.type === 'failure') {
+      return 'failed';
+    }
+    if (result.end === 'not-sent') {
+      return 'unreachable';
+    }
+    if (result.end === 'not-run') {
+      return result.status === 421 && this.answersForAnother()
+        ? 'misdirected'
+        : 'refused';
+    }
+    return 'failed';
+  }
+
+  /** Whether another server answers at this address. */
+  private answersForAnother(): boolean {
+    const {serverId} = this.context.platform.forwarding.headers;
+    const id = headerValue(
+      this.head?.rawHeaders ?? [],
+      serverId.toLowerCase(),
+    );
+    return id !== undefined && id !== this.server.entry.id;
+  }
+
+  private readLoad(head: ResponseHead) {
+    const {forwarding} = this.context.platform;
+    const text = headerValue(
+      head.rawHeaders,
+      forwarding.headers.serverLoad.toLowerCase(),
+    );
+    return text === undefined ? undefined : forwarding.readLoad(text);
+  }
+}
--- /dev/null
+++ b/packages/entry-host/src/metrics.ts
@@ -0,0 +1,74 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Bounds of latency histograms, seconds: from a hop to a whole stream. */
+const LATENCY_BUCKETS_S = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8,
+];
+
+/** Counters and histograms of an entry host. */
+export class EntryHostMetrics {
+  readonly registry = new Registry();
+
+  readonly requests = this.counter(
+    'basilworks_requests_total',
+    'Requests by route and how they ended.',
+    ['route', 'outcome'],
+  );
+
+  readonly sends = this.counter(
+    'basilworks_sends_total',
+    'Sends to servers by service and how they ended.',
+    ['service', 'end'],
+  );
+
+  readonly orders = this.counter(
+    'basilworks_orders_total',
+    'Load and unload orders by operation and how they ended.',
+    ['operation', 'end'],
+  );
+
+  readonly prepares = this.counter(
+    'basilworks_prepares_total',
+    'Adapters asked for by outcome.',
+    ['outcome'],
+  );
+
+  readonly storeCalls = this.counter(
+    'basilworks_store_calls_total',
+    'Calls to the metadata store by operation and how they ended.',
+    ['operation', 'end'],
+  );
+
+  readonly connections = this.counter(
+    'basilworks_upstream_connections_total',
+    'New connections to servers by service.',
+    ['service'],
+  );
+
+  readonly answerSeconds = new Histogram({
+    name: 'basilworks_answer_seconds',
+    help: 'Time to the head of an answer by route, seconds.',
+    labelNames: ['route'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  readonly loopLagSeconds = new Gauge({
+    name: 'basilworks_loop_lag_seconds',
+    help: 'How late the latest timer of the loop fired, seconds.',
+    registers: [this.registry],
+  });
+
+  private counter(
+    name: string,
+    help: string,
+    labelNames: readonly string[],
+  ): Counter {
+    return new Counter({
+      name,
+      help,
+      labelNames: [...labelNames],
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -0,0 +1,140 @@
+import {
+  adapterCapacity,
+  AdapterPlaces,
+  LoadTimes,
+  type PrepareAnswer,
+  type PrepareRequest,
+  type RouteTable,
+  type Server,
+} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+import type {AdapterPreparer} from '../peers/index.js';
+import type {PeerLink} from '../peers/index.js';
+import type {ServerCaller} from '../upstream/index.js';
+import type {ClaimKeeper} from './claim-keeper.js';
+import {OrderIssuer} from './order-issuer.js';
+
+/** Between two looks at which servers this host issues orders to, ms. */
+const REVIEW_PERIOD_MS = 200;
+
+/** Finds the issuer of a server's orders: this host, or a peer. */
+export class AdapterBroker implements AdapterPreparer {
+  private readonly issuers = new Map<string, OrderIssuer>();
+  private readonly issuing = new Map<string, boolean>();
+  private readonly loadTimes = new LoadTimes();
+
+  constructor(
+    private readonly context: EntryHostContext,
+    private readonly claims: ClaimKeeper,
+    private readonly caller: ServerCaller,
+    private readonly routes: () => RouteTable | undefined,
+    private readonly linkTo: (host: string) => PeerLink | undefined,
+  ) {}
+
+  start(): void {
+    const {timers, signal} = this.context;
+    timers.every(
+      'orders/review',
+      REVIEW_PERIOD_MS,
+      () => {
+        this.review();
+      },
+      {signal},
+    );
+  }
+
+  /** Matches issuers to servers and claims. */
+  review(): void {
+    const {servers} = this.context;
+    for (const [key, issuer] of this.issuers) {
+      if (servers.get(key) === undefined) {
+        issuer.close();
+        this.issuers.delete(key);
+        this.issuing.delete(key);
+      }
+    }
+    for (const server of servers.all()) {
+      const engine = this.routes()?.service(server.entry.service)?.engine;
+      if (engine === undefined || server.entry.leaving) {
+        continue;
+      }
+      const mayIssue = this.claims.fenceFor(server.entry.id) !== undefined;
+      if (!mayIssue && !this.issuers.has(server.key)) {
+        continue;
+      }
+      const issuer = this.issuerOf(server);
+      issuer.post({
+        type: 'models-wanted',
+        models: engine.models.map(({name}) => name),
+        capacity: adapterCapacity(engine),
+      });
+      if (this.issuing.get(server.key) !== mayIssue) {
+        this.issuing.set(server.key, mayIssue);
+        this.context.logger.info('issuing orders', {
+          server: server.entry.id,
+          issuing: mayIssue,
+        });
+        issuer.post({type: 'issuing-changed', issuing: mayIssue});
+      }
+    }
+  }
+
+  /** Whether some host is able to make adapters resident on a server. */
+  hasIssuer(server: Server): boolean {
+    const {membership, clock} = this.context;
+    const holder = this.claims.holder(server.entry.id);
+    return holder !== undefined && membership.isLive(holder, clock.now());
+  }
+
+  /** Asks the issuer of a server, wherever it is. */
+  request(
+    server: Server,
+    request: PrepareRequest,
+    signal: AbortSignal,
+  ): Promise<PrepareAnswer> {
+    const {settings} = this.context;
+    const holder = this.claims.holder(server.entry.id);
+    if (holder === settings.host) {
+      return this.prepare(server.key, request, signal);
+    }
+    const link = holder === undefined ? undefined : this.linkTo(holder);
+    return link === undefined
+      ? Promise.resolve(NOT_ISSUER)
+      : link.prepare(settings.host, server.key, request, signal);
+  }
+
+  /** Answers a host that takes this one for the issuer. */
+  prepare(
+    serverRun: string,
+    request: PrepareRequest,
+    signal: AbortSignal,
+  ): Promise<PrepareAnswer> {
+    const issuer = this.issuers.get(serverRun);
+    return issuer === undefined
+      ? Promise.resolve(NOT_ISSUER)
+      : issuer.prepare(request, signal);
+  }
+
+  private issuerOf(server: Server): OrderIssuer {
+    const known = this.issuers.get(server.key);
+    if (known !== undefined) {
+      return known;
+    }
+    const issuer = new OrderIssuer(
+      this.context,
+      this.claims,
+      this.caller,
+      server,
+      new AdapterPlaces(this.loadTimes),
+    );
+    this.issuers.set(server.key, issuer);
+    return issuer;
+  }
+}
+
+const NOT_ISSUER: PrepareAnswer = {
+  outcome: 'refused',
+  reason: 'not-issuer',
+  retryAfterMs: 500,
+};
--- /dev/null
+++ b/packages/entry-host/src/orders/claim-keeper.ts
@@ -0,0 +1,293 @@
+import type {Instant} from '@basilworks/core';
+import {
+  claimRecordName,
+  type ClaimChange,
+  type ClaimRecord,
+  type FleetRecord,
+  fleetRecordSchema,
+  type HeldClaim,
+  type HostRecord,
+  hostRecordName,
+  mayIssueOrders,
+  reviewClaims,
+  type StoredClaim,
+  type StoredItem,
+  takeoverSettled,
+} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+
+/** Between two reviews of the claims, milliseconds. */
+const REVIEW_PERIOD_MS = 500;
+
+/** Oldest view of the records that a change may be based on, milliseconds. */
+const REVIEW_VIEW_AGE_MS = 4_500;
+
+/** Time after the start in which hosts find each other, milliseconds. */
+const START_PAUSE_MS = 1_500;
+
+/** A host that was not heard for this long loses its record, milliseconds. */
+const FORGET_HOST_MS = 60_000;
+
+/** Keeps this host's record and its claims in the metadata store. */
+export class ClaimKeeper {
+  private readonly claims = new Map<string, StoredClaim>();
+  private readonly hosts = new Map<string, StoredItem>();
+  private readonly held = new Map<string, HeldClaim>();
+  private readonly writing = new Set<string>();
+  /** Claims written here that the view does not show yet. */
+  private readonly ownWrites = new Map<string, StoredClaim>();
+  private readonly startedAt: Instant;
+  private minoritySince: Instant | undefined;
+
+  constructor(
+    private readonly context: EntryHostContext,
+    /** Called when a claim of this host came or went. */
+    private readonly onChange: () => void,
+  ) {
+    this.startedAt = context.clock.now();
+  }
+
+  start(): void {
+    const {timers, signal} = this.context;
+    timers.every(
+      'claims/review',
+      REVIEW_PERIOD_MS,
+      () => {
+        this.review();
+      },
+      {signal},
+    );
+  }
+
+  /** Takes over what the store holds. */
+  recordsChanged(): void {
+    const snapshot = this.context.views.get('records')?.snapshot;
+    const items = snapshot?.items ?? [];
+    this.claims.clear();
+    this.hosts.clear();
+    for (const item of items) {
+      const record = fleetRecordSchema.safeParse(item.value).data;
+      if (record === undefined) {
+        this.context.logger.warn('a record is malformed', {name: item.name});
+      } else if (record.type === 'claim') {
+        this.claims.set(record.server, {record, revision: item.revision});
+      } else {
+        this.hosts.set(record.host, item);
+      }
+    }
+    for (const [server, claim] of this.ownWrites) {
+      if (claim.revision > (snapshot?.at ?? 0)) {
+        this.claims.set(server, claim);
+      } else {
+        this.ownWrites.delete(server);
+      }
+    }
+    this.updateHeld();
+  }
+
+  /** The host that issues orders to a server, as far as known. */
+  holder(server: string): string | undefined {
+    return this.claims.get(server)?.record.host;
+  }
+
+  /** Fence of this host's claim, if it may issue an order right now. */
+  fenceFor(server: string): number | undefined {
+    const held = this.held.get(server);
+    if (held === undefined) {
+      return undefined;
+    }
+    const {views, clock, settings} = this.context;
+    const at = clock.now();
+    const proof = {
+      claimsAgeMs: views.ageMs('records', at),
+      leaseMs: settings.orderLeaseMs,
+      at,
+    };
+    return mayIssueOrders(held, proof) ? held.record.fence : undefined;
+  }
+
+  private review(): void {
+    const {membership, servers, clock, views, settings} = this.context;
+    const at = clock.now();
+    const upMs = at.monotonicMs - this.startedAt.monotonicMs;
+    const viewAgeMs = views.ageMs('records', at);
+    if (upMs < START_PAUSE_MS || viewAgeMs > REVIEW_VIEW_AGE_MS) {
+      return;
+    }
+    this.keepHostRecord();
+    this.forgetHosts(at);
+    const live = membership.live(at).map(({host}) => host);
+    const minority = live.length * 2 <= this.hosts.size;
+    this.minoritySince = minority ? (this.minoritySince ?? at) : undefined;
+    const engines = servers.all().filter(({entry}) => !entry.leaving);
+    const changes = reviewClaims({
+      at,
+      self: settings.host,
+      live,
+      servers: engines.flatMap(({entry}) =>
+        this.issuesOrders(entry.service) ? [entry.id] : [],
+      ),
+      claims: this.claims,
+      settled: new Set(
+        [...this.held]
+          .filter(([, held]) =>
+            takeoverSettled(held, settings.orderLeaseMs, at),
+          )
+          .map(([server]) => server),
+      ),
+      minorityMs:
+        this.minoritySince === undefined
+          ? 0
+          : Math.max(1, at.monotonicMs - this.minoritySince.monotonicMs),
+      silentMs: (host) => Math.min(upMs, membership.silentMs(host, at)),
+    });
+    for (const change of changes) {
+      void this.writeClaim(change);
+    }
+  }
+
+  private issuesOrders(service: string): boolean {
+    return this.engineServices().has(service);
+  }
+
+  private engineServices(): ReadonlySet<string> {
+    const value = this.context.views.get('configuration')?.snapshot.items[0]
+      ?.value as
+      {services: readonly {name: string; engine?: unknown}[]} | undefined;
+    return new Set(
+      (value?.services ?? [])
+        .filter(({engine}) => engine !== undefined)
+        .map(({name}) => name),
+    );
+  }
+
+  private async writeClaim({record, replaces}: ClaimChange): Promise<void> {
+    const written = await this.write(
+      claimRecordName(record.server),
+      record,
+      replaces,
+    );
+    if (written !== undefined) {
+      const claim = {record, revision: written.revision};
+      this.claims.set(record.server, claim);
+      this.ownWrites.set(record.server, claim);
+      this.context.logger.info('claim written', {
+        server: record.server,
+        fence: record.fence,
+        takenOver: record.takenOver,
+      });
+      this.updateHeld();
+    }
+  }
+
+  private keepHostRecord(): void {
+    const {settings} = this.context;
+    const known = this.hosts.get(settings.host);
+    const record: HostRecord = {
+      type: 'host',
+      host: settings.host,
+      zone: settings.zone,
+      peerAddress: settings.peerAddress,
+      callerAddress: settings.callerAddress,
+    };
+    if (
+      known === undefined ||
+      JSON.stringify(known.value) !== JSON.stringify(record)
+    ) {
+      const name = hostRecordName(settings.host);
+      void this.write(name, record, known?.revision);
+    }
+  }
+
+  /** The first of the live hosts removes records of hosts that are gone. */
+  private forgetHosts(at: Instant): void {
+    const {membership, settings, platform, logger} = this.context;
+    const upMs = at.monotonicMs - this.startedAt.monotonicMs;
+    const names = membership.live(at).map(({host}) => host);
+    if (upMs < FORGET_HOST_MS || [...names].sort()[0] !== settings.host) {
+      return;
+    }
+    for (const [host, {name, revision}] of this.hosts) {
+      if (
+        host !== settings.host &&
+        membership.silentMs(host, at) > FORGET_HOST_MS &&
+        !this.writing.has(name)
+      ) {
+        logger.info('host forgotten', {peer: host});
+        this.writing.add(name);
+        void platform.store.remove(name, revision).then((result) => {
+          this.writing.delete(name);
+          if (result.isErr()) {
+            logger.warn('a host record stays', {
+              peer: host,
+              failure: result.error.failure,
+            });
+          } else {
+            this.hosts.delete(host);
+            membership.forget(host);
+          }
+        });
+      }
+    }
+  }
+
+  private async write(
+    name: string,
+    record: FleetRecord,
+    replaces: number | undefined,
+  ): Promise<StoredItem | undefined> {
+    const {platform, logger, metrics} = this.context;
+    if (this.writing.has(name)) {
+      return undefined;
+    }
+    this.writing.add(name);
+    const result = await platform.store.write(name, record, replaces);
+    this.writing.delete(name);
+    const operation = replaces === undefined ? 'create' : 'replace';
+    if (result.isErr()) {
+      // The next review decides again, by what the store then shows.
+      const {failure, message} = result.error;
+      metrics.storeCalls.inc({operation, end: failure});
+      logger.warn('a record was not written', {name, failure, message});
+      return undefined;
+    }
+    metrics.storeCalls.inc({operation, end: result.value.type});
+    const {item, type} = result.value;
+    if (type === 'conflict') {
+      return item !== undefined &&
+        JSON.stringify(item.value) === JSON.stringify(record)
+        ? item
+        : undefined;
+    }
+    return item;
+  }
+
+  private updateHeld(): void {
+    const {settings, clock} = this.context;
+    const mine = new Map<string, ClaimRecord>(
+      [...this.claims].flatMap(([server, {record}]) =>
+        record.host === settings.host ? [[server, record]] : [],
+      ),
+    );
+    let changed = false;
+    for (const server of [...this.held.keys()]) {
+      if (!mine.has(server)) {
+        this.held.delete(server);
+        changed = true;
+      }
+    }
+    for (const [server, record] of mine) {
+      const held = this.held.get(server);
+      if (held?.record.fence !== record.fence) {
+        this.held.set(server, {record, heldSince: clock.now()});
+        changed = true;
+      } else {
+        this.held.set(server, {...held, record});
+      }
+    }
+    if (changed) {
+      this.onChange();
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -0,0 +1,175 @@
+import type {
+  AdapterPlaces,
+  Order,
+  OrderEnd,
+  PlacesEffect,
+  PlacesEvent,
+  PrepareAnswer,
+  PrepareRequest,
+  Server,
+} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+import {UpstreamError, type ServerCaller} from '../upstream/index.js';
+import type {ClaimKeeper} from './claim-keeper.js';
+
+/** Longest wait for the answer to an order or report, milliseconds. */
+const ORDER_TIMEOUT_MS = 300;
+const REPORT_TIMEOUT_MS = 500;
+
+/** Runs the effects of the adapter places of one run of a server. */
+export class OrderIssuer {
+  private readonly answers = new Map<
+    string,
+    (answer: PrepareAnswer) => void
+  >();
+
+  constructor(
+    private readonly context: EntryHostContext,
+    private readonly claims: ClaimKeeper,
+    private readonly caller: ServerCaller,
+    private readonly server: Server,
+    private readonly places: AdapterPlaces,
+  ) {}
+
+  /** Adapters that this host knows to be resident. */
+  residentCount(): number {
+    return this.places.resident().length;
+  }
+
+  post(event: PlacesEvent): void {
+    const effects = this.places.reduce(event, this.context.clock.now());
+    for (const effect of effects) {
+      RUNNERS[effect.type](this, effect as never);
+    }
+  }
+
+  /** Resolves when the adapter is resident, or won't be. */
+  prepare(
+    request: PrepareRequest,
+    signal: AbortSignal,
+  ): Promise<PrepareAnswer> {
+    return new Promise((resolve) => {
+      const {requestId} = request;
+      this.answers.set(requestId, resolve);
+      signal.addEventListener(
+        'abort',
+        () => {
+          if (this.answers.delete(requestId)) {
+            this.post({type: 'prepare-cancelled', requestId});
+            resolve({outcome: 'refused', reason: 'too-long', retryAfterMs: 0});
+          }
+        },
+        {once: true},
+      );
+      this.post({type: 'prepare-requested', request});
+    });
+  }
+
+  close(): void {
+    this.context.timers.cancel(this.wakeTimer);
+    this.post({type: 'server-gone'});
+  }
+
+  /** Runners; see `RUNNERS`. */
+  answer(requestId: string, answer: PrepareAnswer): void {
+    const resolve = this.answers.get(requestId);
+    this.answers.delete(requestId);
+    resolve?.(answer);
+  }
+
+  wakeAfter(delayMs: number): void {
+    this.context.timers.after(this.wakeTimer, delayMs, () => {
+      this.post({type: 'woken'});
+    });
+  }
+
+  sendOrder(order: Order): void {
+    // Checked in the turn in which the order is written.
+    const fence = this.claims.fenceFor(this.server.entry.id);
+    if (fence === undefined) {
+      this.endOrder(order, 'withheld');
+      return;
+    }
+    const {platform, settings} = this.context;
+    const call = platform.engines.order(order, settings.host, fence);
+    void this.caller
+      .call(this.server, call, ORDER_TIMEOUT_MS)
+      .then((answer) => {
+        this.endOrder(
+          order,
+          answer instanceof UpstreamError
+            ? answer.sent
+              ? 'unanswered'
+              : 'withheld'
+            : platform.engines.orderEnd(answer.status),
+        );
+      });
+  }
+
+  readReport(): void {
+    const {platform, logger} = this.context;
+    void this.caller
+      .call(this.server, platform.engines.report, REPORT_TIMEOUT_MS)
+      .then((answer) => {
+        if (answer instanceof UpstreamError || answer.status !== 200) {
+          this.post({type: 'report-failed'});
+          return;
+        }
+        const report = platform.engines.readReport(answer.body);
+        if (report.isErr()) {
+          const {id} = this.server.entry;
+          const problem = report.error.message;
+          logger.warn('a report is malformed', {server: id, problem});
+          this.post({type: 'report-failed'});
+          return;
+        }
+        this.post({type: 'report-read', report: report.value});
+      });
+  }
+
+  private endOrder(order: Order, end: OrderEnd): void {
+    const {metrics, logger} = this.context;
+    const {operation, model, adapter, version, expectedOrders} = order;
+    metrics.orders.inc({operation, end});
+    logger.info('order ended', {
+      server: this.server.entry.id,
+      operation,
+      model,
+      adapter,
+      version,
+      expectedOrders,
+      end,
+    });
+    // Never within the turn that issued it, which may not be over.
+    queueMicrotask(() => {
+      this.post({type: 'order-ended', order, end});
+    });
+  }
+
+  private get wakeTimer(): string {
+    return `orders/${this.server.key}`;
+  }
+}
+
+type Runners = {
+  readonly [Type in PlacesEffect['type']]: (
+    issuer: OrderIssuer,
+    effect: Extract<PlacesEffect, {type: Type}>,
+  ) => void;
+};
+
+const RUNNERS: Runners = {
+  'send-order': (issuer, {order}) => {
+    issuer.sendOrder(order);
+  },
+  'read-report': (issuer) => {
+    issuer.readReport();
+  },
+  'answer-prepare': (issuer, {requestId, answer}) => {
+    issuer.answer(requestId, answer);
+  },
+  'wake-after': (issuer, {delayMs}) => {
+    issuer.wakeAfter(delayMs);
+  },
+};
--- /dev/null
+++ b/packages/entry-host/src/peers/view-codec.ts
@@ -0,0 +1,95 @@
+import {elapsedMs, type Instant} from '@basilworks/core';
+import {parseJson} from '@basilworks/daemon';
+import {
+  before,
+  type Snapshot,
+  STORE_KINDS,
+  type StoreViews,
+} from '@basilworks/dispatch';
+import type {fleet} from '@basilworks/protocol';
+import {z} from 'zod';
+
+const itemsSchema = z.array(
+  z.object({
+    name: z.string(),
+    revision: z.number(),
+    value: z.unknown(),
+  }),
+);
+const kindSchema = z.enum(STORE_KINDS);
+
+/** Texts of snapshots, kept as each goes to many hosts. */
+export class SnapshotTexts {
+  private readonly texts = new WeakMap<Snapshot, string>();
+
+  of(snapshot: Snapshot): string {
+    const known = this.texts.get(snapshot);
+    if (known !== undefined) {
+      return known;
+    }
+    const text = JSON.stringify(snapshot.items);
+    this.texts.set(snapshot, text);
+    return text;
+  }
+}
+
+/** Returns the views for a host that knows some revisions. */
+export const encodeViews = (
+  views: StoreViews,
+  known: readonly fleet.KnownRevision[],
+  texts: SnapshotTexts,
+  at: Instant,
+): fleet.ViewSnapshot[] =>
+  STORE_KINDS.flatMap((kind) => {
+    const view = views.get(kind);
+    if (view === undefined) {
+      return [];
+    }
+    const {snapshot, freshAt, outageEndedAt} = view;
+    const has = known.find((revision) => revision.kind === kind)?.at ?? -1;
+    return [
+      {
+        kind,
+        at: snapshot.at,
+        ageMs: Math.ceil(Math.max(0, elapsedMs(freshAt, at))),
+        items: has >= snapshot.at ? undefined : texts.of(snapshot),
+        sinceOutageMs:
+          outageEndedAt === undefined
+            ? undefined
+            : Math.ceil(Math.max(0, elapsedMs(outageEndedAt, at))),
+      },
+    ];
+  });
+
+/** Says which revisions this host knows. */
+export const knownRevisions = (views: StoreViews): fleet.KnownRevision[] =>
+  STORE_KINDS.map((kind) => ({kind, at: views.revision(kind)}));
+
+/**
+ * Takes over what a peer answered. Ages count from when the peer was asked, as
+ * that was before it looked. Returns the kinds that became newer.
+ */
+export const takeViews = (
+  views: StoreViews,
+  received: readonly fleet.ViewSnapshot[],
+  askedAt: Instant,
+  at: Instant,
+): readonly Snapshot['kind'][] =>
+  received.flatMap(({kind: name, at: revision, ageMs, items, ...rest}) => {
+    const kind = kindSchema.safeParse(name).data;
+    if (kind === undefined) {
+      return [];
+    }
+    const freshAt = before(askedAt, ageMs);
+    if (items === undefined) {
+      views.confirm(kind, revision, freshAt);
+      return [];
+    }
+    const parsed = itemsSchema.safeParse(parseJson(items)).data;
+    if (parsed === undefined) {
+      return [];
+    }
+    const {sinceOutageMs} = rest;
+    const snapshot = {kind, at: revision, items: parsed, sinceOutageMs};
+    return views.offer(snapshot, freshAt, at) ? [kind] : [];
+  });
--- /dev/null
+++ b/packages/entry-host/src/settings-schema.ts
@@ -0,0 +1,44 @@
+import {z} from 'zod';
+
+/** IP number and port. */
+const addressSchema = z
+  .string()
+  .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'an IPv4 number and a port');
+
+/** Settings of an entry host whose requests go straight to the servers. */
+export const entryHostSettingsSchema = z.object({
+  /** Name of this machine, unique in the deployment. */
+  host: z.string().min(1),
+  /** Availability zone of this machine. */
+  zone: z.string().min(1),
+  /** Where callers connect. */
+  callerAddress: addressSchema,
+  /** Where the platform asks whether this host is ready. */
+  readinessAddress: addressSchema,
+  /** Where callers ask for addresses. */
+  directoryAddress: addressSchema,
+  /** Where other entry hosts connect. */
+  peerAddress: addressSchema,
+  /** Peer addresses of some hosts; they may be out of date. */
+  seeds: z.array(addressSchema),
+  /** Where metrics are served; none when it is absent. */
+  metricsAddress: addressSchema.optional(),
+  /** Address of the platform's metadata store. */
+  storeAddress: addressSchema,
+  /** Longest use of an address answer, seconds. */
+  addressLifetimeS: z.number().positive(),
+  /** Time from a request to stop to the forced end, seconds. */
+  stopGraceS: z.number().positive(),
+  /** Silence that servers need between orders of two hosts, milliseconds. */
+  orderLeaseMs: z.number().nonnegative(),
+  /** Repeated sends that all hosts share, for each service. */
+  retryBudget: z.object({
+    ratio: z.number().nonnegative(),
+    extra: z.number().nonnegative(),
+    windowS: z.number().positive(),
+  }),
+  /** Descriptors that the process may open. */
+  openFiles: z.number().int().positive(),
+  logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+});
+export type EntryHostSettings = z.infer<typeof entryHostSettingsSchema>;
--- /dev/null
+++ b/packages/entry-host/src/store/index.ts
@@ -0,0 +1,1 @@
+export * from './store-reader.js';
--- /dev/null
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -0,0 +1,203 @@
+import {elapsedMs, type Instant} from '@basilworks/core';
+import type {Snapshot, StoreKind} from '@basilworks/dispatch';
+import {STORE_KINDS} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+import {sleep} from '../lib/sleep.js';
+import type {StoreChanges, StoreError} from '../ports.js';
+
+/** How a kind is read. */
+interface ReadingPlan {
+  /** Longest wait of a watch, milliseconds: bounds the age of the view. */
+  readonly waitMs: number;
+  /** Pause between two watches, milliseconds: joins changes into one call. */
+  readonly pauseMs: number;
+}
+
+/**
+ * Configuration and leaving servers have to be known everywhere within two
+ * seconds of their acknowledgement, relaying included; versions within five.
+ */
+const PLANS: Readonly<Record<StoreKind, ReadingPlan>> = {
+  configuration: {waitMs: 2_000, pauseMs: 20},
+  servers: {waitMs: 1_500, pauseMs: 300},
+  'adapter-versions': {waitMs: 3_000, pauseMs: 300},
+  records: {waitMs: 3_000, pauseMs: 300},
+};
+
+/**
+ * Age of a view above its plan's wait at which a host that relies on others
+ * reads for itself, milliseconds: two missed exchanges.
+ */
+const STALE_MARGIN_MS = 700;
+
+/** Between two looks whether this host should read, milliseconds. */
+const IDLE_CHECK_MS = 100;
+
+/** Pauses after failed calls, milliseconds; each call has its price. */
+const FIRST_RETRY_MS = 100;
+const LAST_RETRY_MS = 800;
+
+/** A gap between successful reads that counts as an outage, milliseconds. */
+const OUTAGE_GAP_MS = 1_500;
+
+/** An outage is mentioned for this long after its end, milliseconds. */
+const OUTAGE_MEMORY_MS = 10_000;
+
+/** Reads the metadata store while this host is one of the readers. */
+export class StoreReader {
+  private readonly failing = new Set<StoreKind>();
+  private readonly succeededAt = new Map<StoreKind, Instant>();
+  private readonly outageEndedAt = new Map<StoreKind, Instant>();
+
+  constructor(
+    private readonly context: EntryHostContext,
+    /** Called when a view has become newer. */
+    private readonly onNewer: (kind: StoreKind) => void,
+  ) {}
+
+  /** Whether the latest calls succeeded, as far as any were made. */
+  get working(): boolean {
+    return this.failing.size === 0;
+  }
+
+  /** Reads all kinds until the context's signal is aborted. */
+  start(): void {
+    for (const kind of STORE_KINDS) {
+      void this.readKind(kind);
+    }
+  }
+
+  private async readKind(kind: StoreKind): Promise<void> {
+    const {timers, signal, clock} = this.context;
+    let base: Snapshot | undefined;
+    // Revision to watch from: grows also while the kind does not change.
+    let cursor = 0;
+    let failures = 0;
+    while (!signal.aborted) {
+      if (!this.shouldRead(kind)) {
+        base = undefined;
+        await sleep(timers, IDLE_CHECK_MS, signal);
+        continue;
+      }
+      const startedAt = clock.now();
+      const relayed = this.context.views.get(kind)?.snapshot;
+      if (relayed !== undefined && relayed.at > (base?.at ?? 0)) {
+        base = relayed;
+        cursor = relayed.at;
+      }
+      const result = await this.read(kind, base, cursor);
+      if (signal.aborted) {
+        return;
+      }
+      if (result instanceof Error) {
+        failures += 1;
+        this.noteFailure(kind, result);
+        if (result.failure === 'history-gone') {
+          base = undefined;
+        }
+        const pauseMs = FIRST_RETRY_MS * 2 ** Math.min(failures - 1, 6);
+        await sleep(timers, Math.min(LAST_RETRY_MS, pauseMs), signal);
+        continue;
+      }
+      failures = 0;
+      this.noteSuccess(kind);
+      base = result.snapshot;
+      cursor = Math.max(cursor, result.cursor);
+      this.offer(base, startedAt);
+      await sleep(timers, PLANS[kind].pauseMs, signal);
+    }
+  }
+
+  /** Lists, or waits for changes of what is known. */
+  private async read(
+    kind: StoreKind,
+    base: Snapshot | undefined,
+    cursor: number,
+  ): Promise<ReadResult | StoreError> {
+    const {platform, signal, metrics} = this.context;
+    const operation = base === undefined ? 'list' : 'watch';
+    const result =
+      base === undefined
+        ? (await platform.store.list(kind, signal)).map((snapshot) => ({
+            snapshot,
+            cursor: snapshot.at,
+          }))
+        : (
+            await platform.store.watch(
+              kind,
+              cursor,
+              PLANS[kind].waitMs,
+              signal,
+            )
+          ).map((changes) => ({
+            snapshot: applyChanges(base, changes),
+            cursor: changes.at,
+          }));
+    const end = result.isOk() ? 'ok' : result.error.failure;
+    metrics.storeCalls.inc({operation, end});
+    return result.isOk() ? result.value : result.error;
+  }
+
+  private shouldRead(kind: StoreKind): boolean {
+    const {membership, views, clock} = this.context;
+    const at = clock.now();
+    return (
+      membership.isReader(at) ||
+      views.ageMs(kind, at) > PLANS[kind].waitMs + STALE_MARGIN_MS
+    );
+  }
+
+  private offer(snapshot: Snapshot, freshAt: Instant): void {
+    const {views, clock} = this.context;
+    const at = clock.now();
+    const endedAt = this.outageEndedAt.get(snapshot.kind);
+    const sinceMs = endedAt === undefined ? Infinity : elapsedMs(endedAt, at);
+    const sinceOutageMs = sinceMs > OUTAGE_MEMORY_MS ? undefined : sinceMs;
+    if (views.offer({...snapshot, sinceOutageMs}, freshAt, at)) {
+      this.onNewer(snapshot.kind);
+    }
+  }
+
+  private noteFailure(kind: StoreKind, error: StoreError): void {
+    if (!this.failing.has(kind)) {
+      this.failing.add(kind);
+      const {failure, message} = error;
+      this.context.logger.warn('store read fails', {kind, failure, message});
+    }
+  }
+
+  private noteSuccess(kind: StoreKind): void {
+    const at = this.context.clock.now();
+    const before = this.succeededAt.get(kind);
+    if (this.failing.delete(kind)) {
+      const gapMs = before === undefined ? 0 : elapsedMs(before, at);
+      this.context.logger.info('store read works again', {kind, gapMs});
+      if (gapMs > OUTAGE_GAP_MS) {
+        this.outageEndedAt.set(kind, at);
+      }
+    }
+    this.succeededAt.set(kind, at);
+  }
+}
+
+/** What a read showed and where to go on. */
+interface ReadResult {
+  readonly snapshot: Snapshot;
+  readonly cursor: number;
+}
+
+/** A snapshot keeps its revision, and so its identity, until it changes. */
+const applyChanges = (base: Snapshot, changes: StoreChanges): Snapshot => {
+  if (changes.changed.length === 0 && changes.removed.length === 0) {
+    return base;
+  }
+  const items = new Map(base.items.map((item) => [item.name, item]));
+  for (const item of changes.changed) {
+    items.set(item.name, item);
+  }
+  for (const name of changes.removed) {
+    items.delete(name);
+  }
+  return {kind: base.kind, at: changes.at, items: [...items.values()]};
+};
--- /dev/null
+++ b/packages/entry-host/src/upstream/index.ts
@@ -0,0 +1,5 @@
+export * from './connection.js';
+export * from './pool.js';
+export * from './response-parser.js';
+export * from './pools.js';
+export * from './server-caller.js';
--- /dev/null
+++ b/packages/entry-host/src/upstream/pools.ts
@@ -0,0 +1,49 @@
+import type {TimerService} from '@basilworks/daemon';
+import type {Server} from '@basilworks/dispatch';
+
+import {UpstreamPool} from './pool.js';
+
+/** The connection pools of all known runs of servers. */
+export class UpstreamPools {
+  private readonly pools = new Map<string, UpstreamPool>();
+
+  constructor(
+    private readonly requestIdHeader: string,
+    private readonly timers: TimerService,
+    private readonly opened: (service: string) => void,
+  ) {}
+
+  /** The pool of one run of a server. */
+  of({key, entry}: Server): UpstreamPool {
+    const known = this.pools.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const pool = new UpstreamPool(
+      {host: entry.host, port: entry.port},
+      this.requestIdHeader,
+      this.timers,
+      () => {
+        this.opened(entry.service);
+      },
+    );
+    this.pools.set(key, pool);
+    return pool;
+  }
+
+  /** Drops pools of servers that are gone; their exchanges go on. */
+  retain(keys: ReadonlySet<string>): void {
+    for (const [key, pool] of this.pools) {
+      if (!keys.has(key)) {
+        pool.closeIdle();
+        this.pools.delete(key);
+      }
+    }
+  }
+
+  close(): void {
+    for (const pool of this.pools.values()) {
+      pool.close();
+    }
+  }
+}
