Hold adapters while hosts use them, and relay entries without adapters

Change: hosts release adapters when their requests have ended, and only released ones are unloaded; entries are relayed without adapters; staleness allows for the watches' own waits.

--- a/packages/dispatch/src/adapters/places-events.ts
+++ b/packages/dispatch/src/adapters/places-events.ts
@@ -51,6 +51,8 @@
 /** A host wants an adapter resident for a request. */
 export interface PrepareRequest extends AdapterName {
   readonly requestId: string;
+  /** The host that asks; it releases the adapter when it is done with it. */
+  readonly host: string;
   /** Oldest version that will do. */
   readonly version: number;
   /** Longest useful wait, milliseconds. */
@@ -66,7 +68,10 @@
   | {
       readonly outcome: 'resident';
       readonly version: number;
-      /** It stays resident for this long at least, milliseconds. */
+      /**
+       * The host may send requests to it for this long, milliseconds, and
+       * releases it when this is over and its requests have ended.
+       */
       readonly validMs: number;
     }
   | {
@@ -88,6 +93,12 @@
 export type PlacesEvent =
   | {readonly type: 'prepare-requested'; readonly request: PrepareRequest}
   | {readonly type: 'prepare-cancelled'; readonly requestId: string}
+  /** A host has no request on an adapter any more, and no promise. */
+  | {
+      readonly type: 'adapter-released';
+      readonly host: string;
+      readonly name: AdapterName;
+    }
   | {
       readonly type: 'order-ended';
       readonly order: Order;
--- a/packages/dispatch/src/adapters/places.ts
+++ b/packages/dispatch/src/adapters/places.ts
@@ -41,11 +41,11 @@
 const RATE_HALF_LIFE_MS = 6_000;
 
 /** Bounds of a promise, milliseconds: from one request's way to a few. */
-const SHORTEST_PROMISE_MS = 300;
+const SHORTEST_PROMISE_MS = 200;
 const LONGEST_PROMISE_MS = 2_000;
 
-/** An adapter unused for this long has no run in progress, as a rule. */
-const IDLE_AFTER_MS = 1_500;
+/** A host that has not released an adapter for this long is gone, ms. */
+const LONGEST_HOLD_MS = 12_000;
 
 /** Between two checks of a base model's load, milliseconds. */
 const MODEL_CHECK_PERIOD_MS = 200;
@@ -67,7 +67,8 @@
   /** Decayed count of uses. */
   rate: number;
   usedAt: Instant;
-  promisedMs: number;
+  /** Hosts that may have requests on it, and since when. */
+  readonly holders: Map<string, Instant>;
 }
 
 /** A base model that the server should hold. */
@@ -132,7 +133,7 @@
     if (place !== undefined) {
       this.count(place, request.uses + 1, at);
       if (isUsable(place, request.version)) {
-        return [answer(requestId, this.promise(place, at))];
+        return [answer(requestId, this.promise(place, request.host, at))];
       }
     }
     const refusal = this.refusal(request, place, at);
@@ -167,6 +168,11 @@
     return [];
   }
 
+  released(host: string, name: AdapterName): readonly PlacesEffect[] {
+    this.places.get(adapterKey(name))?.holders.delete(host);
+    return [];
+  }
+
   cancel(requestId: string): readonly PlacesEffect[] {
     this.waiting.delete(requestId);
     return [];
@@ -389,6 +395,10 @@
       const version = due.version > 1 ? due.version : undefined;
       return issue(due, operation, operation === 'load' ? version : undefined);
     }
+    if (all.some(({state}) => state === 'unloading')) {
+      // The server takes no other order while an adapter's runs end.
+      return undefined;
+    }
     const inTransit = all.filter(({state}) => state === 'loading').length;
     if (inTransit >= MAXIMUM_IN_TRANSIT) {
       return undefined;
@@ -431,16 +441,10 @@
 
   /** The resident adapter that will be missed least, if one may go. */
   private victim(at: Instant): Place | undefined {
-    const free = [...this.places.values()].filter(
-      (place) =>
-        place.state === 'resident' &&
-        elapsedMs(place.usedAt, at) >= place.promisedMs,
-    );
-    const idle = free.filter(
-      ({usedAt}) => elapsedMs(usedAt, at) >= IDLE_AFTER_MS,
+    const idle = [...this.places.values()].filter(
+      (place) => place.state === 'resident' && !isHeld(place, at),
     );
-    const candidates = idle.length > 0 ? idle : free;
-    return candidates.reduce<Place | undefined>(
+    return idle.reduce<Place | undefined>(
       (least, place) =>
         least === undefined || rateAt(place, at) < rateAt(least, at)
           ? place
@@ -463,8 +467,7 @@
     if (
       place === undefined &&
       this.places.size >= this.capacity &&
-      this.victim(at) === undefined &&
-      this.nextRelease(at) > request.maximumWaitMs
+      this.victim(at) === undefined
     ) {
       return 'no-place';
     }
@@ -486,27 +489,14 @@
     return rounds * this.loadTimes.expectedMs(this.sourceOf(key));
   }
 
-  /** Milliseconds until the first promise runs out. */
-  private nextRelease(at: Instant): number {
-    return Math.min(
-      Infinity,
-      ...[...this.places.values()]
-        .filter(({state}) => state === 'resident')
-        .map(({promisedMs, usedAt}) => promisedMs - elapsedMs(usedAt, at)),
-    );
-  }
-
-  private promise(place: Place, at: Instant): PrepareAnswer {
+  private promise(place: Place, host: string, at: Instant): PrepareAnswer {
     const perSecond =
       (rateAt(place, at) * Math.LN2 * 1_000) / RATE_HALF_LIFE_MS;
-    const wanted = Math.min(
+    const validMs = Math.min(
       LONGEST_PROMISE_MS,
       Math.max(SHORTEST_PROMISE_MS, perSecond * LONGEST_PROMISE_MS),
     );
-    const leftMs = place.promisedMs - elapsedMs(place.usedAt, at);
-    const validMs = Math.max(wanted, leftMs);
-    place.usedAt = at;
-    place.promisedMs = validMs;
+    place.holders.set(host, at);
     return {outcome: 'resident', version: place.version, validMs};
   }
 
@@ -517,7 +507,8 @@
       if (place !== undefined && isUsable(place, request.version)) {
         this.waiting.delete(requestId);
         this.count(place, request.uses + 1, at);
-        effects.push(answer(requestId, this.promise(place, at)));
+        const promise = this.promise(place, request.host, at);
+        effects.push(answer(requestId, promise));
       }
     }
     return effects;
@@ -591,7 +582,7 @@
       source,
       rate: known?.rate ?? 0,
       usedAt: known?.usedAt ?? at,
-      promisedMs: 0,
+      holders: new Map(),
     });
   }
 
@@ -615,7 +606,7 @@
       source: 'store',
       rate: known?.rate ?? 0,
       usedAt: known?.usedAt ?? at,
-      promisedMs: known?.promisedMs ?? 0,
+      holders: known?.holders ?? new Map<string, Instant>(),
     });
   }
 
@@ -626,6 +617,7 @@
 
   private count(place: Place, uses: number, at: Instant): void {
     place.rate = rateAt(place, at) + uses;
+    place.usedAt = at;
   }
 
   /** Notes that the server has a copy at hand. */
@@ -651,9 +643,6 @@
         checks.push(modelCheckDueMs(model, at));
       }
     }
-    if (this.waiting.size > 0 && this.places.size >= this.capacity) {
-      checks.push(this.nextRelease(at));
-    }
     const soonest = Math.min(Infinity, ...checks);
     return soonest === Infinity ? undefined : Math.max(1, soonest);
   }
@@ -670,6 +659,11 @@
   }
 }
 
+const isHeld = ({holders}: Place, at: Instant): boolean =>
+  [...holders.values()].some(
+    (since) => elapsedMs(since, at) < LONGEST_HOLD_MS,
+  );
+
 const isUsable = (place: Place, version: number): boolean =>
   place.state === 'resident' && place.version >= version;
 
@@ -708,6 +702,7 @@
 
 const HANDLERS: Handlers = {
   'prepare-requested': (places, {request}, at) => places.prepare(request, at),
+  'adapter-released': (places, {host, name}) => places.released(host, name),
   'prepare-cancelled': (places, {requestId}) => places.cancel(requestId),
   'order-ended': (places, {order, end}, at) =>
     places.orderEnded(order, end, at),
--- a/packages/dispatch/src/adapters/residency-cache.ts
+++ b/packages/dispatch/src/adapters/residency-cache.ts
@@ -13,15 +13,21 @@
   uses: number;
 }
 
-/** A promise that ran out this long ago is still worth a try, milliseconds. */
-const BELIEF_MS = 5_000;
+interface Entry extends AdapterName {
+  residency: Residency;
+  /** Requests of this host that are at the server. */
+  inFlight: number;
+}
 
-/** Entries above which the oldest are dropped. */
-const MAXIMUM_ENTRIES = 5_000;
+/** An adapter that this host is done with. */
+export interface Release {
+  readonly name: AdapterName;
+  readonly server: string;
+}
 
 /** Which adapters are resident where, as far as this host was told. */
 export class ResidencyCache {
-  private readonly entries = new Map<string, Residency>();
+  private readonly entries = new Map<string, Entry>();
 
   /** Notes a promise of `validMs`, counted from when it was asked for. */
   promise(
@@ -32,14 +38,45 @@
     since: Instant,
   ): void {
     const key = entryKey(name, server);
-    this.entries.delete(key);
-    this.entries.set(key, {server, version, validMs, since, uses: 0});
-    if (this.entries.size > MAXIMUM_ENTRIES) {
-      const [oldest] = this.entries.keys();
-      this.entries.delete(oldest ?? key);
+    const residency = {server, version, validMs, since, uses: 0};
+    const known = this.entries.get(key);
+    if (known === undefined) {
+      const {model, adapter} = name;
+      this.entries.set(key, {model, adapter, residency, inFlight: 0});
+    } else {
+      known.residency = residency;
+    }
+  }
+
+  /** A request goes to the adapter. */
+  begin(name: AdapterName, server: string): void {
+    const entry = this.entries.get(entryKey(name, server));
+    if (entry !== undefined) {
+      entry.inFlight += 1;
+    }
+  }
+
+  /** A request on the adapter has ended. */
+  ended(name: AdapterName, server: string): void {
+    const entry = this.entries.get(entryKey(name, server));
+    if (entry !== undefined) {
+      entry.inFlight = Math.max(0, entry.inFlight - 1);
     }
   }
 
+  /** Returns and forgets what is neither promised nor in use any more. */
+  release(at: Instant): readonly Release[] {
+    const released: Release[] = [];
+    for (const [key, {residency, inFlight, model, adapter}] of this.entries) {
+      const {since, validMs, server} = residency;
+      if (inFlight === 0 && elapsedMs(since, at) >= validMs) {
+        this.entries.delete(key);
+        released.push({name: {model, adapter}, server});
+      }
+    }
+    return released;
+  }
+
   /** The promise for a server, if it still holds for this version. */
   valid(
     name: AdapterName,
@@ -47,42 +84,36 @@
     version: number,
     at: Instant,
   ): Residency | undefined {
-    const entry = this.entries.get(entryKey(name, server));
-    return entry !== undefined &&
-      entry.version >= version &&
-      elapsedMs(entry.since, at) < entry.validMs
-      ? entry
+    const residency = this.entries.get(entryKey(name, server))?.residency;
+    return residency !== undefined &&
+      residency.version >= version &&
+      elapsedMs(residency.since, at) < residency.validMs
+      ? residency
       : undefined;
   }
 
-  /** Whether the adapter was promised there lately. */
-  believed(
-    name: AdapterName,
-    server: string,
-    version: number,
-    at: Instant,
-  ): boolean {
-    const entry = this.entries.get(entryKey(name, server));
-    return (
-      entry !== undefined &&
-      entry.version >= version &&
-      elapsedMs(entry.since, at) < entry.validMs + BELIEF_MS
-    );
+  /** Whether the adapter was resident there when last heard of. */
+  believed(name: AdapterName, server: string, version: number): boolean {
+    const residency = this.entries.get(entryKey(name, server))?.residency;
+    return residency !== undefined && residency.version >= version;
   }
 
   /** Returns and clears the uses since the last promise. */
   takeUses(name: AdapterName, server: string): number {
     const entry = this.entries.get(entryKey(name, server));
-    const uses = entry?.uses ?? 0;
+    const uses = entry?.residency.uses ?? 0;
     if (entry !== undefined) {
-      entry.uses = 0;
+      entry.residency.uses = 0;
     }
     return uses;
   }
 
   /** The server said that it does not hold the adapter. */
   refuted(name: AdapterName, server: string): void {
-    this.entries.delete(entryKey(name, server));
+    const entry = this.entries.get(entryKey(name, server));
+    if (entry !== undefined) {
+      entry.residency = {...entry.residency, version: 0, validMs: 0};
+    }
   }
 }
 
--- a/packages/dispatch/src/servers/server-entry.ts
+++ b/packages/dispatch/src/servers/server-entry.ts
@@ -1,13 +1,5 @@
 import {z} from 'zod';
 
-/** A base model that a server says it holds. */
-export const heldModelSchema = z.object({
-  name: z.string(),
-  version: z.number(),
-  /** Resident adapters with their versions. */
-  adapters: z.array(z.object({name: z.string(), version: z.number()})),
-});
-
 /** What the store says of an upstream server. */
 export const serverEntrySchema = z.object({
   /** Identity that the server checks requests against. */
@@ -22,7 +14,8 @@
   leaving: z.boolean(),
   /** Start of this run of the server, milliseconds since the Unix epoch. */
   startedAtWallMs: z.number(),
-  models: z.array(heldModelSchema),
+  /** Names of the base models that it holds. */
+  models: z.array(z.string()),
 });
 export type ServerEntry = z.infer<typeof serverEntrySchema>;
 
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -60,6 +60,9 @@
 /** Between two looks whether all answers are out, milliseconds. */
 const STOP_CHECK_MS = 50;
 
+/** Between two looks which adapters this host is done with, milliseconds. */
+const RELEASE_PERIOD_MS = 50;
+
 /** Between two measurements of the loop's lag, milliseconds. */
 const LAG_PERIOD_MS = 500;
 
@@ -76,6 +79,7 @@
   private readonly abort = new AbortController();
   private readonly listeners: HttpServer[] = [];
   private readonly versions = new AdapterVersions();
+  private readonly residency = new ResidencyCache();
   private readonly pools: UpstreamPools;
   private readonly caller: ServerCaller;
   private readonly reader: StoreReader;
@@ -141,7 +145,7 @@
     const selector = new ServerSelector(
       this.context,
       this.broker,
-      new ResidencyCache(),
+      this.residency,
       this.versions,
     );
     this.front = new FrontListener(this.context, this.pools, selector);
@@ -318,6 +322,14 @@
       },
       {signal},
     );
+    timers.every(
+      'adapters/release',
+      RELEASE_PERIOD_MS,
+      () => {
+        this.broker.release(this.residency.release(clock.now()));
+      },
+      {signal},
+    );
     let expected = clock.now().monotonicMs + LAG_PERIOD_MS;
     timers.every(
       'loop-lag',
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -143,6 +143,7 @@
       },
     );
     this.send = send;
+    this.parts.selector.begin(this.request, server);
     const result = await send.run(this.request, {
       server: server.entry.id,
       remainingMs: this.remainingMs(),
@@ -154,6 +155,7 @@
       resumeAfter: this.lastEventId,
     });
     this.send = undefined;
+    this.parts.selector.ended(this.request, server);
     const end = result.type === 'no-answer' ? result.end : result.type;
     context.metrics.sends.inc({service: this.service.name, end});
     if (result.type !== 'answered') {
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -109,7 +109,7 @@
     }
     const {model, adapter} = parseModelReference(request.model);
     const holders = open.filter(({entry}) =>
-      entry.models.some(({name}) => name === model),
+      entry.models.includes(model),
     );
     if (holders.length === 0) {
       return none('no server holds the model', NO_SERVER_RETRY_MS);
@@ -119,6 +119,22 @@
       : this.selectForAdapter(selection, {model, adapter}, holders, choice);
   }
 
+  /** A request goes to a server. */
+  begin(request: CallerRequest, server: Server): void {
+    const {model, adapter} = parseModelReference(request.model ?? '');
+    if (adapter !== undefined) {
+      this.residency.begin({model, adapter}, server.key);
+    }
+  }
+
+  /** A request at a server has ended. */
+  ended(request: CallerRequest, server: Server): void {
+    const {model, adapter} = parseModelReference(request.model ?? '');
+    if (adapter !== undefined) {
+      this.residency.ended({model, adapter}, server.key);
+    }
+  }
+
   /** The server said that it does not hold what it should. */
   refuted(request: CallerRequest, server: Server): void {
     const {model, adapter} = parseModelReference(request.model ?? '');
@@ -210,11 +226,8 @@
       }
     }
     // The issuers can't be asked: go by what was last known.
-    const at = clock.now();
-    const believed = ranked.find(
-      (server) =>
-        this.residency.believed(name, server.key, version, at) ||
-        listsAdapter(server, name, version),
+    const believed = ranked.find((server) =>
+      this.residency.believed(name, server.key, version),
     );
     return believed === undefined
       ? none(`adapter not resident: ${reasons.join(', ')}`, retryAfterMs)
@@ -233,6 +246,7 @@
       : Math.max(SHORTEST_PREPARE_MS, untilLateMs * PREPARE_SHARE);
     return {
       ...name,
+      host: this.context.settings.host,
       requestId: `${request.id}/${(this.serial += 1)}`,
       version,
       maximumWaitMs: Math.min(wantedMs, remainingMs * LAST_PREPARE_SHARE),
@@ -267,16 +281,3 @@
   reason,
   retryAfterMs,
 });
-
-const listsAdapter = (
-  {entry}: Server,
-  {model, adapter}: {model: string; adapter: string},
-  version: number,
-): boolean =>
-  entry.models.some(
-    ({name, adapters}) =>
-      name === model &&
-      adapters.some(
-        (held) => held.name === adapter && held.version >= version,
-      ),
-  );
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -4,6 +4,7 @@
   LoadTimes,
   type PrepareAnswer,
   type PrepareRequest,
+  type Release,
   type RouteTable,
   type Server,
 } from '@basilworks/dispatch';
@@ -104,6 +105,36 @@
       : link.prepare(settings.host, server.key, request, signal);
   }
 
+  /** Tells the issuers that this host is done with some adapters. */
+  release(releases: readonly Release[]): void {
+    const {settings, servers} = this.context;
+    const byHost = new Map<string, Release[]>();
+    for (const release of releases) {
+      const server = servers.get(release.server);
+      const holder =
+        server === undefined ? undefined : this.claims.holder(server.entry.id);
+      if (holder !== undefined) {
+        const list = byHost.get(holder) ?? [];
+        list.push(release);
+        byHost.set(holder, list);
+      }
+    }
+    for (const [holder, list] of byHost) {
+      if (holder === settings.host) {
+        this.released(settings.host, list);
+      } else {
+        this.linkTo(holder)?.release(settings.host, list);
+      }
+    }
+  }
+
+  /** A host is done with some adapters. */
+  released(host: string, releases: readonly Release[]): void {
+    for (const {server, name} of releases) {
+      this.issuers.get(server)?.release(host, name);
+    }
+  }
+
   /** Answers a host that takes this one for the issuer. */
   prepare(
     serverRun: string,
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -1,4 +1,5 @@
 import type {
+  AdapterName,
   AdapterPlaces,
   Order,
   OrderEnd,
@@ -44,6 +45,11 @@
     }
   }
 
+  /** A host is done with an adapter. */
+  release(host: string, name: AdapterName): void {
+    this.post({type: 'adapter-released', host, name});
+  }
+
   /** Resolves when the adapter is resident, or won't be. */
   prepare(
     request: PrepareRequest,
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -4,6 +4,7 @@
   PrepareAnswer,
   PrepareRequest,
   PrepareRefusal,
+  Release,
 } from '@basilworks/dispatch';
 import {type ClientUnaryCall, credentials, Metadata} from '@grpc/grpc-js';
 
@@ -102,6 +103,25 @@
     });
   }
 
+  /** Tells the peer that this host is done with adapters. */
+  release(fromHost: string, releases: readonly Release[]): void {
+    const deadline = Date.now() + EXCHANGE_TIMEOUT_MS;
+    this.client.releaseAdapters(
+      {
+        fromHost,
+        releases: releases.map(({server, name}) => ({
+          serverRun: server,
+          model: name.model,
+          adapter: name.adapter,
+        })),
+      },
+      new Metadata(),
+      {deadline},
+      // A release that is lost is made up for by the end of the hold.
+      () => undefined,
+    );
+  }
+
   close(): void {
     this.client.close();
   }
--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -1,6 +1,10 @@
 import {ListenError} from '@basilworks/daemon';
 import {fleet} from '@basilworks/protocol';
-import type {PrepareAnswer, PrepareRequest} from '@basilworks/dispatch';
+import type {
+  PrepareAnswer,
+  PrepareRequest,
+  Release,
+} from '@basilworks/dispatch';
 import {Server, ServerCredentials} from '@grpc/grpc-js';
 import {ResultAsync} from 'neverthrow';
 
@@ -14,6 +18,8 @@
     request: PrepareRequest,
     signal: AbortSignal,
   ): Promise<PrepareAnswer>;
+  /** A host is done with some adapters. */
+  released(host: string, releases: readonly Release[]): void;
 }
 
 /** The gRPC listener for other entry hosts. */
@@ -25,6 +31,16 @@
       exchange: (call, callback) => {
         callback(null, exchange.answer(call.request));
       },
+      releaseAdapters: ({request}, callback) => {
+        preparer.released(
+          request.fromHost,
+          request.releases.map(({serverRun, model, adapter}) => ({
+            server: serverRun,
+            name: {model, adapter},
+          })),
+        );
+        callback(null, {});
+      },
       prepareAdapter: (call, callback) => {
         const {request} = call;
         const controller = new AbortController();
@@ -35,7 +51,11 @@
         void preparer
           .prepare(
             serverRun,
-            {...rest, requestId: `${fromHost}/${requestId}`},
+            {
+              ...rest,
+              host: fromHost,
+              requestId: `${fromHost}/${requestId}`,
+            },
             controller.signal,
           )
           .then((answer) => {
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -12,6 +12,8 @@
   readonly waitMs: number;
   /** Pause between two watches, milliseconds: joins changes into one call. */
   readonly pauseMs: number;
+  /** Age of a view at which a host that relies on others reads it itself. */
+  readonly staleMs: number;
 }
 
 /**
@@ -19,18 +21,12 @@
  * seconds of their acknowledgement, relaying included; versions within five.
  */
 const PLANS: Readonly<Record<StoreKind, ReadingPlan>> = {
-  configuration: {waitMs: 2_000, pauseMs: 20},
-  servers: {waitMs: 1_500, pauseMs: 300},
-  'adapter-versions': {waitMs: 3_000, pauseMs: 300},
-  records: {waitMs: 3_000, pauseMs: 300},
+  configuration: {waitMs: 1_500, pauseMs: 20, staleMs: 2_600},
+  servers: {waitMs: 1_500, pauseMs: 500, staleMs: 3_000},
+  'adapter-versions': {waitMs: 2_000, pauseMs: 500, staleMs: 4_500},
+  records: {waitMs: 2_000, pauseMs: 500, staleMs: 4_500},
 };
 
-/**
- * Age of a view above its plan's wait at which a host that relies on others
- * reads for itself, milliseconds: two missed exchanges.
- */
-const STALE_MARGIN_MS = 700;
-
 /** Between two looks whether this host should read, milliseconds. */
 const IDLE_CHECK_MS = 100;
 
@@ -144,7 +140,7 @@
     const at = clock.now();
     return (
       membership.isReader(at) ||
-      views.ageMs(kind, at) > PLANS[kind].waitMs + STALE_MARGIN_MS
+      views.ageMs(kind, at) > PLANS[kind].staleMs
     );
   }
 
@@ -193,6 +189,15 @@
     return base;
   }
   const items = new Map(base.items.map((item) => [item.name, item]));
+  const differs = changes.changed.some(
+    ({name, value}) =>
+      JSON.stringify(items.get(name)?.value) !== JSON.stringify(value),
+  );
+  const removes = changes.removed.some((name) => items.has(name));
+  if (base.kind === 'servers' && !differs && !removes) {
+    // A server's beat that says nothing new to this product.
+    return base;
+  }
   for (const item of changes.changed) {
     items.set(item.name, item);
   }
