--- a/packages/dispatch/src/fleet/membership.ts
+++ b/packages/dispatch/src/fleet/membership.ts
@@ -25,9 +25,6 @@
 /** Peers with which every exchange round talks; more take turns. */
 export const PEERS_PER_ROUND = 12;
 
-/** Hosts that read the store; a second one covers the loss of the first. */
-const READERS = 2;
-
 /**
  * Which entry hosts live, by their own word. Nothing is agreed: each host
  * decides by what it heard, and a wrong belief costs efficiency only.
@@ -71,16 +68,16 @@
   }
 
   /**
-   * Whether this host should read the store: it is among the first of a stable
-   * ranking of the live hosts that are able to.
+   * Whether this host should read the store: it is among the first `readers` of
+   * a stable ranking of the live hosts that are able to.
    */
-  isReader(at: Instant): boolean {
+  isReader(readers: number, at: Instant): boolean {
     const self = this.self().host;
     const able = this.live(at)
       .filter(({readsStore, host}) => readsStore || host === self)
       .map(({host}) => host);
     return rankByRendezvous('store-reader', able)
-      .slice(0, READERS)
+      .slice(0, readers)
       .includes(self);
   }
 
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -11,8 +11,11 @@
   takeViews,
 } from './view-codec.js';
 
-/** Between two rounds of exchanges, milliseconds: a share of the liveness. */
-const ROUND_MS = Math.floor(LIVENESS_MS / 6);
+/**
+ * Between two rounds of exchanges, milliseconds. Each of two hosts asks the
+ * other, so that a host is heard about every half of it.
+ */
+const ROUND_MS = Math.floor(LIVENESS_MS / 3);
 
 /** A peer that is not heard is asked this seldom, in rounds. */
 const ROUNDS_PER_SILENT_PEER = 4;
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -12,8 +12,13 @@
   readonly waitMs: number;
   /** Pause between two watches, milliseconds: joins changes into one call. */
   readonly pauseMs: number;
-  /** Age of a view at which a host that relies on others reads it itself. */
+  /**
+   * Age of a view at which a host that relies on others reads it itself: above
+   * two waits and a pause, as an age counts from the start of a wait.
+   */
   readonly staleMs: number;
+  /** Hosts that read the kind at a time. */
+  readonly readers: number;
 }
 
 /**
@@ -21,10 +26,15 @@
  * seconds of their acknowledgement, relaying included; versions within five.
  */
 const PLANS: Readonly<Record<StoreKind, ReadingPlan>> = {
-  configuration: {waitMs: 1_500, pauseMs: 20, staleMs: 2_600},
-  servers: {waitMs: 1_500, pauseMs: 500, staleMs: 3_000},
-  'adapter-versions': {waitMs: 2_000, pauseMs: 500, staleMs: 4_500},
-  records: {waitMs: 2_000, pauseMs: 500, staleMs: 4_500},
+  configuration: {waitMs: 1_200, pauseMs: 20, staleMs: 3_400, readers: 2},
+  servers: {waitMs: 1_200, pauseMs: 500, staleMs: 4_000, readers: 2},
+  'adapter-versions': {
+    waitMs: 1_500,
+    pauseMs: 500,
+    staleMs: 4_800,
+    readers: 1,
+  },
+  records: {waitMs: 1_500, pauseMs: 500, staleMs: 5_200, readers: 1},
 };
 
 /** Between two looks whether this host should read, milliseconds. */
@@ -139,7 +149,7 @@
     const {membership, views, clock} = this.context;
     const at = clock.now();
     return (
-      membership.isReader(at) ||
+      membership.isReader(PLANS[kind].readers, at) ||
       views.ageMs(kind, at) > PLANS[kind].staleMs
     );
   }
