List again when the history is gone, and take no requests late in a stop

Change: a 410 forces a list; new connections are refused 1.2 s after the request to stop, and address answers live for 2 s.

--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -54,9 +54,15 @@
 /** Share of the grace after which a stop no longer waits for answers. */
 const STOP_SHARE = 0.9;
 
-/** How long a stopping host serves on so that callers turn away, ms. */
+/**
+ * How long a stopping host takes new requests, so that callers turn away,
+ * milliseconds. Requests that it takes have to be finished within the grace.
+ */
 const LEAVING_MS = 1_200;
 
+/** Lifetime of an address answer, seconds: how fast callers learn of a stop. */
+const ADDRESS_LIFETIME_S = 2;
+
 /** Between two looks whether all answers are out, milliseconds. */
 const STOP_CHECK_MS = 50;
 
@@ -201,6 +207,9 @@
     const since = clock.now();
     timers.every('stop/check', STOP_CHECK_MS, () => {
       const elapsed = elapsedMs(since, clock.now());
+      if (elapsed > LEAVING_MS) {
+        this.front.stopAccepting();
+      }
       const done = elapsed > LEAVING_MS && this.front.unfinished === 0;
       if (done || elapsed > this.settings.stopGraceS * 1_000 * STOP_SHARE) {
         timers.cancel('stop/check');
@@ -386,7 +395,10 @@
         membership.self(),
       );
       return call.json(
-        host.addressAnswer(addresses, this.settings.addressLifetimeS),
+        host.addressAnswer(
+          addresses,
+          Math.min(ADDRESS_LIFETIME_S, this.settings.addressLifetimeS),
+        ),
       );
     });
   }
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -100,6 +100,13 @@
     this.closing = true;
   }
 
+  /** Takes no new connections; those that are idle are closed. */
+  stopAccepting(): void {
+    if (this.server.listening) {
+      this.server.close();
+    }
+  }
+
   close(): void {
     this.server.close();
     this.server.closeAllConnections();
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -79,6 +79,8 @@
     let base: Snapshot | undefined;
     // Revision to watch from: grows also while the kind does not change.
     let cursor = 0;
+    // The history that a watch would need is gone, whoever read the base.
+    let mustList = false;
     let failures = 0;
     while (!signal.aborted) {
       if (!this.shouldRead(kind)) {
@@ -92,21 +94,21 @@
         base = relayed;
         cursor = relayed.at;
       }
-      const result = await this.read(kind, base, cursor);
+      const from = mustList ? undefined : base;
+      const result = await this.read(kind, from, cursor);
       if (signal.aborted) {
         return;
       }
       if (result instanceof Error) {
         failures += 1;
         this.noteFailure(kind, result);
-        if (result.failure === 'history-gone') {
-          base = undefined;
-        }
+        mustList ||= result.failure === 'history-gone';
         const pauseMs = FIRST_RETRY_MS * 2 ** Math.min(failures - 1, 6);
         await sleep(timers, Math.min(LAST_RETRY_MS, pauseMs), signal);
         continue;
       }
       failures = 0;
+      mustList = false;
       this.noteSuccess(kind);
       base = result.snapshot;
       cursor = Math.max(cursor, result.cursor);
