--- /dev/null
+++ b/packages/dispatch/src/test/adapters/places_test.ts
@@ -0,0 +1,157 @@
+import test from 'ava';
+import fastCheck from 'fast-check';
+
+import {PlacesWorld} from './places-world.js';
+
+const calm = {capacity: 3, loadMs: 250, random: () => 0.99, lost: 0, late: 0};
+
+test('loads an adapter that is wanted and answers when it is resident', (t) => {
+  const world = new PlacesWorld(calm);
+  world.post({type: 'issuing-changed', issuing: true});
+  world.prepare('r1', 'a1');
+  world.advance(200);
+  t.is(world.answers.get('r1'), undefined);
+  world.advance(120);
+  t.like(world.answers.get('r1'), {outcome: 'resident', version: 1});
+});
+
+test('joins requests for an adapter into one load', (t) => {
+  const world = new PlacesWorld(calm);
+  world.post({type: 'issuing-changed', issuing: true});
+  for (let index = 0; index < 20; index += 1) {
+    world.prepare(`r${index}`, 'a1', {host: `host-${index % 3}`});
+  }
+  world.advance(400);
+  t.is(world.answers.size, 20);
+  t.is(new Set(world.orders.map(({expectedOrders}) => expectedOrders)).size, 2);
+});
+
+test('refuses everything while it may not issue orders', (t) => {
+  const world = new PlacesWorld(calm);
+  world.prepare('r1', 'a1');
+  t.like(world.answers.get('r1'), {outcome: 'refused', reason: 'not-issuer'});
+  t.is(world.orders.length, 0);
+});
+
+test('never unloads an adapter that a host has not released', (t) => {
+  const world = new PlacesWorld({...calm, capacity: 1});
+  world.post({type: 'issuing-changed', issuing: true});
+  world.prepare('r1', 'a1');
+  world.advance(400);
+  world.inUse.add('a1');
+  world.prepare('r2', 'a2');
+  world.advance(3_000);
+  t.is(world.answers.get('r2'), undefined);
+  world.inUse.delete('a1');
+  world.release('a1');
+  world.advance(400);
+  t.like(world.answers.get('r2'), {outcome: 'resident'});
+  t.is(world.unloadedInUse, 0);
+});
+
+test('evicts the adapter that is used least', (t) => {
+  const world = new PlacesWorld({...calm, capacity: 2});
+  world.post({type: 'issuing-changed', issuing: true});
+  world.prepare('r1', 'often');
+  world.advance(400);
+  for (let index = 0; index < 5; index += 1) {
+    world.prepare(`often${index}`, 'often');
+  }
+  world.prepare('r2', 'seldom');
+  world.advance(400);
+  world.release('often');
+  world.release('seldom');
+  world.prepare('r3', 'new');
+  world.advance(400);
+  t.true(world.resident.has('often'));
+  t.false(world.resident.has('seldom'));
+});
+
+test('replaces an adapter whose newer version is wanted', (t) => {
+  const world = new PlacesWorld(calm);
+  world.post({type: 'issuing-changed', issuing: true});
+  world.prepare('r1', 'a1');
+  world.advance(400);
+  world.prepare('r2', 'a1', {version: 2});
+  t.is(world.answers.get('r2'), undefined);
+  world.advance(400);
+  t.like(world.answers.get('r2'), {outcome: 'resident', version: 2});
+});
+
+test('reads the report again after a time without the claim', (t) => {
+  const world = new PlacesWorld(calm);
+  world.post({type: 'issuing-changed', issuing: true});
+  world.prepare('r1', 'a1');
+  world.advance(400);
+  world.post({type: 'issuing-changed', issuing: false});
+  world.resident.set('other', 1);
+  world.resident.set('another', 1);
+  world.post({type: 'issuing-changed', issuing: true});
+  world.advance(1_000);
+  t.is(world.places.taken(), 3);
+});
+
+test('an order without an answer is repeated with the same count', (t) => {
+  let lucks = [0.5, 0.1];
+  const world = new PlacesWorld({
+    ...calm,
+    lost: 0.2,
+    random: () => {
+      const [luck = 0.99, ...rest] = lucks;
+      lucks = rest;
+      return luck;
+    },
+  });
+  world.post({type: 'issuing-changed', issuing: true});
+  world.prepare('r1', 'a1');
+  world.advance(400);
+  lucks = [0.1];
+  world.prepare('r2', 'a2');
+  world.advance(900);
+  t.like(world.answers.get('r2'), {outcome: 'resident'});
+  const forSecond = world.orders.filter(({adapter}) => adapter === 'a2');
+  t.is(forSecond[0]?.expectedOrders, forSecond[1]?.expectedOrders);
+});
+
+test('never overfills a server, whatever becomes of its orders', (t) => {
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.integer({min: 1, max: 2 ** 31 - 1}),
+      fastCheck.array(
+        fastCheck.record({
+          adapter: fastCheck.integer({min: 1, max: 9}),
+          pauseMs: fastCheck.integer({min: 1, max: 900}),
+          releases: fastCheck.boolean(),
+        }),
+        {minLength: 5, maxLength: 60},
+      ),
+      (seed, steps) => {
+        let state = seed;
+        const random = () => {
+          state = (state * 48_271) % 2_147_483_647;
+          return state / 2_147_483_647;
+        };
+        const world = new PlacesWorld({
+          capacity: 4,
+          loadMs: 250,
+          random,
+          lost: 0.1,
+          late: 0.3,
+        });
+        world.post({type: 'issuing-changed', issuing: true});
+        steps.forEach(({adapter, pauseMs, releases}, index) => {
+          world.prepare(`r${index}`, `a${adapter}`);
+          world.advance(pauseMs);
+          if (releases) {
+            for (let other = 1; other <= 9; other += 1) {
+              world.release(`a${other}`);
+            }
+          }
+        });
+        world.advance(20_000);
+        t.is(world.overfilled, 0);
+      },
+    ),
+    {numRuns: 200, seed: 20_261_204},
+  );
+});
--- /dev/null
+++ b/packages/dispatch/src/test/fleet/claims_test.ts
@@ -0,0 +1,78 @@
+import test from 'ava';
+
+import {
+  CLAIM_VALIDITY_MS,
+  type ClaimRecord,
+  type ClaimReview,
+  mayIssueOrders,
+  reviewClaims,
+} from '../../index.js';
+
+const at = (ms: number) => ({monotonicMs: ms, wallMs: ms});
+
+const claim = (host: string, extra: Partial<ClaimRecord> = {}): ClaimRecord => ({
+  type: 'claim',
+  server: 's1',
+  host,
+  fence: 4,
+  takenOver: false,
+  ...extra,
+});
+
+const review = (extra: Partial<ClaimReview>): ClaimReview => ({
+  at: at(0),
+  self: 'me',
+  live: ['me'],
+  servers: ['s1'],
+  claims: new Map(),
+  settled: new Set(),
+  minorityMs: 0,
+  silentMs: () => 0,
+  ...extra,
+});
+
+test('a server without a claim gets one, which may be used at once', (t) => {
+  const [change] = reviewClaims(review({}));
+  t.like(change, {
+    replaces: undefined,
+    record: {host: 'me', fence: 1, takenOver: false},
+  });
+});
+
+test('a claim stays where its holder is heard or only just silent', (t) => {
+  const claims = new Map([['s1', {record: claim('other'), revision: 7}]]);
+  t.deepEqual(reviewClaims(review({claims, live: ['me', 'other']})), []);
+  t.deepEqual(reviewClaims(review({claims, silentMs: () => 2_000})), []);
+});
+
+test('a claim of a host that is gone is taken with a higher fence', (t) => {
+  const claims = new Map([['s1', {record: claim('other'), revision: 7}]]);
+  const [change] = reviewClaims(review({claims, silentMs: () => 5_000}));
+  t.like(change, {
+    replaces: 7,
+    record: {host: 'me', fence: 5, takenOver: true},
+  });
+});
+
+test('a host that is cut off from the others takes nothing', (t) => {
+  const claims = new Map([['s1', {record: claim('other'), revision: 7}]]);
+  const cut = review({claims, silentMs: () => 5_000, minorityMs: 5_000});
+  t.deepEqual(reviewClaims(cut), []);
+});
+
+test('orders need a recent proof that the claim was not revoked', (t) => {
+  const held = {record: claim('me'), heldSince: at(0)};
+  const proof = {leaseMs: 3_000, at: at(60_000)};
+  t.true(mayIssueOrders(held, {...proof, claimsAgeMs: 7_000}));
+  t.false(
+    mayIssueOrders(held, {...proof, claimsAgeMs: CLAIM_VALIDITY_MS}),
+  );
+});
+
+test('a taker waits until the proof of the holder before has run out', (t) => {
+  const held = {record: claim('me', {takenOver: true}), heldSince: at(0)};
+  const proof = {claimsAgeMs: 0, leaseMs: 3_000};
+  const silenceMs = CLAIM_VALIDITY_MS + 3_000;
+  t.false(mayIssueOrders(held, {...proof, at: at(silenceMs)}));
+  t.true(mayIssueOrders(held, {...proof, at: at(silenceMs + 1_000)}));
+});
--- /dev/null
+++ b/packages/dispatch/src/test/servers/servers_test.ts
@@ -0,0 +1,161 @@
+import test from 'ava';
+
+import {
+  admit,
+  type ChoiceContext,
+  chooseLeastLoaded,
+  rankByAffinity,
+  type Server,
+  type ServerEntry,
+  ServerTable,
+} from '../../index.js';
+
+const at = (ms: number) => ({monotonicMs: ms, wallMs: ms});
+
+const entry = (id: string, extra: Partial<ServerEntry> = {}): ServerEntry => ({
+  id,
+  service: 's',
+  host: '127.0.0.1',
+  port: 1,
+  zone: 'z1',
+  slots: 4,
+  leaving: false,
+  startedAtWallMs: 1,
+  models: ['base'],
+  ...extra,
+});
+
+const table = (...entries: ServerEntry[]): ServerTable => {
+  const servers = new ServerTable();
+  servers.update(entries, false, at(0));
+  return servers;
+};
+
+const context = (extra: Partial<ChoiceContext> = {}): ChoiceContext => ({
+  at: at(0),
+  zone: 'z1',
+  tried: new Set(),
+  silenceLimitMs: 800,
+  random: () => 0,
+  ...extra,
+});
+
+const byId = (servers: ServerTable, id: string): Server => {
+  const server = servers.byId(id);
+  if (server === undefined) {
+    throw new Error(`no server ${id}`);
+  }
+  return server;
+};
+
+test('a leaving server takes nothing new', (t) => {
+  const servers = table(entry('a'), entry('b', {leaving: true}));
+  t.deepEqual(
+    servers.open('s').map((server) => server.entry.id),
+    ['a'],
+  );
+});
+
+test('a restart under the same id is another run of the server', (t) => {
+  const servers = table(entry('a'));
+  byId(servers, 'a').evidence.sent(at(0));
+  servers.update([entry('a', {startedAtWallMs: 2})], false, at(1));
+  t.is(servers.all().length, 1);
+  t.is(byId(servers, 'a').evidence.inFlight, 0);
+});
+
+test('an entry that lapsed in an outage is kept for two seconds', (t) => {
+  const servers = table(entry('a'), entry('b'));
+  servers.update([entry('a')], true, at(0));
+  t.is(servers.all().length, 2);
+  servers.expire(at(1_900));
+  t.is(servers.all().length, 2);
+  servers.expire(at(2_100));
+  t.is(servers.all().length, 1);
+});
+
+test('an entry that vanishes at any other time is gone at once', (t) => {
+  const servers = table(entry('a'), entry('b'));
+  servers.update([entry('a')], false, at(0));
+  t.is(servers.all().length, 1);
+});
+
+test('requests go to the server with the most room', (t) => {
+  const servers = table(entry('a'), entry('b'));
+  byId(servers, 'a').evidence.sent(at(0));
+  const chosen = chooseLeastLoaded(servers.all(), context());
+  t.is(chosen?.entry.id, 'b');
+});
+
+test('the own zone wins between equals only', (t) => {
+  const servers = table(entry('far', {zone: 'z2'}), entry('near'));
+  t.is(chooseLeastLoaded(servers.all(), context())?.entry.id, 'near');
+  byId(servers, 'near').evidence.sent(at(0));
+  t.is(chooseLeastLoaded(servers.all(), context())?.entry.id, 'far');
+});
+
+test('a server that fails more than others is avoided', (t) => {
+  const servers = table(entry('bad'), entry('good', {zone: 'z2'}));
+  const {evidence} = byId(servers, 'bad');
+  for (let index = 0; index < 10; index += 1) {
+    evidence.sent(at(index));
+    evidence.ended('failed', false, at(index));
+  }
+  t.is(chooseLeastLoaded(servers.all(), context())?.entry.id, 'good');
+});
+
+test('a server that is silent while requests wait is avoided', (t) => {
+  const servers = table(entry('dark'), entry('light'));
+  const dark = byId(servers, 'dark').evidence;
+  dark.sent(at(0));
+  const light = byId(servers, 'light').evidence;
+  for (let index = 0; index < 3; index += 1) {
+    light.sent(at(900));
+  }
+  const chosen = chooseLeastLoaded(servers.all(), context({at: at(1_000)}));
+  t.is(chosen?.entry.id, 'light');
+});
+
+test('an unreachable server needs a check before it is used again', (t) => {
+  const servers = table(entry('a'), entry('b'));
+  const {evidence} = byId(servers, 'a');
+  evidence.sent(at(0));
+  evidence.ended('unreachable', true, at(0));
+  const later = context({at: at(60_000)});
+  t.is(chooseLeastLoaded(servers.all(), later)?.entry.id, 'b');
+  evidence.checked(true, at(60_000));
+  t.false(evidence.needsCheck());
+});
+
+test('an adapter keeps its servers while they have room', (t) => {
+  const servers = table(entry('a'), entry('b'), entry('c'));
+  const ranked = rankByAffinity('base/a7', servers.all(), context());
+  const again = rankByAffinity('base/a7', servers.all(), context());
+  t.deepEqual(ranked, again);
+  const [first] = ranked;
+  for (let index = 0; index < 4; index += 1) {
+    first?.evidence.sent(at(0));
+  }
+  const full = rankByAffinity('base/a7', servers.all(), context());
+  t.is(full[0], ranked[1]);
+  t.is(full.at(-1), first);
+});
+
+test('nothing is refused while a place is free', (t) => {
+  const servers = table(entry('a'), entry('b'));
+  for (let index = 0; index < 100; index += 1) {
+    byId(servers, 'a').evidence.sent(at(0));
+  }
+  const request = {remainingMs: 1, priority: 9};
+  t.true(admit(servers.all(), request, 500, at(0)).admitted);
+});
+
+test('a request that would wait too long is refused with the wait', (t) => {
+  const servers = table(entry('a'));
+  for (let index = 0; index < 40; index += 1) {
+    byId(servers, 'a').evidence.sent(at(0));
+  }
+  const request = {remainingMs: 1_000, priority: 0};
+  const admission = admit(servers.all(), request, 500, at(0));
+  t.like(admission, {admitted: false});
+});
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -166,6 +166,11 @@
     );
   }
 
+  /** Version of the configuration in use, 0 when there is none. */
+  get routeVersion(): number {
+    return this.routes?.configuration.version ?? 0;
+  }
+
   /** Listens and starts all parts. */
   async start(): Promise<Result<void, ListenError>> {
     const {settings} = this;
--- /dev/null
+++ b/packages/entry-host/src/test/front/caller-request_test.ts
@@ -0,0 +1,101 @@
+import test from 'ava';
+
+import {
+  type CallerRequest,
+  endToEndHeaders,
+  EventSplitter,
+  writeRequestHead,
+} from '../../front/index.js';
+import type {HeaderNames} from '../../ports.js';
+
+const NAMES: HeaderNames = {
+  requestId: 'X-Id',
+  deadlineMs: 'X-Deadline',
+  model: 'X-Model',
+  promptParts: 'X-Parts',
+  signature: 'X-Signature',
+  notRun: 'X-Not-Run',
+  expectServer: 'X-Expect-Server',
+  serverId: 'X-Server',
+  expectVersion: 'X-Expect-Version',
+  priority: 'X-Priority',
+  lastEventId: 'Last-Event-Id',
+  serverLoad: 'X-Load',
+  reserved: ['X-Hold'],
+};
+
+const request = (rawHeaders: readonly string[]): CallerRequest => ({
+  id: 'r1',
+  method: 'POST',
+  target: '/a/b?c=%20d',
+  host: 'site.example',
+  rawHeaders,
+  body: Buffer.from('hello'),
+  arrivedAt: {monotonicMs: 0, wallMs: 0},
+  callerWaitMs: 1_000,
+  model: undefined,
+});
+
+const details = {
+  server: 's1',
+  remainingMs: 812.7,
+  version: undefined,
+  priority: 2,
+  resumeAfter: undefined,
+};
+
+test('drops what concerns one connection, nominated headers too', (t) => {
+  const kept = endToEndHeaders(
+    ['Connection', 'close, X-Private', 'x-private', '1', 'X-Other', '2'],
+    new Set(),
+  );
+  t.deepEqual(kept, ['X-Other', '2']);
+});
+
+test('a caller cannot set what only entry hosts set', (t) => {
+  const head = writeRequestHead(
+    request(['Host', 'site.example', 'X-Hold', 'h', 'X-Expect-Server', 'x']),
+    NAMES,
+    details,
+  );
+  t.false(head.includes('X-Hold'));
+  t.is(head.match(/X-Expect-Server: s1/g)?.length, 1);
+  t.false(head.includes('X-Expect-Server: x\r\n'));
+});
+
+test('forwards the target unchanged and what is left of the time', (t) => {
+  const head = writeRequestHead(
+    request(['Host', 'site.example', 'X-Deadline', '1000']),
+    NAMES,
+    details,
+  );
+  t.true(head.startsWith('POST /a/b?c=%20d HTTP/1.1\r\nHost: site.example\r\n'));
+  t.true(head.includes('X-Deadline: 812\r\n'));
+  t.false(head.includes('X-Deadline: 1000'));
+  t.true(head.endsWith('Content-Length: 5\r\n\r\n'));
+});
+
+test('a resumed stream names the last event that the caller has', (t) => {
+  const head = writeRequestHead(request(['Last-Event-Id', '2']), NAMES, {
+    ...details,
+    resumeAfter: '7',
+  });
+  t.is(head.match(/Last-Event-Id: /g)?.length, 1);
+  t.true(head.includes('Last-Event-Id: 7\r\n'));
+});
+
+test('hands on whole events only', (t) => {
+  const splitter = new EventSplitter();
+  t.deepEqual(splitter.feed(Buffer.from('id: 1\ndata: a')), []);
+  const events = splitter.feed(Buffer.from('\n\nid: 2\ndata: b\n\nid: 3'));
+  t.deepEqual(
+    events.map(({id}) => id),
+    ['1', '2'],
+  );
+  t.is(
+    Buffer.concat(events.map(({bytes}) => bytes)).toString(),
+    'id: 1\ndata: a\n\nid: 2\ndata: b\n\n',
+  );
+  splitter.reset();
+  t.is(splitter.pendingBytes, 0);
+});
--- /dev/null
+++ b/packages/entry-host/src/test/upstream/response-parser_test.ts
@@ -0,0 +1,153 @@
+import test from 'ava';
+import fastCheck from 'fast-check';
+
+import {
+  MalformedResponse,
+  type ResponseHead,
+  ResponseParser,
+} from '../../upstream/index.js';
+
+interface Parsed {
+  readonly heads: ResponseHead[];
+  readonly body: string;
+  readonly ended: boolean;
+  readonly rest: string;
+}
+
+/** Feeds the text in pieces of the given sizes. */
+const parse = (
+  text: string,
+  sizes: readonly number[] = [],
+  {method = 'GET', closes = false} = {},
+): Parsed => {
+  const heads: ResponseHead[] = [];
+  const chunks: Buffer[] = [];
+  let ended = false;
+  const parser = new ResponseParser(
+    {
+      head: (head) => heads.push(head),
+      data: (chunk) => chunks.push(Buffer.from(chunk)),
+      end: () => {
+        ended = true;
+      },
+    },
+    method,
+  );
+  let bytes = Buffer.from(text, 'latin1');
+  let rest = '';
+  for (const size of [...sizes, bytes.length]) {
+    const piece = bytes.subarray(0, size);
+    bytes = bytes.subarray(size);
+    if (parser.done) {
+      rest += piece.toString('latin1');
+    } else if (piece.length > 0) {
+      rest += parser.feed(piece).toString('latin1');
+    }
+  }
+  if (closes) {
+    parser.closed();
+  }
+  return {heads, body: Buffer.concat(chunks).toString('latin1'), ended, rest};
+};
+
+const FIXED = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello';
+const CHUNKED =
+  'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n' +
+  '5;x=y\r\nhello\r\n6\r\n world\r\n0\r\nTrailer: t\r\n\r\n';
+
+test('reads a body by its length and hands back what follows', (t) => {
+  const parsed = parse(`${FIXED}HTTP/1.1 200`);
+  t.is(parsed.body, 'hello');
+  t.true(parsed.ended);
+  t.is(parsed.rest, 'HTTP/1.1 200');
+});
+
+test('reads a chunked body with extensions and trailers', (t) => {
+  const parsed = parse(CHUNKED);
+  t.is(parsed.body, 'hello world');
+  t.true(parsed.ended);
+});
+
+test('a body without a length ends with its connection', (t) => {
+  const text = 'HTTP/1.1 200 OK\r\n\r\nhello';
+  t.false(parse(text).ended);
+  t.true(parse(text, [], {closes: true}).ended);
+});
+
+test('a body that is cut short is not complete', (t) => {
+  t.false(parse(FIXED.slice(0, -1), [], {closes: true}).ended);
+  t.false(parse(CHUNKED.slice(0, -2), [], {closes: true}).ended);
+});
+
+test('passes over informational answers', (t) => {
+  const parsed = parse(`HTTP/1.1 100 Continue\r\n\r\n${FIXED}`);
+  t.deepEqual(
+    parsed.heads.map(({status}) => status),
+    [200],
+  );
+});
+
+test('answers to HEAD and without content have no body', (t) => {
+  t.true(parse(FIXED.slice(0, -5), [], {method: 'HEAD'}).ended);
+  t.true(parse('HTTP/1.1 204 No Content\r\n\r\n').ended);
+});
+
+for (const [name, text] of [
+  ['no status line', 'hello there, this is not it\r\n\r\n'],
+  ['two lengths', 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2'],
+  [
+    'a length and an encoding',
+    'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked',
+  ],
+  ['an unknown encoding', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip'],
+  ['a space before the colon', 'HTTP/1.1 200 OK\r\nContent-Length : 1'],
+  ['a negative length', 'HTTP/1.1 200 OK\r\nContent-Length: -1'],
+] as const) {
+  test(`rejects ${name}`, (t) => {
+    t.throws(() => parse(`${text}\r\n\r\n`), {instanceOf: MalformedResponse});
+  });
+}
+
+test('the cuts between packets make no difference', (t) => {
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.constantFrom(FIXED, CHUNKED),
+      fastCheck.array(fastCheck.integer({min: 1, max: 20}), {maxLength: 30}),
+      (text, sizes) => {
+        const whole = parse(text);
+        const cut = parse(text, sizes);
+        t.deepEqual(cut, whole);
+      },
+    ),
+    {seed: 20_261_204},
+  );
+});
+
+test('no bytes make it throw anything but a malformed answer', (t) => {
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.array(
+        fastCheck.oneof(
+          fastCheck.constantFrom(
+            'HTTP/1.1 200 OK\r\n',
+            'Content-Length: ',
+            'Transfer-Encoding: chunked\r\n',
+            '\r\n',
+            '\r\n\r\n',
+            'ffffffff',
+          ),
+          fastCheck.string({unit: 'binary', maxLength: 12}),
+        ),
+        {maxLength: 12},
+      ),
+      (parts) => {
+        try {
+          parse(parts.join(''));
+        } catch (error) {
+          t.true(error instanceof MalformedResponse);
+        }
+      },
+    ),
+    {seed: 20_261_204, numRuns: 500},
+  );
+});
