Cancel what nobody waits for, and hold adapters as briefly as possible

Change: the issuer drops a wait at its limit, askers cancel, late answers are released; promises of 30 ms for cold adapters, up to 1.5 s for those in steady use; releases every 40 ms.

--- a/packages/dispatch/src/adapters/places.ts
+++ b/packages/dispatch/src/adapters/places.ts
@@ -40,9 +40,15 @@
 /** Half-life of the rate at which an adapter is used, milliseconds. */
 const RATE_HALF_LIFE_MS = 6_000;
 
-/** Bounds of a promise, milliseconds: from one request's way to a few. */
-const SHORTEST_PROMISE_MS = 200;
-const LONGEST_PROMISE_MS = 5_000;
+/**
+ * Bounds of a promise, milliseconds: one request's way to the server, as places
+ * are scarce, up to a second for an adapter in steady use.
+ */
+const SHORTEST_PROMISE_MS = 30;
+const LONGEST_PROMISE_MS = 1_500;
+
+/** Uses a second from which an adapter gets the longest promise. */
+const STEADY_USES_PER_S = 4;
 
 /** How long hosts hold an adapter for one request, as a rule, milliseconds. */
 const ASSUMED_HOLD_MS = 1_000;
@@ -501,7 +507,10 @@
       (rateAt(place, at) * Math.LN2 * 1_000) / RATE_HALF_LIFE_MS;
     const validMs = Math.min(
       LONGEST_PROMISE_MS,
-      Math.max(SHORTEST_PROMISE_MS, perSecond * LONGEST_PROMISE_MS),
+      Math.max(
+        SHORTEST_PROMISE_MS,
+        (perSecond / STEADY_USES_PER_S) * LONGEST_PROMISE_MS,
+      ),
     );
     place.holders.set(host, at);
     return {outcome: 'resident', version: place.version, validMs};
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -67,7 +67,7 @@
 const STOP_CHECK_MS = 50;
 
 /** Between two looks which adapters this host is done with, milliseconds. */
-const RELEASE_PERIOD_MS = 100;
+const RELEASE_PERIOD_MS = 40;
 
 /** Between two measurements of the loop's lag, milliseconds. */
 const LAG_PERIOD_MS = 500;
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -205,6 +205,14 @@
         server,
         this.prepareRequest(selection, name, version, server, last),
         selection.signal,
+        (late) => {
+          if (late.outcome === 'resident') {
+            // Nobody waits for it any more: released at the next sweep.
+            const at = clock.now();
+            const {key} = server;
+            this.residency.promise(name, key, late.version, 0, at);
+          }
+        },
       );
       metrics.prepares.inc({
         outcome: answer.outcome === 'resident' ? 'resident' : answer.reason,
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -93,6 +93,7 @@
     server: Server,
     request: PrepareRequest,
     signal: AbortSignal,
+    late: (answer: PrepareAnswer) => void,
   ): Promise<PrepareAnswer> {
     const {settings} = this.context;
     const holder = this.claims.holder(server.entry.id);
@@ -102,7 +103,7 @@
     const link = holder === undefined ? undefined : this.linkTo(holder);
     return link === undefined
       ? Promise.resolve(NOT_ISSUER)
-      : link.prepare(settings.host, server.key, request, signal);
+      : link.prepare(settings.host, server.key, request, signal, late);
   }
 
   /** Tells the issuers that this host is done with some adapters. */
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -55,19 +55,24 @@
     request: PrepareRequest,
     signal: AbortSignal,
   ): Promise<PrepareAnswer> {
+    const {timers} = this.context;
     return new Promise((resolve) => {
-      const {requestId} = request;
-      this.answers.set(requestId, resolve);
-      signal.addEventListener(
-        'abort',
-        () => {
-          if (this.answers.delete(requestId)) {
-            this.post({type: 'prepare-cancelled', requestId});
-            resolve({outcome: 'refused', reason: 'too-long', retryAfterMs: 0});
-          }
-        },
-        {once: true},
-      );
+      const {requestId, maximumWaitMs} = request;
+      const timer = `prepare/${this.server.key}/${requestId}`;
+      const giveUp = () => {
+        if (this.answers.delete(requestId)) {
+          this.post({type: 'prepare-cancelled', requestId});
+          settle({outcome: 'refused', reason: 'too-long', retryAfterMs: 0});
+        }
+      };
+      const settle = (answer: PrepareAnswer) => {
+        timers.cancel(timer);
+        signal.removeEventListener('abort', giveUp);
+        resolve(answer);
+      };
+      this.answers.set(requestId, settle);
+      signal.addEventListener('abort', giveUp, {once: true});
+      timers.after(timer, maximumWaitMs, giveUp);
       this.post({type: 'prepare-requested', request});
     });
   }
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -15,6 +15,9 @@
 /** Time on top of a prepare's own wait for its way there and back, ms. */
 const PREPARE_SLACK_MS = 120;
 
+/** How long an answer that comes late is still taken, milliseconds. */
+const LATE_ANSWER_MS = 5_000;
+
 /** Missing answers in a row after which a connection is replaced. */
 const MAXIMUM_MISSES = 2;
 
@@ -65,12 +68,16 @@
     return response?.$case === 'exchange' ? response.value : undefined;
   }
 
-  /** Asks the peer for an adapter; a missing answer is a refusal. */
+  /**
+   * Asks the peer for an adapter; a missing answer is a refusal. An answer that
+   * comes after that goes to `late`, as the peer holds the adapter for it.
+   */
   async prepare(
     fromHost: string,
     serverRun: string,
     request: PrepareRequest,
     signal: AbortSignal,
+    late: (answer: PrepareAnswer) => void,
   ): Promise<PrepareAnswer> {
     const {requestId, model, adapter, version, priority, uses} = request;
     const maximumWaitMs = Math.ceil(request.maximumWaitMs);
@@ -79,6 +86,11 @@
       {$case: 'prepare', value: {...about, maximumWaitMs, priority, uses}},
       maximumWaitMs + PREPARE_SLACK_MS,
       signal,
+      (response_) => {
+        if (response_?.$case === 'prepare') {
+          late(decodeAnswer(response_.value));
+        }
+      },
     );
     return response?.$case === 'prepare'
       ? decodeAnswer(response.value)
@@ -110,6 +122,7 @@
     request: Request,
     timeoutMs: number,
     signal?: AbortSignal,
+    late?: (response: Response) => void,
   ): Promise<Response> {
     return new Promise((resolve) => {
       const serial = this.write(request);
@@ -117,23 +130,31 @@
       const settle = (response: Response) => {
         this.timers.cancel(timer);
         this.pending.delete(serial);
+        signal?.removeEventListener('abort', giveUp);
         resolve(response);
       };
+      const giveUp = () => {
+        if (!this.pending.has(serial)) {
+          return;
+        }
+        settle(undefined);
+        if (late !== undefined) {
+          this.write({$case: 'cancel', value: serial});
+          this.pending.set(serial, (response) => {
+            this.pending.delete(serial);
+            late(response);
+          });
+          this.timers.after(timer, LATE_ANSWER_MS, () => {
+            this.pending.delete(serial);
+          });
+        }
+      };
       this.pending.set(serial, settle);
       this.timers.after(timer, timeoutMs, () => {
-        settle(undefined);
+        giveUp();
         this.missed();
       });
-      signal?.addEventListener(
-        'abort',
-        () => {
-          if (this.pending.has(serial)) {
-            settle(undefined);
-            this.write({$case: 'cancel', value: serial});
-          }
-        },
-        {once: true},
-      );
+      signal?.addEventListener('abort', giveUp, {once: true});
     });
   }
 
