Ask about loads beside other orders, and wait less for an answer

Change: such questions go beside the order in progress, and an order counts as unanswered after 120 ms; answers that came late are logged with where their time went. A pause whose rest was below the clock's resolution woke the issuer for ever under virtual time; the property test over lost and late orders found it. The bundle is smaller.

--- a/packages/dispatch/src/adapters/places.ts
+++ b/packages/dispatch/src/adapters/places.ts
@@ -109,7 +109,10 @@
   private readonly models = new Map<string, BaseModel>();
   private capacity = 0;
   private ordersAccepted: number | undefined;
+  /** The order in progress that may change what the server holds. */
   private inProgress: Order | undefined;
+  /** Questions in progress whether an order has been carried out. */
+  private readonly checks = new Map<string, Order>();
   private reportRequested = false;
   private issuing = false;
   private gone = false;
@@ -188,6 +191,11 @@
   }
 
   orderEnded(order: Order, end: OrderEnd, at: Instant): readonly PlacesEffect[] {
+    const check = this.checks.get(orderKey(order));
+    if (check?.serial === order.serial) {
+      this.checks.delete(orderKey(order));
+      return this.checkEnded(order, end, at);
+    }
     if (this.inProgress?.serial !== order.serial) {
       return [];
     }
@@ -248,15 +256,6 @@
   }
 
   accepted(order: AdapterOrder, at: Instant): readonly PlacesEffect[] {
-    const place = this.places.get(adapterKey(order));
-    const check =
-      place !== undefined &&
-      !place.unsettled &&
-      place.state === (order.operation === 'load' ? 'loading' : 'unloading');
-    if (check) {
-      place.checkAfterMs = elapsedMs(place.orderedAt, at) + CHECK_PERIOD_MS;
-      return [];
-    }
     this.countOrder(order, at);
     this.begin(order, at);
     return [];
@@ -297,6 +296,11 @@
       this.begin(order, at);
       return [];
     }
+    return this.countConflict(at);
+  }
+
+  /** The server takes no order now, or the count of orders is wrong. */
+  private countConflict(at: Instant): readonly PlacesEffect[] {
     this.conflicts += 1;
     this.pause(CONFLICT_PAUSE_MS, at);
     if (this.conflicts >= CONFLICTS_BEFORE_REPORT) {
@@ -319,15 +323,6 @@
   }
 
   unanswered(order: AdapterOrder, at: Instant): readonly PlacesEffect[] {
-    const place = this.places.get(adapterKey(order));
-    const check =
-      place !== undefined &&
-      !place.unsettled &&
-      place.state === (order.operation === 'load' ? 'loading' : 'unloading');
-    if (check) {
-      place.checkAfterMs = elapsedMs(place.orderedAt, at) + CHECK_PERIOD_MS;
-      return [];
-    }
     this.begin(order, at);
     const begun = this.places.get(adapterKey(order));
     if (begun !== undefined) {
@@ -347,12 +342,12 @@
   }
 
   private proceed(at: Instant): readonly PlacesEffect[] {
-    if (this.gone || !this.issuing || this.inProgress !== undefined) {
+    if (this.gone || !this.issuing) {
       return [];
     }
     const pauseMs = this.pauseLeftMs(at);
     if (pauseMs > 0) {
-      return [{type: 'wake-after', delayMs: pauseMs}];
+      return [{type: 'wake-after', delayMs: Math.max(1, pauseMs)}];
     }
     if (this.ordersAccepted === undefined) {
       if (this.reportRequested) {
@@ -361,13 +356,63 @@
       this.reportRequested = true;
       return [{type: 'read-report'}];
     }
-    const order = this.nextOrder(this.ordersAccepted, at);
-    if (order !== undefined) {
-      this.inProgress = order;
-      return [{type: 'send-order', order}];
+    const effects = this.dueChecks(this.ordersAccepted, at);
+    if (this.inProgress === undefined) {
+      const order = this.nextOrder(this.ordersAccepted, at);
+      if (order !== undefined) {
+        this.inProgress = order;
+        effects.push({type: 'send-order', order});
+      }
     }
     const delayMs = this.nextCheckMs(at);
-    return delayMs === undefined ? [] : [{type: 'wake-after', delayMs}];
+    if (delayMs !== undefined) {
+      effects.push({type: 'wake-after', delayMs});
+    }
+    return effects;
+  }
+
+  /** Asks about loads and unloads that should have been carried out. */
+  private dueChecks(expectedOrders: number, at: Instant): PlacesEffect[] {
+    const effects: PlacesEffect[] = [];
+    for (const [key, place] of this.places) {
+      if (place.unsettled || checkDueMs(place, at) > 0 || this.checks.has(key)) {
+        continue;
+      }
+      const {model, adapter, version, state} = place;
+      const operation = state === 'unloading' ? 'unload' : 'load';
+      const order: Order = {
+        serial: (this.serial += 1),
+        operation,
+        model,
+        adapter,
+        version: operation === 'load' && version > 1 ? version : undefined,
+        expectedOrders,
+      };
+      this.checks.set(key, order);
+      effects.push({type: 'send-order', order});
+    }
+    return effects;
+  }
+
+  private checkEnded(
+    order: Order,
+    end: OrderEnd,
+    at: Instant,
+  ): readonly PlacesEffect[] {
+    const place = this.places.get(orderKey(order));
+    if (place === undefined || order.adapter === undefined) {
+      return [];
+    }
+    if (end === 'holds' || end === 'misdirected') {
+      const {adapter} = order;
+      return ORDER_ENDS[end](this, {...order, adapter}, at);
+    }
+    // An order that was accepted meanwhile makes a check fail: ask again.
+    place.checkAfterMs = elapsedMs(place.orderedAt, at) + CHECK_PERIOD_MS;
+    if (end === 'conflict' && order.expectedOrders === this.ordersAccepted) {
+      return this.countConflict(at);
+    }
+    return [];
   }
 
   private nextOrder(expectedOrders: number, at: Instant): Order | undefined {
@@ -398,11 +443,11 @@
     const all = [...this.places.values()];
     // An order without an answer is settled before anything else.
     const unsettled = all.find((place) => place.unsettled);
-    const due = unsettled ?? all.find((place) => checkDueMs(place, at) <= 0);
-    if (due !== undefined) {
-      const operation = due.state === 'unloading' ? 'unload' : 'load';
-      const version = due.version > 1 ? due.version : undefined;
-      return issue(due, operation, operation === 'load' ? version : undefined);
+    if (unsettled !== undefined) {
+      const {state, version} = unsettled;
+      return state === 'unloading'
+        ? issue(unsettled, 'unload')
+        : issue(unsettled, 'load', version > 1 ? version : undefined);
     }
     if (all.some(({state}) => state === 'unloading')) {
       // The server takes no other order while an adapter's runs end.
@@ -652,7 +697,12 @@
 
   private nextCheckMs(at: Instant): number | undefined {
     const checks = [...this.places.values()]
-      .filter(({state}) => state !== 'resident')
+      .filter(
+        (place) =>
+          place.state !== 'resident' &&
+          !place.unsettled &&
+          !this.checks.has(adapterKey(place)),
+      )
       .map((place) => checkDueMs(place, at));
     for (const model of this.models.values()) {
       if (model.state !== 'resident') {
@@ -675,6 +725,9 @@
   }
 }
 
+const orderKey = ({model, adapter}: Order): string =>
+  adapterKey({model, adapter: adapter ?? ''});
+
 const isHeld = ({holders}: Place, at: Instant): boolean =>
   [...holders.values()].some(
     (since) => elapsedMs(since, at) < LONGEST_HOLD_MS,
--- a/packages/dispatch/src/test/adapters/places-world.ts
+++ b/packages/dispatch/src/test/adapters/places-world.ts
@@ -47,6 +47,7 @@
   /** Adapters that were unloaded while a request ran on them. */
   unloadedInUse = 0;
   private sequence = 0;
+  private wakes = 0;
   private nowMs = 0;
   private events: Timed[] = [];
 
@@ -118,9 +119,13 @@
     'answer-prepare': ({requestId, answer}) => {
       this.answers.set(requestId, answer);
     },
+    // As a timer of the daemon, a later one replaces the one before.
     'wake-after': ({delayMs}) => {
+      const wake = (this.wakes += 1);
       this.after(delayMs, () => {
-        this.post({type: 'woken'});
+        if (wake === this.wakes) {
+          this.post({type: 'woken'});
+        }
       });
     },
     'read-report': () => {
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -51,6 +51,10 @@
   private sends = 0;
   private runs = 0;
   private lastEventId: string | undefined;
+  /** The latest send, for the log. */
+  private lastServer: string | undefined;
+  private lastChoice: string | undefined;
+  private lastSentMs: number | undefined;
   private over = false;
   private abandoned = false;
   private outcome = 'open';
@@ -123,6 +127,9 @@
   }: Selection & {type: 'server'}): Promise<SendResult> {
     const {context, pools} = this.parts;
     this.sends += 1;
+    this.lastServer = server.entry.id;
+    this.lastChoice = reason;
+    this.lastSentMs = this.elapsedMs();
     this.tried.add(server.key);
     this.splitter.reset();
     this.held.length = 0;
@@ -372,7 +379,8 @@
     if (headMs !== undefined) {
       metrics.answerSeconds.observe({route: name}, headMs / 1_000);
     }
-    const level = outcome === 'answered' ? 'debug' : 'info';
+    const late = (headMs ?? 0) > this.route.targetLatencyMs;
+    const level = outcome === 'answered' && !late ? 'debug' : 'info';
     logger[level]('request ended', {
       requestId: this.request.id,
       route: name,
@@ -382,6 +390,9 @@
       reason,
       sends: this.sends,
       runs: this.runs,
+      server: this.lastServer,
+      chosen: this.lastChoice,
+      sentMs: this.lastSentMs,
       headMs,
       elapsedMs: this.elapsedMs(),
     });
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -14,8 +14,13 @@
 import {UpstreamError, type ServerCaller} from '../upstream/index.js';
 import type {ClaimKeeper} from './claim-keeper.js';
 
-/** Longest wait for the answer to an order or report, milliseconds. */
-const ORDER_TIMEOUT_MS = 300;
+/**
+ * Longest wait for the answer to an order, milliseconds: many round trips, and
+ * short, as an order without an answer keeps others back.
+ */
+const ORDER_TIMEOUT_MS = 120;
+
+/** Longest wait for a report, milliseconds. */
 const REPORT_TIMEOUT_MS = 500;
 
 /** Runs the effects of the adapter places of one run of a server. */
--- a/scripts/bundle-entry-host.mjs
+++ b/scripts/bundle-entry-host.mjs
@@ -23,6 +23,8 @@
   banner: {
     js: "import {createRequire} from 'node:module';const require = createRequire(import.meta.url);",
   },
+  // Names stay for stack traces; the text itself counts as memory.
+  minifyWhitespace: true,
   legalComments: 'none',
   logLevel: 'warning',
 });
