Follow the linter's strict rules in the direct path

Cause: the new packages had not been through the linter: unbound methods, types imported as values, a promise where none is awaited. Conclusion: eslint and prettier pass over the whole tree.

--- a/packages/dispatch/src/adapters/load-times.ts
+++ b/packages/dispatch/src/adapters/load-times.ts
@@ -22,7 +22,6 @@
   }
 
   observe(source: LoadSource, milliseconds: number): void {
-    this.meanMs[source] +=
-      SAMPLE_WEIGHT * (milliseconds - this.meanMs[source]);
+    this.meanMs[source] += SAMPLE_WEIGHT * (milliseconds - this.meanMs[source]);
   }
 }
--- a/packages/dispatch/src/adapters/places.ts
+++ b/packages/dispatch/src/adapters/places.ts
@@ -190,7 +190,11 @@
     return [];
   }
 
-  orderEnded(order: Order, end: OrderEnd, at: Instant): readonly PlacesEffect[] {
+  orderEnded(
+    order: Order,
+    end: OrderEnd,
+    at: Instant,
+  ): readonly PlacesEffect[] {
     const check = this.checks.get(orderKey(order));
     if (check?.serial === order.serial) {
       this.checks.delete(orderKey(order));
@@ -375,7 +379,11 @@
   private dueChecks(expectedOrders: number, at: Instant): PlacesEffect[] {
     const effects: PlacesEffect[] = [];
     for (const [key, place] of this.places) {
-      if (place.unsettled || checkDueMs(place, at) > 0 || this.checks.has(key)) {
+      if (
+        place.unsettled ||
+        checkDueMs(place, at) > 0 ||
+        this.checks.has(key)
+      ) {
         continue;
       }
       const {model, adapter, version, state} = place;
@@ -487,7 +495,10 @@
       const key = adapterKey(request);
       const known = byKey.get(key);
       if (known === undefined || known.version < request.version) {
-        byKey.set(key, known === undefined ? request : {...known, version: request.version});
+        byKey.set(
+          key,
+          known === undefined ? request : {...known, version: request.version},
+        );
       }
     }
     return [...byKey.values()];
@@ -542,9 +553,7 @@
   }
 
   private hasRoom(at: Instant): boolean {
-    return (
-      this.places.size < this.capacity || this.victim(at) !== undefined
-    );
+    return this.places.size < this.capacity || this.victim(at) !== undefined;
   }
 
   private promise(place: Place, host: string, at: Instant): PrepareAnswer {
@@ -637,9 +646,7 @@
       version: order.version ?? known?.version ?? 1,
       unsettled: false,
       orderedAt: at,
-      checkAfterMs: loading
-        ? expectedMs * FIRST_CHECK_SHARE
-        : CHECK_PERIOD_MS,
+      checkAfterMs: loading ? expectedMs * FIRST_CHECK_SHARE : CHECK_PERIOD_MS,
       source,
       rate: known?.rate ?? 0,
       usedAt: known?.usedAt ?? at,
@@ -729,9 +736,7 @@
   adapterKey({model, adapter: adapter ?? ''});
 
 const isHeld = ({holders}: Place, at: Instant): boolean =>
-  [...holders.values()].some(
-    (since) => elapsedMs(since, at) < LONGEST_HOLD_MS,
-  );
+  [...holders.values()].some((since) => elapsedMs(since, at) < LONGEST_HOLD_MS);
 
 const isUsable = (place: Place, version: number): boolean =>
   place.state === 'resident' && place.version >= version;
@@ -746,7 +751,8 @@
     : place.checkAfterMs - elapsedMs(place.orderedAt, at);
 
 const rateAt = (place: Place, at: Instant): number =>
-  place.rate * 0.5 ** (Math.max(0, elapsedMs(place.usedAt, at)) / RATE_HALF_LIFE_MS);
+  place.rate *
+  0.5 ** (Math.max(0, elapsedMs(place.usedAt, at)) / RATE_HALF_LIFE_MS);
 
 const answer = (requestId: string, value: PrepareAnswer): PlacesEffect => ({
   type: 'answer-prepare',
--- a/packages/dispatch/src/configuration/configuration.ts
+++ b/packages/dispatch/src/configuration/configuration.ts
@@ -110,7 +110,6 @@
     ...engine.models.map(({adapterMb}) => adapterMb),
   );
   const freeMb = Math.max(0, engine.weightMemoryMb - weightsMb);
-  const byMemory =
-    largestMb === 0 ? Infinity : Math.floor(freeMb / largestMb);
+  const byMemory = largestMb === 0 ? Infinity : Math.floor(freeMb / largestMb);
   return Math.min(engine.adapterPlaces, byMemory);
 };
--- a/packages/dispatch/src/fleet/claims.ts
+++ b/packages/dispatch/src/fleet/claims.ts
@@ -37,7 +37,8 @@
   readonly settled: ReadonlySet<string>;
   /** Milliseconds for which fewer than half of the known hosts were heard. */
   readonly minorityMs: number;
-  silentMs(host: string): number;
+  /** Milliseconds since a host was heard. */
+  readonly silentMs: (host: string) => number;
 }
 
 /** A change of a claim that this host should write. */
@@ -86,9 +87,7 @@
   {host}: ClaimRecord,
   {self, live, silentMs}: ClaimReview,
 ): boolean =>
-  host !== self &&
-  !live.includes(host) &&
-  silentMs(host) > HOLDER_SILENCE_MS;
+  host !== self && !live.includes(host) && silentMs(host) > HOLDER_SILENCE_MS;
 
 /** How a claim of this host came about, as far as this process knows. */
 export interface HeldClaim {
--- a/packages/dispatch/src/fleet/membership.ts
+++ b/packages/dispatch/src/fleet/membership.ts
@@ -51,9 +51,7 @@
   }
 
   isLive(host: string, at: Instant): boolean {
-    return (
-      host === this.self().host || this.silentMs(host, at) <= LIVENESS_MS
-    );
+    return host === this.self().host || this.silentMs(host, at) <= LIVENESS_MS;
   }
 
   /** Milliseconds since a host was heard. */
--- a/packages/dispatch/src/servers/server-evidence.ts
+++ b/packages/dispatch/src/servers/server-evidence.ts
@@ -58,7 +58,11 @@
   }
 
   /** The head of an answer arrived after `waitedMs`. */
-  answered(waitedMs: number, load: ReportedLoad | undefined, at: Instant): void {
+  answered(
+    waitedMs: number,
+    load: ReportedLoad | undefined,
+    at: Instant,
+  ): void {
     this.heard(at);
     this.unanswered = Math.max(0, this.unanswered - 1);
     this.responseMs = mix(this.responseMs ?? waitedMs, waitedMs);
@@ -99,10 +103,7 @@
       return this.inFlight;
     }
     const since = this.sentSinceReport - this.endedSinceReport;
-    return Math.max(
-      this.inFlight,
-      reported.running + reported.waiting + since,
-    );
+    return Math.max(this.inFlight, reported.running + reported.waiting + since);
   }
 
   /** Whether it was unreachable lately and has not been heard since. */
--- a/packages/dispatch/src/test/fleet/claims_test.ts
+++ b/packages/dispatch/src/test/fleet/claims_test.ts
@@ -10,7 +10,10 @@
 
 const at = (ms: number) => ({monotonicMs: ms, wallMs: ms});
 
-const claim = (host: string, extra: Partial<ClaimRecord> = {}): ClaimRecord => ({
+const claim = (
+  host: string,
+  extra: Partial<ClaimRecord> = {},
+): ClaimRecord => ({
   type: 'claim',
   server: 's1',
   host,
@@ -64,9 +67,7 @@
   const held = {record: claim('me'), heldSince: at(0)};
   const proof = {leaseMs: 3_000, at: at(60_000)};
   t.true(mayIssueOrders(held, {...proof, claimsAgeMs: 7_000}));
-  t.false(
-    mayIssueOrders(held, {...proof, claimsAgeMs: CLAIM_VALIDITY_MS}),
-  );
+  t.false(mayIssueOrders(held, {...proof, claimsAgeMs: CLAIM_VALIDITY_MS}));
 });
 
 test('a taker waits until the proof of the holder before has run out', (t) => {
--- a/packages/dispatch/src/test/fleet/store-views_test.ts
+++ b/packages/dispatch/src/test/fleet/store-views_test.ts
@@ -1,6 +1,11 @@
 import test from 'ava';
 
-import {addressAnswer, type HostStatus, Membership, StoreViews} from '../../index.js';
+import {
+  addressAnswer,
+  type HostStatus,
+  Membership,
+  StoreViews,
+} from '../../index.js';
 
 const at = (ms: number) => ({monotonicMs: ms, wallMs: ms});
 const snapshot = (revision: number) => ({
--- a/packages/dispatch/src/test/requests/next-step_test.ts
+++ b/packages/dispatch/src/test/requests/next-step_test.ts
@@ -48,9 +48,18 @@
 });
 
 test('a refusal is told only of a request that never ran', (t) => {
-  t.is(nextStep('not-run', progress(), () => false), 'refuse');
-  t.is(nextStep('not-run', progress({runs: 1}), () => false), 'fail');
-  t.is(nextStep('not-sent', progress({remainingMs: 0}), () => true), 'refuse');
+  t.is(
+    nextStep('not-run', progress(), () => false),
+    'refuse',
+  );
+  t.is(
+    nextStep('not-run', progress({runs: 1}), () => false),
+    'fail',
+  );
+  t.is(
+    nextStep('not-sent', progress({remainingMs: 0}), () => true),
+    'refuse',
+  );
 });
 
 test('a send that never left needs no budget', (t) => {
@@ -64,15 +73,27 @@
 test('an idempotent request runs on as many servers as allowed', (t) => {
   const first = progress({route: IDEMPOTENT, runs: 1});
   const second = progress({route: IDEMPOTENT, runs: 2, sends: 2});
-  t.is(nextStep('failed', first, () => true), 'send-again');
-  t.is(nextStep('failed', second, () => true), 'pass-on-failure');
-  t.is(nextStep('unknown', first, () => false), 'fail');
+  t.is(
+    nextStep('failed', first, () => true),
+    'send-again',
+  );
+  t.is(
+    nextStep('failed', second, () => true),
+    'pass-on-failure',
+  );
+  t.is(
+    nextStep('unknown', first, () => false),
+    'fail',
+  );
 });
 
 test('a resumable stream goes on elsewhere after a break', (t) => {
   const route = {kind: 'stream' as const, resumable: true, maximumAttempts: 2};
   const broken = progress({route, runs: 1, answerBegun: true});
-  t.is(nextStep('unknown', broken, () => true), 'send-again');
+  t.is(
+    nextStep('unknown', broken, () => true),
+    'send-again',
+  );
 });
 
 test('hosts together stay within the shared retry budget', (t) => {
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -6,7 +6,7 @@
 import {
   type Clock,
   createLogger,
-  ListenError,
+  type ListenError,
   type Logger,
   systemClock,
   TimerService,
@@ -385,15 +385,18 @@
   }
 
   private readinessRoutes(): Hono {
-    return new Hono().get(this.context.platform.host.readyPath, (call) =>
+    const app = new Hono();
+    app.get(this.context.platform.host.readyPath, (call) =>
       call.body(null, this.ready ? 200 : 503),
     );
+    return app;
   }
 
   private directoryRoutes(): Hono {
     const {platform, membership, clock} = this.context;
     const {host} = platform;
-    return new Hono().get(host.addressPath, (call) => {
+    const app = new Hono();
+    app.get(host.addressPath, (call) => {
       const addresses = addressAnswer(
         membership.live(clock.now()),
         call.req.query(host.zoneParameter),
@@ -406,18 +409,22 @@
         ),
       );
     });
+    return app;
   }
 
   private metricsRoutes(): Hono {
     const {registry} = this.context.metrics;
-    return new Hono().get('/metrics', async (call) =>
-      call.text(await registry.metrics()),
-    );
+    const app = new Hono();
+    app.get('/metrics', async (call) => call.text(await registry.metrics()));
+    return app;
   }
 
   private serve(address: string, app: Hono): void {
     const [host, port] = splitAddress(address);
-    const server = createServer(getRequestListener(app.fetch));
+    const listener = getRequestListener(app.fetch);
+    const server = createServer((request, response) => {
+      void listener(request, response);
+    });
     server.on('error', (error) => {
       this.context.logger.error('a listener failed', {
         address,
--- a/packages/entry-host/src/front/event-splitter.ts
+++ b/packages/entry-host/src/front/event-splitter.ts
@@ -24,11 +24,7 @@
     let rest =
       this.buffered.length > 0 ? Buffer.concat([this.buffered, chunk]) : chunk;
     const events: StreamEvent[] = [];
-    for (
-      let end = rest.indexOf('\n\n');
-      end >= 0;
-      end = rest.indexOf('\n\n')
-    ) {
+    for (let end = rest.indexOf('\n\n'); end >= 0; end = rest.indexOf('\n\n')) {
       const bytes = rest.subarray(0, end + 2);
       const id = ID_LINE.exec(bytes.toString('utf8'))?.[1];
       events.push({id, bytes});
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 
 import {ListenError} from '@basilworks/daemon';
 import type {CallerLimits, RetryBudget, RouteTable} from '@basilworks/dispatch';
@@ -65,7 +65,7 @@
     );
     this.server.requestTimeout = 0;
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      this.rejectBytes(error, socket as Socket);
+      this.rejectBytes(error, socket);
     });
     this.applyLimits();
   }
@@ -211,7 +211,7 @@
     answer.send(status, [], Buffer.alloc(0));
   }
 
-  private rejectBytes(error: NodeJS.ErrnoException, socket: Socket): void {
+  private rejectBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
     const code = error.code ?? '';
     this.context.logger.info('connection rejected', {code});
     if (code === 'ECONNRESET' || !socket.writable) {
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -312,7 +312,10 @@
     this.answer.send(head.status, this.callerHeaders(head, false), body);
   }
 
-  private endWithout({reason, retryAfterMs: waitMs}: Selection & {
+  private endWithout({
+    reason,
+    retryAfterMs: waitMs,
+  }: Selection & {
     type: 'none';
   }): void {
     if (this.runs === 0 && !this.answer.begun) {
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -108,9 +108,7 @@
         : {type: 'server', server, version: undefined, reason: 'least loaded'};
     }
     const {model, adapter} = parseModelReference(request.model);
-    const holders = open.filter(({entry}) =>
-      entry.models.includes(model),
-    );
+    const holders = open.filter(({entry}) => entry.models.includes(model));
     if (holders.length === 0) {
       return none('no server holds the model', NO_SERVER_RETRY_MS);
     }
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -220,10 +220,7 @@
   /** Whether another server answers at this address. */
   private answersForAnother(): boolean {
     const {serverId} = this.context.platform.forwarding.headers;
-    const id = headerValue(
-      this.head?.rawHeaders ?? [],
-      serverId.toLowerCase(),
-    );
+    const id = headerValue(this.head?.rawHeaders ?? [], serverId.toLowerCase());
     return id !== undefined && id !== this.server.entry.id;
   }
 
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -25,10 +25,7 @@
 
 /** Runs the effects of the adapter places of one run of a server. */
 export class OrderIssuer {
-  private readonly answers = new Map<
-    string,
-    (answer: PrepareAnswer) => void
-  >();
+  private readonly answers = new Map<string, (answer: PrepareAnswer) => void>();
 
   constructor(
     private readonly context: EntryHostContext,
--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -5,7 +5,11 @@
   Release,
 } from '@basilworks/dispatch';
 import {fleet} from '@basilworks/protocol';
-import {Server, ServerCredentials, type ServerDuplexStream} from '@grpc/grpc-js';
+import {
+  Server,
+  ServerCredentials,
+  type ServerDuplexStream,
+} from '@grpc/grpc-js';
 import {ResultAsync} from 'neverthrow';
 
 import {encodeAnswer} from './answer-codec.js';
--- a/packages/entry-host/src/ports.ts
+++ b/packages/entry-host/src/ports.ts
@@ -15,8 +15,7 @@
  * write may have been done or may be done later; the history that a watch
  * needs is gone; or the answer could not be read.
  */
-export type StoreFailure =
-  'refused' | 'missing' | 'history-gone' | 'malformed';
+export type StoreFailure = 'refused' | 'missing' | 'history-gone' | 'malformed';
 
 /** A call to the metadata store that gave no result. */
 export class StoreError extends Error {
@@ -47,10 +46,7 @@
 
 /** The platform's store, in the product's types. */
 export interface MetadataStore {
-  list(
-    kind: StoreKind,
-    signal: AbortSignal,
-  ): ResultAsync<Snapshot, StoreError>;
+  list(kind: StoreKind, signal: AbortSignal): ResultAsync<Snapshot, StoreError>;
   /** Waits up to `waitMs` for changes after `revision`. */
   watch(
     kind: StoreKind,
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -82,7 +82,8 @@
     // The history that a watch would need is gone, whoever read the base.
     let mustList = false;
     let failures = 0;
-    while (!signal.aborted) {
+    const stopped = () => signal.aborted;
+    while (!stopped()) {
       if (!this.shouldRead(kind)) {
         base = undefined;
         await sleep(timers, IDLE_CHECK_MS, signal);
@@ -96,7 +97,7 @@
       }
       const from = mustList ? undefined : base;
       const result = await this.read(kind, from, cursor);
-      if (signal.aborted) {
+      if (stopped()) {
         return;
       }
       if (result instanceof Error) {
@@ -132,12 +133,7 @@
             cursor: snapshot.at,
           }))
         : (
-            await platform.store.watch(
-              kind,
-              cursor,
-              PLANS[kind].waitMs,
-              signal,
-            )
+            await platform.store.watch(kind, cursor, PLANS[kind].waitMs, signal)
           ).map((changes) => ({
             snapshot: applyChanges(base, changes),
             cursor: changes.at,
--- a/packages/entry-host/src/test/front/caller-request_test.ts
+++ b/packages/entry-host/src/test/front/caller-request_test.ts
@@ -69,7 +69,9 @@
     NAMES,
     details,
   );
-  t.true(head.startsWith('POST /a/b?c=%20d HTTP/1.1\r\nHost: site.example\r\n'));
+  t.true(
+    head.startsWith('POST /a/b?c=%20d HTTP/1.1\r\nHost: site.example\r\n'),
+  );
   t.true(head.includes('X-Deadline: 812\r\n'));
   t.false(head.includes('X-Deadline: 1000'));
   t.true(head.endsWith('Content-Length: 5\r\n\r\n'));
--- a/packages/entry-host/src/test/upstream/connection_test.ts
+++ b/packages/entry-host/src/test/upstream/connection_test.ts
@@ -76,7 +76,8 @@
   `HTTP/1.1 200 OK\r\n${ID_HEADER}: ${id}\r\n` +
   `Content-Length: ${body.length}\r\n\r\n${body}`;
 
-const idOf = (request: string): string => /^GET \/(\S+)/.exec(request)?.[1] ?? '';
+const idOf = (request: string): string =>
+  /^GET \/(\S+)/.exec(request)?.[1] ?? '';
 
 test('keeps a connection for the next request', async (t) => {
   const {server, pool, opened} = await serve((request) =>
@@ -92,7 +93,9 @@
 test('passes over a late second answer to an earlier request', async (t) => {
   const {server, pool} = await serve((request) => {
     const id = idOf(request);
-    return id === 'two' ? answerTo('one', 'again') + answerTo('two') : answerTo(id);
+    return id === 'two'
+      ? answerTo('one', 'again') + answerTo('two')
+      : answerTo(id);
   });
   await ask(pool, 'one');
   t.like(await ask(pool, 'two'), {body: 'two'});
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -101,10 +101,7 @@
       this.peerEnded();
     });
     this.socket.on('error', (error) => {
-      this.fail(
-        this.connected ? 'interrupted' : 'unreachable',
-        error.message,
-      );
+      this.fail(this.connected ? 'interrupted' : 'unreachable', error.message);
     });
     this.socket.on('close', () => {
       this.fail('interrupted', 'closed by the server');
--- a/packages/entry-host/src/upstream/server-caller.ts
+++ b/packages/entry-host/src/upstream/server-caller.ts
@@ -47,26 +47,28 @@
       let answer = {status: 0, rawHeaders: [] as readonly string[]};
       const chunks: Buffer[] = [];
       const timer = `upstream/call/${(serial += 1)}`;
-      const handle = this.pools.of(server).start(
-        {method, head, body: bytes, requestId: undefined},
-        OWN_CONNECTIONS + server.entry.slots,
-        {
-          head: (received) => {
-            answer = received;
+      const handle = this.pools
+        .of(server)
+        .start(
+          {method, head, body: bytes, requestId: undefined},
+          OWN_CONNECTIONS + server.entry.slots,
+          {
+            head: (received) => {
+              answer = received;
+            },
+            data: (chunk) => {
+              chunks.push(chunk);
+            },
+            end: () => {
+              this.timers.cancel(timer);
+              resolve({...answer, body: Buffer.concat(chunks).toString()});
+            },
+            failed: (error) => {
+              this.timers.cancel(timer);
+              resolve(error);
+            },
           },
-          data: (chunk) => {
-            chunks.push(chunk);
-          },
-          end: () => {
-            this.timers.cancel(timer);
-            resolve({...answer, body: Buffer.concat(chunks).toString()});
-          },
-          failed: (error) => {
-            this.timers.cancel(timer);
-            resolve(error);
-          },
-        },
-      );
+        );
       if (handle instanceof UpstreamError) {
         resolve(handle);
         return;
