Ask the server with the shortest wait last, and go on without issuers

Change: the last choice is the server that named the shortest wait; a host that hears no issuer sends a request once to the first server by affinity, which refuses with a proof if the adapter is not there.

--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -116,6 +116,7 @@
       remainingMs: this.remainingMs(),
       untilLateMs: this.route.targetLatencyMs - elapsed,
       tried: this.tried,
+      firstSend: this.sends === 0,
       signal: this.abort.signal,
     });
   }
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -6,6 +6,7 @@
   FIRST_VERSION,
   occupancy,
   parseModelReference,
+  type PrepareRefusal,
   type PrepareRequest,
   rankByAffinity,
   type ResidencyCache,
@@ -46,6 +47,8 @@
   readonly untilLateMs: number;
   /** Keys of servers that were tried. */
   readonly tried: ReadonlySet<string>;
+  /** It has not been sent to any server yet. */
+  readonly firstSend: boolean;
   readonly signal: AbortSignal;
 }
 
@@ -189,12 +192,11 @@
         return found(promised, promise.version, 'promised');
       }
     }
-    let retryAfterMs = 0;
-    const reasons: string[] = [];
     const able = ranked.filter((server) => this.broker.hasIssuer(server));
+    const refusals: Refusal[] = [];
     for (let index = 0; index < MAXIMUM_PREPARES; index += 1) {
       const last = index === MAXIMUM_PREPARES - 1 || index >= able.length;
-      const server = last ? able[0] : able[index];
+      const server = last ? shortestWait(refusals) : able[index];
       if (server === undefined || selection.signal.aborted) {
         break;
       }
@@ -225,19 +227,42 @@
         );
         return found(server, answer.version, last ? 'last choice' : 'prepared');
       }
-      retryAfterMs = Math.max(retryAfterMs, answer.retryAfterMs);
-      reasons.push(`${server.entry.id} ${answer.reason}`);
+      refusals.push({server, ...answer});
       if (last) {
         break;
       }
     }
-    // The issuers can't be asked: go by what was last known.
+    return this.withoutIssuer(selection, name, version, ranked, refusals);
+  }
+
+  /** Chooses by what was last known, as no issuer makes the adapter resident. */
+  private withoutIssuer(
+    {firstSend}: SelectionRequest,
+    name: {model: string; adapter: string},
+    version: number,
+    ranked: readonly Server[],
+    refusals: readonly Refusal[],
+  ): Selection {
     const believed = ranked.find((server) =>
       this.residency.believed(name, server.key, version),
     );
-    return believed === undefined
-      ? none(`adapter not resident: ${reasons.join(', ')}`, retryAfterMs)
-      : found(believed, version, 'believed');
+    if (believed !== undefined) {
+      return found(believed, version, 'believed');
+    }
+    const [first] = ranked;
+    const unheard = refusals.every(({reason}) => UNHEARD.has(reason));
+    if (first !== undefined && unheard && firstSend) {
+      // A host that is cut off from the issuers: the adapter may well be where
+      // all hosts look for it first, and a server that lacks it says so.
+      return found(first, version, 'first by affinity');
+    }
+    const reasons = refusals.map(
+      ({server, reason}) => `${server.entry.id} ${reason}`,
+    );
+    return none(
+      `adapter not resident: ${reasons.join(', ')}`,
+      Math.max(0, ...refusals.map(({retryAfterMs}) => retryAfterMs)),
+    );
   }
 
   private prepareRequest(
@@ -275,6 +300,31 @@
   }
 }
 
+/** An issuer's refusal to make an adapter resident. */
+interface Refusal {
+  readonly server: Server;
+  readonly reason: PrepareRefusal;
+  readonly retryAfterMs: number;
+}
+
+/** Refusals that tell nothing of the server itself. */
+const UNHEARD: ReadonlySet<PrepareRefusal> = new Set([
+  'not-issuer',
+  'unreachable',
+]);
+
+/** The server at which the adapter would be resident first. */
+const shortestWait = (refusals: readonly Refusal[]): Server | undefined =>
+  refusals
+    .filter(({reason}) => reason === 'too-long' || reason === 'no-place')
+    .reduce<Refusal | undefined>(
+      (best, refusal) =>
+        best === undefined || refusal.retryAfterMs < best.retryAfterMs
+          ? refusal
+          : best,
+      undefined,
+    )?.server;
+
 const found = (server: Server, version: number, reason: string): Selection => ({
   type: 'server',
   server,
