--- a/packages/dispatch/src/adapters/place-table.ts
+++ b/packages/dispatch/src/adapters/place-table.ts
@@ -232,9 +232,7 @@
 };
 
 const isHeld = ({holders}: Place, at: Instant): boolean =>
-  [...holders.values()].some(
-    (since) => elapsedMs(since, at) < LONGEST_HOLD_MS,
-  );
+  [...holders.values()].some((since) => elapsedMs(since, at) < LONGEST_HOLD_MS);
 
 const rateAt = (place: Place, at: Instant): number =>
   place.rate *
