Let a holder come back, and a taker begin once the holder knows

Ruled out: handing over at a planned stop; restarts take 1.1 s and kept their claims. Change: claims are taken after 5 s of silence; a taker waits for the silence between issuers only, once the host before goes by newer records.

--- a/packages/dispatch/src/fleet/claims.ts
+++ b/packages/dispatch/src/fleet/claims.ts
@@ -12,8 +12,12 @@
 /** Allowance for timers that fire late and clocks that drift, milliseconds. */
 const TAKEOVER_MARGIN_MS = 500;
 
-/** Silence of a holder after which its claims may be taken, milliseconds. */
-export const HOLDER_SILENCE_MS = 3_000;
+/**
+ * Silence of a holder after which its claims may be taken, milliseconds. A
+ * holder that restarts, freezes or is cut off for a few seconds goes on sooner
+ * than its taker could begin.
+ */
+export const HOLDER_SILENCE_MS = 5_000;
 
 /** A host that hears too few others waits this long before it takes claims. */
 const MINORITY_PATIENCE_MS = 10_000;
@@ -57,8 +61,8 @@
   const {self, live, servers, claims, settled, minorityMs} = review;
   return servers.flatMap((server) => {
     const claim = claims.get(server);
-    if (claim?.record.takenOver === true && settled.has(server)) {
-      const record = {...claim.record, takenOver: false};
+    if (claim?.record.takenFrom !== undefined && settled.has(server)) {
+      const record = {...claim.record, takenFrom: undefined};
       return [{record, replaces: claim.revision}];
     }
     if (claim !== undefined && !isAbandoned(claim.record, review)) {
@@ -77,7 +81,7 @@
       server,
       host: self,
       fence: (claim?.record.fence ?? 0) + 1,
-      takenOver: claim !== undefined,
+      takenFrom: claim?.record.host,
     };
     return [{record, replaces: claim?.revision}];
   });
@@ -94,6 +98,8 @@
   readonly record: ClaimRecord;
   /** When this process first knew that it holds the claim. */
   readonly heldSince: Instant;
+  /** Since when the host before is known to know that it lost the claim. */
+  readonly yieldedSince: Instant | undefined;
 }
 
 /** What decides whether an order may be issued. */
@@ -107,20 +113,28 @@
 
 /**
  * Whether the holder may issue an order now: its claim was not revoked as of a
- * recent read, and where it took the claim from another host, that host's proof
- * has run out and the silence between two issuers has passed.
+ * recent read, and where it took the claim from another host, that host does
+ * not issue any more and the silence between two issuers has passed.
  */
 export const mayIssueOrders = (
   claim: HeldClaim,
   {claimsAgeMs, leaseMs, at}: OrderProof,
 ): boolean =>
   claimsAgeMs < CLAIM_VALIDITY_MS &&
-  (!claim.record.takenOver || takeoverSettled(claim, leaseMs, at));
+  (claim.record.takenFrom === undefined || takeoverSettled(claim, leaseMs, at));
 
-/** Whether a claim that was taken over has waited long enough. */
+/**
+ * Whether a claim that was taken over has waited long enough: the host before
+ * has said that it knows, or its last proof has run out.
+ */
 export const takeoverSettled = (
-  {heldSince}: HeldClaim,
+  {heldSince, yieldedSince}: HeldClaim,
   leaseMs: number,
   at: Instant,
-): boolean =>
-  elapsedMs(heldSince, at) >= CLAIM_VALIDITY_MS + leaseMs + TAKEOVER_MARGIN_MS;
+): boolean => {
+  const silenceMs = leaseMs + TAKEOVER_MARGIN_MS;
+  return (
+    elapsedMs(heldSince, at) >= CLAIM_VALIDITY_MS + silenceMs ||
+    (yieldedSince !== undefined && elapsedMs(yieldedSince, at) >= silenceMs)
+  );
+};
--- a/packages/dispatch/src/fleet/membership.ts
+++ b/packages/dispatch/src/fleet/membership.ts
@@ -12,6 +12,8 @@
   readonly ready: boolean;
   /** It reads the store successfully. */
   readonly readsStore: boolean;
+  /** Revision of the records that it goes by. */
+  readonly recordsRevision: number;
 }
 
 interface KnownHost {
--- a/packages/dispatch/src/fleet/records.ts
+++ b/packages/dispatch/src/fleet/records.ts
@@ -20,8 +20,8 @@
   host: z.string(),
   /** Grows whenever the claim changes hands. */
   fence: z.number().int().positive(),
-  /** Another host held it before, so that orders have to wait. */
-  takenOver: z.boolean(),
+  /** Host that held it before and may not know; orders have to wait for it. */
+  takenFrom: z.string().optional(),
 });
 export type ClaimRecord = z.infer<typeof claimRecordSchema>;
 
--- a/packages/dispatch/src/test/fleet/store-views_test.ts
+++ b/packages/dispatch/src/test/fleet/store-views_test.ts
@@ -41,6 +41,7 @@
   callerAddress: `${host}:2`,
   ready: true,
   readsStore: true,
+  recordsRevision: 0,
   ...extra,
 });
 
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -322,6 +322,7 @@
       callerAddress,
       ready: this.ready,
       readsStore: this.reader.working,
+      recordsRevision: this.context.views.revision('records'),
     };
   }
 
--- a/packages/entry-host/src/orders/claim-keeper.ts
+++ b/packages/entry-host/src/orders/claim-keeper.ts
@@ -107,6 +107,23 @@
     return mayIssueOrders(held, proof) ? held.record.fence : undefined;
   }
 
+  /** Notes which hosts know by now that they lost their claims. */
+  private noteYields(at: Instant): void {
+    const {membership} = this.context;
+    for (const [server, held] of this.held) {
+      const {takenFrom} = held.record;
+      const revision = this.claims.get(server)?.revision;
+      if (
+        takenFrom !== undefined &&
+        revision !== undefined &&
+        held.yieldedSince === undefined &&
+        (membership.status(takenFrom)?.recordsRevision ?? 0) >= revision
+      ) {
+        this.held.set(server, {...held, yieldedSince: at});
+      }
+    }
+  }
+
   private review(): void {
     const {membership, servers, clock, views, settings} = this.context;
     const at = clock.now();
@@ -115,6 +132,7 @@
     if (upMs < START_PAUSE_MS || viewAgeMs > REVIEW_VIEW_AGE_MS) {
       return;
     }
+    this.noteYields(at);
     this.keepHostRecord();
     this.forgetHosts(at);
     const live = membership.live(at).map(({host}) => host);
@@ -175,7 +193,7 @@
       this.context.logger.info('claim written', {
         server: record.server,
         fence: record.fence,
-        takenOver: record.takenOver,
+        takenFrom: record.takenFrom,
       });
       this.updateHeld();
     }
@@ -280,7 +298,8 @@
     for (const [server, record] of mine) {
       const held = this.held.get(server);
       if (held?.record.fence !== record.fence) {
-        this.held.set(server, {record, heldSince: clock.now()});
+        const heldSince = clock.now();
+        this.held.set(server, {record, heldSince, yieldedSince: undefined});
         changed = true;
       } else {
         this.held.set(server, {...held, record});
