--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -30,6 +30,7 @@
 import {ok, type Result} from 'neverthrow';
 
 import type {EntryHostContext} from './context.js';
+import {BoundedLogger} from './lib/bounded-logger.js';
 import {FrontListener, ServerSelector} from './front/index.js';
 import {EntryHostMetrics} from './metrics.js';
 import {AdapterBroker, ClaimKeeper} from './orders/index.js';
@@ -115,8 +116,10 @@
       clock,
       timers,
       metrics,
-      logger:
+      logger: new BoundedLogger(
         overrides.logger ?? createLogger(settings.host, settings.logLevel),
+        clock,
+      ),
       membership: new Membership(() => this.status(incarnation)),
       views: new StoreViews(),
       servers: new ServerTable(),
