Pass unframed answers on unframed, and check servers again after a wait

Ruled out: resets taken for an end; the sockets showed an end without an error. Change: such answers go on without a length, and a cut one resets its connection; a choice is checked against the open servers after each wait. A peer whose answer was missing is passed over for 1.5 s.

--- a/packages/entry-host/src/front/caller-answer.ts
+++ b/packages/entry-host/src/front/caller-answer.ts
@@ -3,6 +3,7 @@
 /** The answer to a caller, written as it arrives. */
 export class CallerAnswer {
   private finished = false;
+  private unframed = false;
 
   constructor(
     private readonly response: ServerResponse,
@@ -30,9 +31,17 @@
     this.response.on('drain', callback);
   }
 
-  begin(status: number, rawHeaders: readonly string[]): void {
-    const closing = this.closing() ? ['Connection', 'close'] : [];
-    this.response.writeHead(status, [...rawHeaders, ...closing]);
+  /**
+   * Begins an answer whose body follows. With `endsWithConnection`, its end is
+   * told by the connection's end only: a server that told it no better may have
+   * broken off, and a length or a last chunk would vouch for the whole.
+   */
+  begin(
+    status: number,
+    rawHeaders: readonly string[],
+    endsWithConnection: boolean,
+  ): void {
+    this.writeHead(status, rawHeaders, endsWithConnection);
     this.response.flushHeaders();
   }
 
@@ -46,18 +55,42 @@
     this.response.end();
   }
 
-  /** Writes a whole answer at once. */
-  send(status: number, rawHeaders: readonly string[], body: Buffer): void {
+  /** Writes an answer at once; see `begin` for `endsWithConnection`. */
+  send(
+    status: number,
+    rawHeaders: readonly string[],
+    body: Buffer,
+    endsWithConnection = false,
+  ): void {
     this.finished = true;
-    const closing = this.closing() ? ['Connection', 'close'] : [];
     const length = ['Content-Length', `${body.length}`];
-    this.response.writeHead(status, [...rawHeaders, ...length, ...closing]);
+    const framing = endsWithConnection ? [] : length;
+    this.writeHead(status, [...rawHeaders, ...framing], endsWithConnection);
     this.response.end(body);
   }
 
   /** Cuts an answer that can't be completed, so that it never looks whole. */
   abort(): void {
     this.finished = true;
-    this.response.destroy();
+    if (this.unframed) {
+      this.response.socket?.resetAndDestroy();
+    } else {
+      this.response.destroy();
+    }
+  }
+
+  private writeHead(
+    status: number,
+    rawHeaders: readonly string[],
+    endsWithConnection: boolean,
+  ): void {
+    this.unframed = endsWithConnection;
+    if (endsWithConnection) {
+      this.response.useChunkedEncodingByDefault = false;
+      this.response.shouldKeepAlive = false;
+    }
+    const closes = endsWithConnection || this.closing();
+    const closing = closes ? ['Connection', 'close'] : [];
+    this.response.writeHead(status, [...rawHeaders, ...closing]);
   }
 }
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -233,12 +233,17 @@
       return;
     }
     if (this.route.kind === 'stream') {
-      this.answer.begin(head.status, this.callerHeaders(head, true));
+      this.begin(head);
     } else {
       this.heldHead = head;
     }
   }
 
+  private begin(head: ResponseHead): void {
+    const {status, endsWithConnection} = head;
+    this.answer.begin(status, callerHeaders(head), endsWithConnection);
+  }
+
   private takeData(chunk: Buffer): void {
     if (this.over) {
       return;
@@ -278,7 +283,7 @@
     if (this.heldBytes > MAXIMUM_HELD_BYTES) {
       const head = this.heldHead;
       this.heldHead = undefined;
-      this.answer.begin(head.status, this.callerHeaders(head, true));
+      this.begin(head);
       this.writeOn(Buffer.concat(this.held));
       this.held.length = 0;
     }
@@ -290,8 +295,9 @@
       this.finish('answered', heldHead.status);
       this.answer.send(
         heldHead.status,
-        this.callerHeaders(heldHead, false),
+        callerHeaders(heldHead),
         Buffer.concat(this.held),
+        heldHead.endsWithConnection,
       );
       return;
     }
@@ -310,7 +316,8 @@
       return;
     }
     this.finish('failed by its server', head.status);
-    this.answer.send(head.status, this.callerHeaders(head, false), body);
+    const {status, endsWithConnection} = head;
+    this.answer.send(status, callerHeaders(head), body, endsWithConnection);
   }
 
   private endWithout({
@@ -402,13 +409,6 @@
     });
   }
 
-  private callerHeaders(
-    head: ResponseHead,
-    streamed: boolean,
-  ): readonly string[] {
-    return endToEndHeaders(head.rawHeaders, streamed ? STREAMED : WHOLE);
-  }
-
   private elapsedMs(): number {
     const {clock} = this.parts.context;
     return Math.round(elapsedMs(this.request.arrivedAt, clock.now()));
@@ -424,6 +424,8 @@
   }
 }
 
-/** Framing is this host's own where an answer is passed on as it arrives. */
-const STREAMED: ReadonlySet<string> = new Set(['content-length']);
-const WHOLE: ReadonlySet<string> = new Set(['content-length']);
+/** Framing is this host's own, whatever the server's was. */
+const FRAMING: ReadonlySet<string> = new Set(['content-length']);
+
+const callerHeaders = ({rawHeaders}: ResponseHead): readonly string[] =>
+  endToEndHeaders(rawHeaders, FRAMING);
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -218,13 +218,13 @@
         outcome: answer.outcome === 'resident' ? 'resident' : answer.reason,
       });
       if (answer.outcome === 'resident') {
-        this.residency.promise(
-          name,
-          server.key,
-          answer.version,
-          answer.validMs,
-          askedAt,
-        );
+        const {version: resident, validMs} = answer;
+        this.residency.promise(name, server.key, resident, validMs, askedAt);
+        if (!this.isOpen(server)) {
+          // It was told to leave while the load was waited for.
+          refusals.push({server, reason: 'server-gone', retryAfterMs: 0});
+          continue;
+        }
         return found(server, answer.version, last ? 'last choice' : 'prepared');
       }
       refusals.push({server, ...answer});
@@ -232,7 +232,8 @@
         break;
       }
     }
-    return this.withoutIssuer(selection, name, version, ranked, refusals);
+    const open = ranked.filter((server) => this.isOpen(server));
+    return this.withoutIssuer(selection, name, version, open, refusals);
   }
 
   /** Chooses by what was last known, as no issuer makes the adapter resident. */
@@ -265,6 +266,12 @@
     );
   }
 
+  private isOpen(server: Server): boolean {
+    return this.context.servers
+      .open(server.entry.service)
+      .some(({key}) => key === server.key);
+  }
+
   private prepareRequest(
     {request, route, remainingMs, untilLateMs}: SelectionRequest,
     name: {model: string; adapter: string},
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -83,9 +83,14 @@
 
   /** Whether some host is able to make adapters resident on a server. */
   hasIssuer(server: Server): boolean {
-    const {membership, clock} = this.context;
+    const {membership, clock, settings} = this.context;
     const holder = this.claims.holder(server.entry.id);
-    return holder !== undefined && membership.isLive(holder, clock.now());
+    return (
+      holder === settings.host ||
+      (holder !== undefined &&
+        membership.isLive(holder, clock.now()) &&
+        this.linkTo(holder)?.doubtful === false)
+    );
   }
 
   /** Asks the issuer of a server, wherever it is. */
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -166,7 +166,7 @@
     if (known !== undefined) {
       return known;
     }
-    const link = new PeerLink(address, this.context.timers);
+    const link = new PeerLink(address, this.context.timers, this.context.clock);
     this.links.set(address, link);
     return link;
   }
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -1,4 +1,5 @@
-import type {TimerService} from '@basilworks/daemon';
+import {elapsedMs, type Instant} from '@basilworks/core';
+import type {Clock, TimerService} from '@basilworks/daemon';
 import type {
   PrepareAnswer,
   PrepareRequest,
@@ -18,6 +19,9 @@
 /** How long an answer that comes late is still taken, milliseconds. */
 const LATE_ANSWER_MS = 5_000;
 
+/** How long a peer is passed over after an answer was missing, ms. */
+const DOUBT_MS = 1_500;
+
 /** Missing answers in a row after which a connection is replaced. */
 const MAXIMUM_MISSES = 2;
 
@@ -51,14 +55,24 @@
   private readonly name = `peers/link/${(links += 1)}`;
   private serial = 0;
   private misses = 0;
+  private missedAt: Instant | undefined;
 
   constructor(
     readonly address: string,
     private readonly timers: TimerService,
+    private readonly clock: Clock,
   ) {
     this.client = this.connect();
   }
 
+  /** Whether an answer was missing lately, and none has come since. */
+  get doubtful(): boolean {
+    return (
+      this.missedAt !== undefined &&
+      elapsedMs(this.missedAt, this.clock.now()) < DOUBT_MS
+    );
+  }
+
   /** Exchanges views; the answer, or undefined if there is none in time. */
   async exchange(
     value: fleet.ExchangeRequest,
@@ -169,6 +183,7 @@
     const conversation = this.client.converse();
     conversation.on('data', ({serial, response}: fleet.PeerResponse) => {
       this.misses = 0;
+      this.missedAt = undefined;
       this.pending.get(serial)?.(response);
     });
     const over = () => {
@@ -184,6 +199,7 @@
 
   /** A connection that stays silent is replaced, as it may hang unseen. */
   private missed(): void {
+    this.missedAt = this.clock.now();
     this.misses += 1;
     if (this.misses >= MAXIMUM_MISSES) {
       this.misses = 0;
--- /dev/null
+++ b/packages/entry-host/src/test/peers/peer-link_test.ts
@@ -0,0 +1,68 @@
+import {TimerService} from '@basilworks/daemon';
+import {fleet} from '@basilworks/protocol';
+import {Server, ServerCredentials} from '@grpc/grpc-js';
+import test from 'ava';
+
+import {PeerLink} from '../../peers/index.js';
+
+const request = {
+  requestId: 'r1',
+  host: 'me',
+  model: 'base',
+  adapter: 'a1',
+  version: 1,
+  maximumWaitMs: 30,
+  priority: 0,
+  uses: 0,
+};
+
+test('passes a silent peer over, and takes a late answer for a release', async (t) => {
+  let now = 0;
+  const clock = {now: () => ({monotonicMs: now, wallMs: now})};
+  const server = new Server();
+  server.addService(fleet.FleetServiceService, {
+    converse: (
+      call: Parameters<fleet.FleetServiceServer['converse']>[0],
+    ): void => {
+      call.on('data', ({request: asked}: fleet.PeerRequest) => {
+        // The answer crosses the word that it is not wanted any more.
+        if (asked?.$case === 'cancel') {
+          call.write({
+            serial: asked.value,
+            response: {
+              $case: 'prepare',
+              value: {
+                answer: {$case: 'resident', value: {version: 1, validMs: 30}},
+              },
+            },
+          });
+        }
+      });
+      call.on('error', () => undefined);
+    },
+  });
+  const port = await new Promise<number>((resolve, reject) => {
+    const insecure = ServerCredentials.createInsecure();
+    server.bindAsync('127.0.0.1:0', insecure, (error, bound) => {
+      if (error) {
+        reject(error);
+      } else {
+        resolve(bound);
+      }
+    });
+  });
+  const link = new PeerLink(`127.0.0.1:${port}`, new TimerService(), clock);
+  const signal = new AbortController().signal;
+  const late = new Promise((resolve) => {
+    void link.prepare('me', 's1', request, signal, resolve).then((missing) => {
+      t.like(missing, {outcome: 'refused', reason: 'unreachable'});
+      t.true(link.doubtful);
+    });
+  });
+  t.like(await late, {outcome: 'resident'});
+  t.false(link.doubtful);
+  now = 10_000;
+  t.false(link.doubtful);
+  link.close();
+  server.forceShutdown();
+});
--- a/packages/entry-host/src/upstream/response-parser.ts
+++ b/packages/entry-host/src/upstream/response-parser.ts
@@ -3,6 +3,8 @@
   readonly status: number;
   /** Alternating names and values, as received. */
   readonly rawHeaders: readonly string[];
+  /** The body has no length: only the connection's end tells its end. */
+  readonly endsWithConnection: boolean;
 }
 
 /** Receives what the parser reads. */
@@ -202,7 +204,8 @@
     }
     this.left = Number(length ?? 0);
     const empty = this.method === 'HEAD' || status === 204 || status === 304;
-    this.observer.head({status, rawHeaders});
+    const unframed = !empty && length === undefined && chunked === '';
+    this.observer.head({status, rawHeaders, endsWithConnection: unframed});
     if (empty || (length !== undefined && this.left === 0)) {
       this.finish();
     } else if (chunked === 'chunked') {
--- a/packages/entry-host/src/upstream/server-caller.ts
+++ b/packages/entry-host/src/upstream/server-caller.ts
@@ -44,7 +44,7 @@
       '',
     ].join('\r\n');
     return new Promise((resolve) => {
-      let answer = {status: 0, rawHeaders: [] as readonly string[]};
+      let answer: Omit<ServerAnswer, 'body'> = {status: 0, rawHeaders: []};
       const chunks: Buffer[] = [];
       const timer = `upstream/call/${(serial += 1)}`;
       const handle = this.pools
