Take connecting out of the time-out that a test waits for

Traced: its 30 ms count from the start of the exchange, and connecting alone took longer, so that nothing was sent and 'not-sent' was true. Change: the connection stands before the exchange whose answer never begins; what is asserted stays the same.

--- a/packages/daemon/src/test/platform/platform_test.ts
+++ b/packages/daemon/src/test/platform/platform_test.ts
@@ -146,7 +146,12 @@
 });
 
 test('an answer that never begins is unknown at the timeout', async (t) => {
-  const engine = await serve(t, () => undefined);
+  const answers = [respond(200, {}, GOOD_HEAD), () => undefined];
+  const engine = await serve(t, (request, response) => {
+    answers.shift()?.(request, response);
+  });
+  // The connection stands already: the time is not spent on connecting.
+  t.is((await execute(engine)).outcome.kind, 'answered');
   const {outcome} = await execute(engine, {timeoutMs: 30});
   t.like(outcome, {kind: 'unknown', refusal: {code: 'timeout', notRun: false}});
 });
