Call the latency target by a name of the product's own

Cause: the product's field had the platform's own spelling, which nothing outside platform/ should know.

--- a/packages/dispatch/src/configuration/configuration.ts
+++ b/packages/dispatch/src/configuration/configuration.ts
@@ -30,7 +30,7 @@
   /** Milliseconds after which a request gets its final answer. */
   timeoutMs: z.number().positive(),
   /** Milliseconds to the answer, or a stream's first event. */
-  targetLatencyMs: z.number().positive(),
+  latencyTargetMs: z.number().positive(),
   /** Longest pause between two events of a stream, milliseconds. */
   eventGapMs: z.number().positive().optional(),
   /** Rank among the requests of a service; 0 is first. */
--- a/packages/dispatch/src/test/configuration/route-table_test.ts
+++ b/packages/dispatch/src/test/configuration/route-table_test.ts
@@ -18,7 +18,7 @@
     {service: 'b', weight: 10},
   ],
   timeoutMs: 1_000,
-  targetLatencyMs: 100,
+  latencyTargetMs: 100,
   eventGapMs: undefined,
   priority: 0,
   maximumAttempts: 1,
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -114,7 +114,7 @@
       route: this.route,
       service: this.service,
       remainingMs: this.remainingMs(),
-      untilLateMs: this.route.targetLatencyMs - elapsed,
+      untilLateMs: this.route.latencyTargetMs - elapsed,
       tried: this.tried,
       firstSend: this.sends === 0,
       signal: this.abort.signal,
@@ -390,7 +390,7 @@
     if (headMs !== undefined) {
       metrics.answerSeconds.observe({route: name}, headMs / 1_000);
     }
-    const late = (headMs ?? 0) > this.route.targetLatencyMs;
+    const late = (headMs ?? 0) > this.route.latencyTargetMs;
     const level = outcome === 'answered' && !late ? 'debug' : 'info';
     logger[level]('request ended', {
       requestId: this.request.id,
