Drop a batch to a peer that falls due after the close

A batch of control messages waits for the end of its turn; the client was closed meanwhile, and the channel throws on a call. An entry host that closes could have died of it. Change: a closed client delivers nothing. The test fails without it.

--- a/packages/daemon/src/peers/peer-client.ts
+++ b/packages/daemon/src/peers/peer-client.ts
@@ -57,6 +57,7 @@
   private queue: string[] = [];
   private delivering = false;
   private reachable: boolean | undefined;
+  private closed = false;
 
   constructor(
     readonly address: string,
@@ -110,12 +111,15 @@
   }
 
   close(): void {
+    this.closed = true;
+    this.queue = [];
     this.client.close();
   }
 
   private deliver(): void {
     const messages = this.queue;
-    if (messages.length === 0) {
+    // A batch may fall due after the close; the channel takes no call then.
+    if (messages.length === 0 || this.closed) {
       this.delivering = false;
       return;
     }
--- a/packages/daemon/src/test/peers/peer-client_test.ts
+++ b/packages/daemon/src/test/peers/peer-client_test.ts
@@ -144,3 +144,11 @@
     Array.from({length: 50}, (_, index) => `p${index}`),
   );
 });
+
+test('a batch that falls due after the close is dropped', async (t) => {
+  const {client, batches} = await connect(t, () => undefined);
+  client.send({type: 'placement-finished', placementId: 'p1'});
+  client.close();
+  await new Promise((resolve) => setImmediate(resolve));
+  t.is(batches.length, 0);
+});
