Predict a late request's wait behind all that wait, and repeat orders sooner

A request that is still on time counted only what goes before it, so the fullest queue of late requests looked shortest; it then turned late and joined that queue, to be refused after 2.7 s (351 refused). And at servers that leave orders without an answer, 26 adapters waited with 2 of 18 places held: each such order kept the others back for 120 ms, and a repeat that answered that the load is done was not counted, which cost three conflicts and a report.

Change: a request that would be late by its turn is told the wait behind all; waits for transit and for places overlap instead of adding up; a repeated load that is done counts as accepted; an order counts as unanswered after 60 ms.

Tests: both fail first (places_test).

--- a/packages/dispatch/src/adapters/places.ts
+++ b/packages/dispatch/src/adapters/places.ts
@@ -230,6 +230,10 @@
     if (place === undefined) {
       return [];
     }
+    if (place.unsettled) {
+      // The copy without an answer was carried out.
+      this.countOrder(order, at);
+    }
     this.table.arrived(place, order.version, at);
     return this.serveWaiting(at);
   }
@@ -434,14 +438,34 @@
     if (place?.state === 'loading') {
       return Math.max(0, checkDueMs(place, at));
     }
-    const ahead = this.waiting
-      .before(request, at, this.loadMs)
-      .filter((other) => this.table.get(other)?.state !== 'loading').length;
-    const rounds = 1 + Math.floor(ahead / MAXIMUM_IN_TRANSIT);
+    const onTimeMs = this.waitBehindMs(
+      this.waiting.before(request, at, this.loadMs),
+      request,
+      at,
+    );
+    // A request that is late by then waits behind all others.
+    return onTimeMs <= request.onTimeWithinMs
+      ? onTimeMs
+      : this.waitBehindMs(this.wanted(at), request, at);
+  }
+
+  /** Expected time until the adapters ahead and this one have been loaded. */
+  private waitBehindMs(
+    others: readonly PrepareRequest[],
+    request: PrepareRequest,
+    at: Instant,
+  ): number {
+    const ahead = others.filter(
+      (other) => this.table.get(other)?.state !== 'loading',
+    );
+    const transitMs =
+      ahead.reduce((sum, other) => sum + this.table.loadMs(other), 0) /
+      MAXIMUM_IN_TRANSIT;
     const holdMs = this.table.hasRoom(at)
       ? 0
-      : ((ahead + 1) * ASSUMED_HOLD_MS) / Math.max(1, this.table.capacity);
-    return holdMs + rounds * this.table.loadMs(request);
+      : ((ahead.length + 1) * ASSUMED_HOLD_MS) /
+        Math.max(1, this.table.capacity);
+    return Math.max(transitMs, holdMs) + this.table.loadMs(request);
   }
 
   private serveWaiting(at: Instant): readonly PlacesEffect[] {
--- a/packages/dispatch/src/test/adapters/places-world.ts
+++ b/packages/dispatch/src/test/adapters/places-world.ts
@@ -21,6 +21,8 @@
   readonly lost: number;
   /** Share of orders that are carried out late and not answered. */
   readonly late: number;
+  /** Whether what an order asks for is looked at before its count. */
+  readonly holdsFirst?: boolean;
   /** Age of what the server reports, milliseconds. */
   readonly reportLagMs?: number;
 }
@@ -232,6 +234,10 @@
 
   private carryOut(order: Order): OrderEnd {
     const {operation, adapter = '', version = 1, expectedOrders} = order;
+    const held = (this.resident.get(adapter) ?? 0) >= version;
+    if (this.options.holdsFirst === true && operation === 'load' && held) {
+      return 'holds';
+    }
     if (expectedOrders !== this.sequence) {
       return 'conflict';
     }
@@ -245,7 +251,7 @@
       }
       return 'holds';
     }
-    if ((this.resident.get(adapter) ?? 0) >= version) {
+    if (held) {
       return 'holds';
     }
     if (this.coming.has(adapter)) {
@@ -257,8 +263,8 @@
     this.sequence += 1;
     this.coming.add(adapter);
     this.record();
-    const held = new Set([...this.resident.keys(), ...this.coming]);
-    if (held.size > this.options.capacity) {
+    const taken = new Set([...this.resident.keys(), ...this.coming]);
+    if (taken.size > this.options.capacity) {
       this.overfilled += 1;
     }
     this.after(this.options.loadMs, () => {
--- a/packages/dispatch/src/test/adapters/places_test.ts
+++ b/packages/dispatch/src/test/adapters/places_test.ts
@@ -5,6 +5,9 @@
 
 const calm = {capacity: 3, loadMs: 250, random: () => 0.99, lost: 0, late: 0};
 
+/** One result for each call, then the calm one. */
+const lucksOf = (lucks: number[]) => () => lucks.shift() ?? 0.99;
+
 test('loads an adapter that is wanted and answers when it is resident', (t) => {
   const world = new PlacesWorld(calm);
   world.post({type: 'issuing-changed', issuing: true});
@@ -105,6 +108,42 @@
   t.true(onTime >= possible * 0.75, `${onTime} of ${possible}`);
 });
 
+test('predicts the wait of a late request behind all that wait', (t) => {
+  const world = new PlacesWorld({...calm, capacity: 2});
+  world.post({type: 'issuing-changed', issuing: true});
+  for (const name of ['a1', 'a2']) {
+    world.prepare(name, name);
+  }
+  world.advance(400);
+  for (let index = 0; index < 30; index += 1) {
+    world.prepare(`late${index}`, `late${index}`, {onTimeWithinMs: 0});
+  }
+  // It goes before the late ones, but would be late itself by its turn.
+  world.prepare('r1', 'r1', {onTimeWithinMs: 400, maximumWaitMs: 3_000});
+  t.like(world.answers.get('r1'), {outcome: 'refused', reason: 'no-place'});
+  t.is(world.answers.get('late0'), undefined);
+});
+
+test('goes on at once when a repeated load turns out to be done', (t) => {
+  const lucks: number[] = [];
+  const world = new PlacesWorld({
+    ...calm,
+    lost: 0.2,
+    holdsFirst: true,
+    random: lucksOf(lucks),
+  });
+  world.post({type: 'issuing-changed', issuing: true});
+  world.advance(100);
+  // Carried out without an answer, and done when it is repeated.
+  lucks.push(0.1);
+  world.prepare('r1', 'a1');
+  world.advance(310);
+  t.like(world.answers.get('r1'), {outcome: 'resident'});
+  world.prepare('r2', 'a2');
+  world.advance(270);
+  t.like(world.answers.get('r2'), {outcome: 'resident'});
+});
+
 test('lets a lower rank go first only when it is due clearly sooner', (t) => {
   const orderOf = (lowDueMs: number) => {
     const world = new PlacesWorld({...calm, capacity: 1});
@@ -168,9 +207,6 @@
   t.is(forSecond[0]?.expectedOrders, forSecond[1]?.expectedOrders);
 });
 
-/** One result for each call, then the calm one. */
-const lucksOf = (lucks: number[]) => () => lucks.shift() ?? 0.99;
-
 test('counts an order that may still be carried out after a report', (t) => {
   const lucks: number[] = [];
   const world = new PlacesWorld({
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -18,7 +18,7 @@
  * Longest wait for the answer to an order, milliseconds: many round trips, and
  * short, as an order without an answer keeps others back.
  */
-const ORDER_TIMEOUT_MS = 120;
+const ORDER_TIMEOUT_MS = 60;
 
 /** Longest wait for a report, milliseconds. */
 const REPORT_TIMEOUT_MS = 500;
