Pass over servers that are much fuller than the others

Change: a server with more than half over the mean occupancy and a tenth of its slots counts as crowded and is asked last, for cold adapters and for promised ones. Where no issuer is heard, the plain ranking is used, as all hosts know it.

Test: the pattern (half of the requests for one adapter) gives 4 times the mean and more without the bound, less than twice with it.

--- a/packages/dispatch/src/servers/choose-server.ts
+++ b/packages/dispatch/src/servers/choose-server.ts
@@ -82,27 +82,55 @@
 };
 
 /**
- * Returns the servers in the order in which requests for `key` should try
- * them: a stable ranking for each key, those without room last.
+ * Occupancy above which a server counts as crowded, given the mean of all: a
+ * share of the mean, and a few places where all are nearly idle.
  */
+const CROWDED_SHARE = 1.5;
+const CROWDED_MARGIN = 0.1;
+
+/**
+ * Returns the servers that are not much fuller than the others. Without this
+ * bound, the server that an often used adapter falls to is crowded: all that it
+ * runs is slower, and long answers do not end in time.
+ */
+export const uncrowded = (
+  servers: readonly Server[],
+  at: Instant,
+): readonly Server[] => {
+  const taken = servers.map((server) => occupancy(server, at));
+  const mean =
+    taken.reduce((sum, share) => sum + share, 0) / Math.max(1, taken.length);
+  const limit = Math.min(ROOMY_SHARE, mean * CROWDED_SHARE + CROWDED_MARGIN);
+  return servers.filter((_server, index) => (taken[index] ?? 0) < limit);
+};
+
+/** Where requests for one key should go. */
+export interface AffinityRanking {
+  /** The servers that are worth a try, by a stable ranking for each key. */
+  readonly byAffinity: readonly Server[];
+  /** Those that are not crowded, by the same ranking. */
+  readonly roomy: readonly Server[];
+  /** All in the order in which they should be tried: the crowded ones last. */
+  readonly toTry: readonly Server[];
+}
+
+/** Ranks servers for requests that should meet where their key is kept. */
 export const rankByAffinity = (
   key: string,
   servers: readonly Server[],
   context: ChoiceContext,
-): readonly Server[] => {
+): AffinityRanking => {
   const usable = usableServers(servers, context);
   const byId = new Map(usable.map((server) => [server.entry.id, server]));
-  const ranked = rankByRendezvous(key, [...byId.keys()]).flatMap(
+  const byAffinity = rankByRendezvous(key, [...byId.keys()]).flatMap(
     (id) => byId.get(id) ?? [],
   );
-  const roomy = ranked.filter(
-    (server) => occupancy(server, context.at) < ROOMY_SHARE,
-  );
-  const full = ranked
+  const roomy = uncrowded(byAffinity, context.at);
+  const crowded = byAffinity
     .filter((server) => !roomy.includes(server))
     .sort(
       (first, second) =>
         occupancy(first, context.at) - occupancy(second, context.at),
     );
-  return [...roomy, ...full];
+  return {byAffinity, roomy, toTry: [...roomy, ...crowded]};
 };
--- a/packages/dispatch/src/servers/server-evidence.ts
+++ b/packages/dispatch/src/servers/server-evidence.ts
@@ -37,7 +37,6 @@
   private endedSinceReport = 0;
   private failuresInRow = 0;
   private pausedSince: Instant | undefined;
-  private lastHeard: Instant | undefined;
   private silentSince: Instant | undefined;
   private unanswered = 0;
 
@@ -53,7 +52,6 @@
 
   /** Bytes arrived from the server. */
   heard(at: Instant): void {
-    this.lastHeard = at;
     this.silentSince = at;
   }
 
@@ -126,14 +124,6 @@
       : elapsedMs(this.silentSince, at);
   }
 
-  /** Whether it was heard within `milliseconds`. */
-  heardWithin(milliseconds: number, at: Instant): boolean {
-    return (
-      this.lastHeard !== undefined &&
-      elapsedMs(this.lastHeard, at) <= milliseconds
-    );
-  }
-
   /** Counts a success. */
   recover(): void {
     this.failureShare = mix(this.failureShare, 0);
--- a/packages/dispatch/src/test/servers/servers_test.ts
+++ b/packages/dispatch/src/test/servers/servers_test.ts
@@ -129,16 +129,60 @@
 
 test('an adapter keeps its servers while they have room', (t) => {
   const servers = table(entry('a'), entry('b'), entry('c'));
-  const ranked = rankByAffinity('base/a7', servers.all(), context());
-  const again = rankByAffinity('base/a7', servers.all(), context());
+  const ranked = rankByAffinity('base/a7', servers.all(), context()).toTry;
+  const again = rankByAffinity('base/a7', servers.all(), context()).toTry;
   t.deepEqual(ranked, again);
   const [first] = ranked;
   for (let index = 0; index < 4; index += 1) {
     first?.evidence.sent(at(0));
   }
-  const full = rankByAffinity('base/a7', servers.all(), context());
-  t.is(full[0], ranked[1]);
-  t.is(full.at(-1), first);
+  const {byAffinity, toTry} = rankByAffinity(
+    'base/a7',
+    servers.all(),
+    context(),
+  );
+  t.deepEqual(byAffinity, ranked);
+  t.is(toTry[0], ranked[1]);
+  t.is(toTry.at(-1), first);
+});
+
+test('adapters that are used most do not crowd the servers they fall to', (t) => {
+  // The pattern: few adapters get most of the requests, on many servers.
+  const SERVERS = 13;
+  const RUNNING = 300;
+  const ids = Array.from({length: SERVERS}, (_value, index) => `s${index}`);
+  const servers = table(...ids.map((id) => entry(id, {slots: 64})));
+  const fullest = (roomyOnly: boolean) => {
+    const taken = new Map<string, number>();
+    const running: Server[] = [];
+    for (let step = 0; step < 4_000; step += 1) {
+      // Half of the requests for one adapter, a quarter for another.
+      const often = step % 2 === 0 ? 0 : 1;
+      const adapter = step % 4 === 3 ? (step * 7) % 300 : often;
+      const {byAffinity, toTry} = rankByAffinity(
+        `base/a${adapter}`,
+        servers.all(),
+        context(),
+      );
+      const server = roomyOnly ? toTry[0] : byAffinity[0];
+      server?.evidence.sent(at(0));
+      if (server !== undefined) {
+        running.push(server);
+      }
+      if (running.length > RUNNING) {
+        running.shift()?.evidence.ended('served', true, at(0));
+      }
+    }
+    for (const server of running) {
+      taken.set(server.key, (taken.get(server.key) ?? 0) + 1);
+    }
+    running.forEach(({evidence}) => {
+      evidence.ended('served', true, at(0));
+    });
+    return Math.max(...taken.values()) / (RUNNING / SERVERS);
+  };
+  t.true(fullest(false) > 4);
+  t.true(fullest(true) < 2);
 });
 
 test('nothing is refused while a place is free', (t) => {
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -4,8 +4,8 @@
   type ChoiceContext,
   chooseLeastLoaded,
   FIRST_VERSION,
-  occupancy,
   parseModelReference,
+  type PrepareAnswer,
   type PrepareRefusal,
   type PrepareRequest,
   rankByAffinity,
@@ -59,9 +59,6 @@
  */
 const SILENCE_LIMIT_MS = 800;
 
-/** Share of its slots above which another server is asked for a replica. */
-const FULL_SHARE = 0.9;
-
 /** Servers that are asked for an adapter, one after the other. */
 const MAXIMUM_PREPARES = 3;
 
@@ -164,7 +161,7 @@
     // those parts.
     const shared = forwarding.readSharedParts(parts ?? '').join(',');
     const key = `${request.model ?? ''} ${shared}`;
-    const [server] = rankByAffinity(key, holders, choice);
+    const [server] = rankByAffinity(key, holders, choice).toTry;
     return server === undefined
       ? none('no server is left to try', NO_SERVER_RETRY_MS)
       : {type: 'server', server, version: undefined, reason: 'prompt parts'};
@@ -176,56 +173,33 @@
     holders: readonly Server[],
     choice: ChoiceContext,
   ): Promise<Selection> {
-    const {clock, metrics} = this.context;
     const version = this.versions.get(name);
-    const ranked = rankByAffinity(
-      `${name.model}/${name.adapter}`,
-      holders,
-      choice,
-    );
-    const promised = ranked.find((server) => {
-      const at = clock.now();
-      return (
-        occupancy(server, at) < FULL_SHARE &&
-        this.residency.valid(name, server.key, version, at) !== undefined
-      );
-    });
+    const key = `${name.model}/${name.adapter}`;
+    const ranking = rankByAffinity(key, holders, choice);
+    const promised = this.promised(name, version, ranking.roomy);
     if (promised !== undefined) {
-      const at = clock.now();
-      const promise = this.residency.valid(name, promised.key, version, at);
-      if (promise !== undefined) {
-        promise.uses += 1;
-        return found(promised, promise.version, 'promised');
-      }
+      return promised;
     }
-    const able = ranked.filter((server) => this.broker.hasIssuer(server));
+    const able = ranking.toTry.filter((server) =>
+      this.broker.hasIssuer(server),
+    );
     const refusals: Refusal[] = [];
+    const {remainingMs, untilLateMs} = selection;
+    const lastMs = remainingMs * LAST_PREPARE_SHARE;
+    const firstMs = Math.max(SHORTEST_PREPARE_MS, untilLateMs * PREPARE_SHARE);
     for (let index = 0; index < MAXIMUM_PREPARES; index += 1) {
       const last = index === MAXIMUM_PREPARES - 1 || index >= able.length;
       const server = last ? shortestWait(refusals) : able[index];
       if (server === undefined || selection.signal.aborted) {
         break;
       }
-      const askedAt = clock.now();
-      const answer = await this.broker.request(
+      const waitMs = last ? lastMs : Math.min(firstMs, lastMs);
+      const answer = await this.ask(
         server,
-        this.prepareRequest(selection, name, version, server, last),
+        this.prepareRequest(selection, name, version, server, waitMs),
         selection.signal,
-        (late) => {
-          if (late.outcome === 'resident') {
-            // Nobody waits for it any more: released at the next sweep.
-            const at = clock.now();
-            const {key} = server;
-            this.residency.promise(name, key, late.version, 0, at);
-          }
-        },
       );
-      metrics.prepares.inc({
-        outcome: answer.outcome === 'resident' ? 'resident' : answer.reason,
-      });
       if (answer.outcome === 'resident') {
-        const {version: resident, validMs} = answer;
-        this.residency.promise(name, server.key, resident, validMs, askedAt);
         if (!this.isOpen(server)) {
           // It was told to leave while the load was waited for.
           refusals.push({server, reason: 'server-gone', retryAfterMs: 0});
@@ -238,10 +212,57 @@
         break;
       }
     }
-    const open = ranked.filter((server) => this.isOpen(server));
+    const open = ranking.byAffinity.filter((server) => this.isOpen(server));
     return this.withoutIssuer(selection, name, version, open, refusals);
   }
 
+  /** The first server where the adapter was promised to stay. */
+  private promised(
+    name: {model: string; adapter: string},
+    version: number,
+    servers: readonly Server[],
+  ): Selection | undefined {
+    const at = this.context.clock.now();
+    for (const server of servers) {
+      const promise = this.residency.valid(name, server.key, version, at);
+      if (promise !== undefined) {
+        promise.uses += 1;
+        return found(server, promise.version, 'promised');
+      }
+    }
+    return undefined;
+  }
+
+  /** Asks the issuer of a server, and keeps what it promises. */
+  private async ask(
+    server: Server,
+    request: PrepareRequest,
+    signal: AbortSignal,
+  ): Promise<PrepareAnswer> {
+    const {clock, metrics} = this.context;
+    const askedAt = clock.now();
+    const answer = await this.broker.request(
+      server,
+      request,
+      signal,
+      (late) => {
+        if (late.outcome === 'resident') {
+          // Nobody waits for it any more: released at the next sweep.
+          const {key} = server;
+          this.residency.promise(request, key, late.version, 0, clock.now());
+        }
+      },
+    );
+    metrics.prepares.inc({
+      outcome: answer.outcome === 'resident' ? 'resident' : answer.reason,
+    });
+    if (answer.outcome === 'resident') {
+      const {version, validMs} = answer;
+      this.residency.promise(request, server.key, version, validMs, askedAt);
+    }
+    return answer;
+  }
+
   /** Chooses by what was last known, as no issuer makes the adapter resident. */
   private withoutIssuer(
     {firstSend}: SelectionRequest,
@@ -279,21 +300,18 @@
   }
 
   private prepareRequest(
-    {request, route, remainingMs, untilLateMs}: SelectionRequest,
+    {request, route, untilLateMs}: SelectionRequest,
     name: {model: string; adapter: string},
     version: number,
     server: Server,
-    last: boolean,
+    maximumWaitMs: number,
   ): PrepareRequest {
-    const wantedMs = last
-      ? remainingMs * LAST_PREPARE_SHARE
-      : Math.max(SHORTEST_PREPARE_MS, untilLateMs * PREPARE_SHARE);
     return {
       ...name,
       host: this.context.settings.host,
       requestId: `${request.id}/${(this.serial += 1)}`,
       version,
-      maximumWaitMs: Math.min(wantedMs, remainingMs * LAST_PREPARE_SHARE),
+      maximumWaitMs,
       onTimeWithinMs: Math.max(0, untilLateMs - FIRST_PIECE_MS),
       priority: route.priority,
       uses: this.residency.takeUses(name, server.key),
