--- a/packages/dispatch/src/adapters/places.ts
+++ b/packages/dispatch/src/adapters/places.ts
@@ -3,13 +3,7 @@
 import {adapterKey, type AdapterName} from './adapter-key.js';
 import {BaseModels, type ModelOrderEffect} from './base-models.js';
 import type {LoadTimes} from './load-times.js';
-import {
-  type AdapterAt,
-  checkDueMs,
-  checkLater,
-  isUsable,
-  PlaceTable,
-} from './place-table.js';
+import {checkDueMs, checkLater, isUsable, PlaceTable} from './place-table.js';
 import type {
   Order,
   OrderEnd,
@@ -87,11 +81,6 @@
     this.table = new PlaceTable(loadTimes);
   }
 
-  /** Adapters that are resident and usable. */
-  resident(): readonly AdapterAt[] {
-    return this.table.all().filter(({state}) => state === 'resident');
-  }
-
   /** Places that are taken or may be. */
   taken(): number {
     return this.table.size;
--- a/packages/dispatch/src/configuration/configuration.ts
+++ b/packages/dispatch/src/configuration/configuration.ts
@@ -55,14 +55,10 @@
 
 /** Limits of the inference engines of a service. */
 export const engineLimitsSchema = z.object({
-  /** Requests that run at once. */
-  batchSlots: z.number().int().positive(),
   /** Adapters that a server holds, those on their way included. */
   adapterPlaces: z.number().int().nonnegative(),
   /** Memory for weights and adapters together, megabytes. */
   weightMemoryMb: z.number().nonnegative(),
-  /** Tokens of prompts and answers that a server holds. */
-  cacheTokens: z.number().nonnegative(),
   models: z.array(modelSchema),
 });
 export type EngineLimits = z.infer<typeof engineLimitsSchema>;
--- a/packages/dispatch/src/configuration/route-table.ts
+++ b/packages/dispatch/src/configuration/route-table.ts
@@ -34,11 +34,6 @@
   service(name: string): Service | undefined {
     return this.services.get(name);
   }
-
-  /** Services that the configuration names. */
-  serviceNames(): readonly string[] {
-    return [...this.services.keys()];
-  }
 }
 
 /** Returns the service at `fraction`, 0 to 1, of the weights of a route. */
--- a/packages/dispatch/src/test/configuration/route-table_test.ts
+++ b/packages/dispatch/src/test/configuration/route-table_test.ts
@@ -53,10 +53,8 @@
 
 test('adapters fit by places and by the memory beside the weights', (t) => {
   const engine = {
-    batchSlots: 1,
     adapterPlaces: 17,
     weightMemoryMb: 75_300,
-    cacheTokens: 1,
     models: [{name: 'm', weightsMb: 72_700, adapterMb: 66}],
   };
   t.is(adapterCapacity(engine), 17);
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -140,9 +140,13 @@
     this.caller = new ServerCaller(this.pools, timers, names);
     this.reader = new StoreReader(this.context, onNewer);
     this.exchange = new PeerExchange(this.context, onNewer);
-    this.claims = new ClaimKeeper(this.context, () => {
-      this.broker.review();
-    });
+    this.claims = new ClaimKeeper(
+      this.context,
+      () => this.routes,
+      () => {
+        this.broker.review();
+      },
+    );
     this.broker = new AdapterBroker(
       this.context,
       this.claims,
--- a/packages/entry-host/src/orders/claim-keeper.ts
+++ b/packages/entry-host/src/orders/claim-keeper.ts
@@ -10,6 +10,7 @@
   hostRecordName,
   mayIssueOrders,
   reviewClaims,
+  type RouteTable,
   type StoredClaim,
   type StoredItem,
   takeoverSettled,
@@ -42,6 +43,7 @@
 
   constructor(
     private readonly context: EntryHostContext,
+    private readonly routes: () => RouteTable | undefined,
     /** Called when a claim of this host came or went. */
     private readonly onChange: () => void,
   ) {
@@ -138,14 +140,18 @@
     const live = membership.live(at).map(({host}) => host);
     const minority = live.length * 2 <= this.hosts.size;
     this.minoritySince = minority ? (this.minoritySince ?? at) : undefined;
-    const engines = servers.all().filter(({entry}) => !entry.leaving);
+    const engines = servers
+      .all()
+      .filter(
+        ({entry}) =>
+          !entry.leaving &&
+          this.routes()?.service(entry.service)?.engine !== undefined,
+      );
     const changes = reviewClaims({
       at,
       self: settings.host,
       live,
-      servers: engines.flatMap(({entry}) =>
-        this.issuesOrders(entry.service) ? [entry.id] : [],
-      ),
+      servers: engines.map(({entry}) => entry.id),
       claims: this.claims,
       settled: new Set(
         [...this.held]
@@ -165,21 +171,6 @@
     }
   }
 
-  private issuesOrders(service: string): boolean {
-    return this.engineServices().has(service);
-  }
-
-  private engineServices(): ReadonlySet<string> {
-    const value = this.context.views.get('configuration')?.snapshot.items[0]
-      ?.value as
-      {services: readonly {name: string; engine?: unknown}[]} | undefined;
-    return new Set(
-      (value?.services ?? [])
-        .filter(({engine}) => engine !== undefined)
-        .map(({name}) => name),
-    );
-  }
-
   private async writeClaim({record, replaces}: ClaimChange): Promise<void> {
     const written = await this.write(
       claimRecordName(record.server),
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -35,11 +35,6 @@
     private readonly places: AdapterPlaces,
   ) {}
 
-  /** Adapters that this host knows to be resident. */
-  residentCount(): number {
-    return this.places.resident().length;
-  }
-
   post(event: PlacesEvent): void {
     const effects = this.places.reduce(event, this.context.clock.now());
     for (const effect of effects) {
--- a/packages/entry-host/src/settings-schema.ts
+++ b/packages/entry-host/src/settings-schema.ts
@@ -37,8 +37,6 @@
     extra: z.number().nonnegative(),
     windowS: z.number().positive(),
   }),
-  /** Descriptors that the process may open. */
-  openFiles: z.number().int().positive(),
   logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
 });
 export type EntryHostSettings = z.infer<typeof entryHostSettingsSchema>;
