Send requests for a newer version on while the older one runs

The server replaces it only once its runs have ended, a second and more, while the wait predicted was that of a load.

Change: the wait for an adapter that hosts have not released is a use and a load, so that the next server of the ranking loads the newer version at once. Test: fails first (places_test).

--- a/packages/dispatch/src/adapters/place-table.ts
+++ b/packages/dispatch/src/adapters/place-table.ts
@@ -237,6 +237,10 @@
 export const isUsable = (place: Place, version: number): boolean =>
   place.state === 'resident' && place.version >= version;
 
+/** Whether some host has not released the adapter. */
+export const isHeld = ({holders}: Place, at: Instant): boolean =>
+  [...holders.values()].some((since) => elapsedMs(since, at) < LONGEST_HOLD_MS);
+
 /** Milliseconds until an order under way should be asked about. */
 export const checkDueMs = (place: Place, at: Instant): number =>
   place.state === 'resident'
@@ -252,9 +256,6 @@
   place.checkAfterMs = elapsedMs(place.orderedAt, at) + delayMs;
 };
 
-const isHeld = ({holders}: Place, at: Instant): boolean =>
-  [...holders.values()].some((since) => elapsedMs(since, at) < LONGEST_HOLD_MS);
-
 const rateAt = (place: Place, at: Instant): number =>
   place.rate *
   0.5 ** (Math.max(0, elapsedMs(place.usedAt, at)) / RATE_HALF_LIFE_MS);
--- a/packages/dispatch/src/adapters/places.ts
+++ b/packages/dispatch/src/adapters/places.ts
@@ -3,7 +3,13 @@
 import {adapterKey, type AdapterName} from './adapter-key.js';
 import {BaseModels, type ModelOrderEffect} from './base-models.js';
 import type {LoadTimes} from './load-times.js';
-import {checkDueMs, checkLater, isUsable, PlaceTable} from './place-table.js';
+import {
+  checkDueMs,
+  checkLater,
+  isHeld,
+  isUsable,
+  PlaceTable,
+} from './place-table.js';
 import type {
   Order,
   OrderEnd,
@@ -427,6 +433,10 @@
     if (place?.state === 'loading') {
       return Math.max(0, checkDueMs(place, at));
     }
+    if (place !== undefined && isHeld(place, at)) {
+      // A newer version replaces it only once its runs have ended.
+      return ASSUMED_HOLD_MS + this.table.loadMs(request);
+    }
     const onTimeMs = this.waitBehindMs(
       this.waiting.before(request, at, this.loadMs),
       request,
--- a/packages/dispatch/src/test/adapters/places_test.ts
+++ b/packages/dispatch/src/test/adapters/places_test.ts
@@ -172,6 +172,20 @@
   t.like(world.answers.get('r2'), {outcome: 'resident', version: 2});
 });
 
+test('sends requests for a newer version on while the older one runs', (t) => {
+  const world = new PlacesWorld(calm);
+  world.post({type: 'issuing-changed', issuing: true});
+  world.prepare('r1', 'a1');
+  world.advance(400);
+  // Used by a host: replacing it has to wait for the end of its runs.
+  world.prepare('r2', 'a1', {version: 2, maximumWaitMs: 450});
+  t.like(world.answers.get('r2'), {outcome: 'refused', reason: 'too-long'});
+  world.release('a1');
+  world.prepare('r3', 'a1', {version: 2, maximumWaitMs: 450});
+  world.advance(400);
+  t.like(world.answers.get('r3'), {outcome: 'resident', version: 2});
+});
+
 test('reads the report again after a time without the claim', (t) => {
   const world = new PlacesWorld(calm);
   world.post({type: 'issuing-changed', issuing: true});
