Answer for what a server holds while its orders wait for their issuer

Change: a taker reads the server's report, answers for the adapters that it shows, for one request at a time, and refuses others as before; it notes at once, also after a restart, that the host before has given way; a host without the claim promises nothing any more from what it knew.

Tests: places_test and a new claim-keeper_test, both fail first.

--- a/packages/dispatch/src/adapters/place-table.ts
+++ b/packages/dispatch/src/adapters/place-table.ts
@@ -199,14 +199,22 @@
     place.usedAt = at;
   }
 
-  /** Promises a host that the adapter stays for its next requests. */
-  promise(place: Place, host: string, at: Instant): PrepareAnswer {
+  /**
+   * Promises a host that the adapter stays for its next requests; for one only
+   * where that is not `firm`, as another host might still unload it.
+   */
+  promise(
+    place: Place,
+    host: string,
+    firm: boolean,
+    at: Instant,
+  ): PrepareAnswer {
     const perSecond =
       (rateAt(place, at) * Math.LN2 * 1_000) / RATE_HALF_LIFE_MS;
     const steadiness = perSecond / STEADY_USES_PER_S;
     const validMs = Math.min(
       LONGEST_PROMISE_MS,
-      Math.max(SHORTEST_PROMISE_MS, steadiness * LONGEST_PROMISE_MS),
+      Math.max(SHORTEST_PROMISE_MS, firm ? steadiness * LONGEST_PROMISE_MS : 0),
     );
     place.holders.set(host, at);
     return {outcome: 'resident', version: place.version, validMs};
--- a/packages/dispatch/src/adapters/places-events.ts
+++ b/packages/dispatch/src/adapters/places-events.ts
@@ -94,6 +94,13 @@
 ] as const;
 export type PrepareRefusal = (typeof PREPARE_REFUSALS)[number];
 
+/**
+ * What this host's claim on the orders of a server allows: nothing, without one;
+ * to answer for what the server holds, while another host may still issue
+ * orders or this host's proof has run out; to issue orders.
+ */
+export type ClaimState = 'none' | 'waiting' | 'issuing';
+
 export type PlacesEvent =
   | {readonly type: 'prepare-requested'; readonly request: PrepareRequest}
   | {readonly type: 'prepare-cancelled'; readonly requestId: string}
@@ -110,7 +117,7 @@
     }
   | {readonly type: 'report-read'; readonly report: PlacesReport}
   | {readonly type: 'report-failed'}
-  | {readonly type: 'issuing-changed'; readonly issuing: boolean}
+  | {readonly type: 'claim-changed'; readonly claim: ClaimState}
   | {
       readonly type: 'models-wanted';
       readonly models: readonly string[];
--- a/packages/dispatch/src/adapters/places.ts
+++ b/packages/dispatch/src/adapters/places.ts
@@ -11,6 +11,7 @@
   PlaceTable,
 } from './place-table.js';
 import type {
+  ClaimState,
   Order,
   OrderEnd,
   PlacesEffect,
@@ -28,6 +29,12 @@
 /** Reports lag by some hundred milliseconds behind the orders accepted. */
 const REPORT_LAG_MS = 400;
 
+/**
+ * Between two reports while another host may still issue orders, milliseconds:
+ * each is a call, and few adapters change without an issuer.
+ */
+const WAITING_REPORT_PERIOD_MS = 2_000;
+
 /** Before a report that failed is asked for again, milliseconds. */
 const REPORT_RETRY_MS = 500;
 
@@ -76,7 +83,8 @@
   /** Questions in progress whether an order has been carried out. */
   private readonly checks = new Map<string, Order>();
   private reportRequested = false;
-  private issuing = false;
+  private claim: ClaimState = 'none';
+  private reportAskedAt: Instant | undefined;
   private gone = false;
   private conflicts = 0;
   private serial = 0;
@@ -112,10 +120,11 @@
   prepare(request: PrepareRequest, at: Instant): readonly PlacesEffect[] {
     const {requestId, host, version, uses} = request;
     const place = this.table.get(request);
-    if (place !== undefined) {
+    if (place !== undefined && this.claim !== 'none') {
       this.table.count(place, uses + 1, at);
       if (isUsable(place, version)) {
-        return [answer(requestId, this.table.promise(place, host, at))];
+        const firm = this.claim === 'issuing';
+        return [answer(requestId, this.table.promise(place, host, firm, at))];
       }
     }
     const refusal = this.refusal(request, at);
@@ -191,13 +200,18 @@
     return [];
   }
 
-  issuingChanged(issuing: boolean): readonly PlacesEffect[] {
-    if (issuing && !this.issuing) {
+  claimChanged(claim: ClaimState): readonly PlacesEffect[] {
+    if (claim === 'issuing' && this.claim !== 'issuing') {
       // Another host may have issued orders meanwhile.
       this.ordersAccepted = undefined;
     }
-    this.issuing = issuing;
-    return issuing ? [] : this.refuseWaiting(() => true, 'not-issuer');
+    if (this.claim === 'none') {
+      this.reportAskedAt = undefined;
+    }
+    this.claim = claim;
+    return claim === 'issuing'
+      ? []
+      : this.refuseWaiting(() => true, 'not-issuer');
   }
 
   serverGone(): readonly PlacesEffect[] {
@@ -270,19 +284,18 @@
 
   /** Issues what is due. */
   private proceed(at: Instant): readonly PlacesEffect[] {
-    if (this.gone || !this.issuing) {
+    if (this.gone || this.claim === 'none') {
       return [];
     }
     const pauseMs = this.pauseLeftMs(at);
     if (pauseMs > 0) {
       return [{type: 'wake-after', delayMs: Math.max(1, pauseMs)}];
     }
+    if (this.claim === 'waiting') {
+      return this.reportIsOld(at) ? this.askForReport(at) : [];
+    }
     if (this.ordersAccepted === undefined) {
-      if (this.reportRequested) {
-        return [];
-      }
-      this.reportRequested = true;
-      return [{type: 'read-report'}];
+      return this.askForReport(at);
     }
     const effects = this.dueChecks(this.ordersAccepted, at);
     if (this.inProgress === undefined) {
@@ -299,6 +312,22 @@
     return effects;
   }
 
+  private askForReport(at: Instant): readonly PlacesEffect[] {
+    if (this.reportRequested) {
+      return [];
+    }
+    this.reportRequested = true;
+    this.reportAskedAt = at;
+    return [{type: 'read-report'}];
+  }
+
+  private reportIsOld(at: Instant): boolean {
+    return (
+      this.reportAskedAt === undefined ||
+      elapsedMs(this.reportAskedAt, at) > WAITING_REPORT_PERIOD_MS
+    );
+  }
+
   /** Asks about loads and unloads that should have been carried out. */
   private dueChecks(expectedOrders: number, at: Instant): PlacesEffect[] {
     const effects: PlacesEffect[] = [];
@@ -412,7 +441,7 @@
     if (this.gone) {
       return 'server-gone';
     }
-    if (!this.issuing) {
+    if (this.claim !== 'issuing') {
       return 'not-issuer';
     }
     if (this.expectedWaitMs(request, at) <= request.maximumWaitMs) {
@@ -479,7 +508,7 @@
           return [];
         }
         this.table.count(place, request.uses + 1, at);
-        const promise = this.table.promise(place, request.host, at);
+        const promise = this.table.promise(place, request.host, true, at);
         return [answer(request.requestId, promise)];
       });
   }
@@ -588,7 +617,7 @@
     places.orderEnded(order, end, at),
   'report-read': (places, {report}, at) => places.reportRead(report, at),
   'report-failed': (places, _event, at) => places.reportFailed(at),
-  'issuing-changed': (places, {issuing}) => places.issuingChanged(issuing),
+  'claim-changed': (places, {claim}) => places.claimChanged(claim),
   'models-wanted': (places, {models, capacity}) =>
     places.modelsWanted(models, capacity),
   'server-gone': (places) => places.serverGone(),
--- a/packages/dispatch/src/test/adapters/places_test.ts
+++ b/packages/dispatch/src/test/adapters/places_test.ts
@@ -10,7 +10,7 @@
 
 test('loads an adapter that is wanted and answers when it is resident', (t) => {
   const world = new PlacesWorld(calm);
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.prepare('r1', 'a1');
   world.advance(200);
   t.is(world.answers.get('r1'), undefined);
@@ -20,7 +20,7 @@
 
 test('joins requests for an adapter into one load', (t) => {
   const world = new PlacesWorld(calm);
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   for (let index = 0; index < 20; index += 1) {
     world.prepare(`r${index}`, 'a1', {host: `host-${index % 3}`});
   }
@@ -36,9 +36,35 @@
   t.is(world.orders.length, 0);
 });
 
+test('answers for what the server holds until it may issue orders', (t) => {
+  const world = new PlacesWorld(calm);
+  world.resident.set('a1', 1);
+  world.post({type: 'claim-changed', claim: 'waiting'});
+  world.advance(50);
+  world.prepare('r1', 'a1');
+  t.like(world.answers.get('r1'), {outcome: 'resident', version: 1});
+  world.prepare('r2', 'a2');
+  t.like(world.answers.get('r2'), {outcome: 'refused', reason: 'not-issuer'});
+  t.is(world.orders.length, 0);
+  world.post({type: 'claim-changed', claim: 'issuing'});
+  world.prepare('r3', 'a2');
+  world.advance(400);
+  t.like(world.answers.get('r3'), {outcome: 'resident'});
+});
+
+test('promises nothing once the claim is gone', (t) => {
+  const world = new PlacesWorld(calm);
+  world.post({type: 'claim-changed', claim: 'issuing'});
+  world.prepare('r1', 'a1');
+  world.advance(400);
+  world.post({type: 'claim-changed', claim: 'none'});
+  world.prepare('r2', 'a1');
+  t.like(world.answers.get('r2'), {outcome: 'refused', reason: 'not-issuer'});
+});
+
 test('never unloads an adapter that a host has not released', (t) => {
   const world = new PlacesWorld({...calm, capacity: 1});
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.prepare('r1', 'a1');
   world.advance(400);
   world.inUse.add('a1');
@@ -54,7 +80,7 @@
 
 test('evicts the adapter that is used least', (t) => {
   const world = new PlacesWorld({...calm, capacity: 2});
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.prepare('r1', 'often');
   world.advance(400);
   for (let index = 0; index < 5; index += 1) {
@@ -73,7 +99,7 @@
 test('goes on answering on time while more is asked for than fits', (t) => {
   // The pattern: rare adapters at three times the rate of the places.
   const world = new PlacesWorld({...calm, capacity: 4});
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.advance(100);
   const USE_MS = 1_000;
   const AIM_MS = 500;
@@ -110,7 +136,7 @@
 
 test('predicts the wait of a late request behind all that wait', (t) => {
   const world = new PlacesWorld({...calm, capacity: 2});
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   for (const name of ['a1', 'a2']) {
     world.prepare(name, name);
   }
@@ -132,7 +158,7 @@
     holdsFirst: true,
     random: lucksOf(lucks),
   });
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.advance(100);
   // Carried out without an answer, and done when it is repeated.
   lucks.push(0.1);
@@ -147,7 +173,7 @@
 test('lets a lower rank go first only when it is due clearly sooner', (t) => {
   const orderOf = (lowDueMs: number) => {
     const world = new PlacesWorld({...calm, capacity: 1});
-    world.post({type: 'issuing-changed', issuing: true});
+    world.post({type: 'claim-changed', claim: 'issuing'});
     world.prepare('first', 'first');
     world.advance(400);
     world.prepare('low', 'low', {onTimeWithinMs: lowDueMs, priority: 2});
@@ -163,7 +189,7 @@
 
 test('replaces an adapter whose newer version is wanted', (t) => {
   const world = new PlacesWorld(calm);
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.prepare('r1', 'a1');
   world.advance(400);
   world.prepare('r2', 'a1', {version: 2});
@@ -174,7 +200,7 @@
 
 test('sends requests for a newer version on while the older one runs', (t) => {
   const world = new PlacesWorld(calm);
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.prepare('r1', 'a1');
   world.advance(400);
   // Used by a host: replacing it has to wait for the end of its runs.
@@ -188,13 +214,13 @@
 
 test('reads the report again after a time without the claim', (t) => {
   const world = new PlacesWorld(calm);
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.prepare('r1', 'a1');
   world.advance(400);
-  world.post({type: 'issuing-changed', issuing: false});
+  world.post({type: 'claim-changed', claim: 'none'});
   world.resident.set('other', 1);
   world.resident.set('another', 1);
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.advance(1_000);
   t.is(world.places.taken(), 3);
 });
@@ -210,7 +236,7 @@
       return luck;
     },
   });
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.prepare('r1', 'a1');
   world.advance(400);
   lucks = [0.1];
@@ -229,15 +255,15 @@
     late: 0.3,
     random: lucksOf(lucks),
   });
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.advance(100);
   // Not answered, and carried out two seconds later, as is its copy.
   lucks.push(0.1, 0, 0.1, 0);
   world.prepare('r1', 'a1');
   world.advance(400);
   world.post({type: 'prepare-cancelled', requestId: 'r1'});
-  world.post({type: 'issuing-changed', issuing: false});
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'none'});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.advance(100);
   t.is(world.places.taken(), 1);
 });
@@ -250,7 +276,7 @@
     late: 0.3,
     random: lucksOf(lucks),
   });
-  world.post({type: 'issuing-changed', issuing: true});
+  world.post({type: 'claim-changed', claim: 'issuing'});
   world.advance(100);
   // Not answered, and still on its way when it is repeated.
   lucks.push(0.1, 0.99);
@@ -296,14 +322,14 @@
             late: 0.3,
             reportLagMs,
           });
-          world.post({type: 'issuing-changed', issuing: true});
+          world.post({type: 'claim-changed', claim: 'issuing'});
           steps.forEach(({adapter, pauseMs, releases, earlier}, index) => {
             if (earlier !== null) {
               // Another host held the claim for a moment.
-              world.post({type: 'issuing-changed', issuing: false});
+              world.post({type: 'claim-changed', claim: 'none'});
               const {adapter: other, delayMs} = earlier;
               world.orderOfIssuerBefore(`a${other}`, delayMs);
-              world.post({type: 'issuing-changed', issuing: true});
+              world.post({type: 'claim-changed', claim: 'issuing'});
             }
             world.prepare(`r${index}`, `a${adapter}`);
             world.advance(pauseMs);
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -1,6 +1,7 @@
 import {
   adapterCapacity,
   AdapterPlaces,
+  type ClaimState,
   LoadTimes,
   type PrepareAnswer,
   type PrepareRequest,
@@ -22,7 +23,7 @@
 /** Finds the issuer of a server's orders: this host, or a peer. */
 export class AdapterBroker implements AdapterPreparer {
   private readonly issuers = new Map<string, OrderIssuer>();
-  private readonly issuing = new Map<string, boolean>();
+  private readonly claimStates = new Map<string, ClaimState>();
   private readonly loadTimes = new LoadTimes();
 
   constructor(
@@ -52,7 +53,7 @@
       if (servers.get(key) === undefined) {
         issuer.close();
         this.issuers.delete(key);
-        this.issuing.delete(key);
+        this.claimStates.delete(key);
       }
     }
     for (const server of servers.all()) {
@@ -60,8 +61,8 @@
       if (engine === undefined || server.entry.leaving) {
         continue;
       }
-      const mayIssue = this.claims.fenceFor(server.entry.id) !== undefined;
-      if (!mayIssue && !this.issuers.has(server.key)) {
+      const claim = this.claims.stateOf(server.entry.id);
+      if (claim === 'none' && !this.issuers.has(server.key)) {
         continue;
       }
       const issuer = this.issuerOf(server);
@@ -70,13 +71,14 @@
         models: engine.models.map(({name}) => name),
         capacity: adapterCapacity(engine),
       });
-      if (this.issuing.get(server.key) !== mayIssue) {
-        this.issuing.set(server.key, mayIssue);
+      if (this.claimStates.get(server.key) !== claim) {
+        this.claimStates.set(server.key, claim);
         this.context.logger.info('issuing orders', {
           server: server.entry.id,
-          issuing: mayIssue,
+          issuing: claim === 'issuing',
+          claim,
         });
-        issuer.post({type: 'issuing-changed', issuing: mayIssue});
+        issuer.post({type: 'claim-changed', claim});
       }
     }
   }
--- a/packages/entry-host/src/orders/claim-keeper.ts
+++ b/packages/entry-host/src/orders/claim-keeper.ts
@@ -3,6 +3,7 @@
   claimRecordName,
   type ClaimChange,
   type ClaimRecord,
+  type ClaimState,
   type FleetRecord,
   fleetRecordSchema,
   type HeldClaim,
@@ -109,32 +110,25 @@
     return mayIssueOrders(held, proof) ? held.record.fence : undefined;
   }
 
-  /** Notes which hosts know by now that they lost their claims. */
-  private noteYields(at: Instant): void {
-    const {membership} = this.context;
-    for (const [server, held] of this.held) {
-      const {takenFrom} = held.record;
-      const revision = this.claims.get(server)?.revision;
-      if (
-        takenFrom !== undefined &&
-        revision !== undefined &&
-        held.yieldedSince === undefined &&
-        (membership.status(takenFrom)?.recordsRevision ?? 0) >= revision
-      ) {
-        this.held.set(server, {...held, yieldedSince: at});
-      }
+  /** What this host may do for a server by its claim. */
+  stateOf(server: string): ClaimState {
+    if (!this.held.has(server)) {
+      return 'none';
     }
+    return this.fenceFor(server) === undefined ? 'waiting' : 'issuing';
   }
 
-  private review(): void {
+  /** Reviews the claims once; called on a timer. */
+  review(): void {
     const {membership, servers, clock, views, settings} = this.context;
     const at = clock.now();
     const upMs = at.monotonicMs - this.startedAt.monotonicMs;
     const viewAgeMs = views.ageMs('records', at);
+    // Also right after a start: a taking goes on where it was.
+    this.noteYields(at);
     if (upMs < START_PAUSE_MS || viewAgeMs > REVIEW_VIEW_AGE_MS) {
       return;
     }
-    this.noteYields(at);
     this.keepHostRecord();
     this.forgetHosts(at);
     const live = membership.live(at).map(({host}) => host);
@@ -171,6 +165,23 @@
     }
   }
 
+  /** Notes which hosts know by now that they lost their claims. */
+  private noteYields(at: Instant): void {
+    const {membership} = this.context;
+    for (const [server, held] of this.held) {
+      const {takenFrom} = held.record;
+      const revision = this.claims.get(server)?.revision;
+      if (
+        takenFrom !== undefined &&
+        revision !== undefined &&
+        held.yieldedSince === undefined &&
+        (membership.status(takenFrom)?.recordsRevision ?? 0) >= revision
+      ) {
+        this.held.set(server, {...held, yieldedSince: at});
+      }
+    }
+  }
+
   private async writeClaim({record, replaces}: ClaimChange): Promise<void> {
     const written = await this.write(
       claimRecordName(record.server),
--- /dev/null
+++ b/packages/entry-host/src/test/orders/claim-keeper_test.ts
@@ -0,0 +1,115 @@
+import {TimerService} from '@basilworks/daemon';
+import {
+  type HostStatus,
+  Membership,
+  ServerTable,
+  StoreViews,
+} from '@basilworks/dispatch';
+import test from 'ava';
+
+import type {EntryHostContext} from '../../context.js';
+import {EntryHostMetrics} from '../../metrics.js';
+import {ClaimKeeper} from '../../orders/index.js';
+import type {PlatformProtocol} from '../../ports.js';
+
+const status = (host: string, recordsRevision: number): HostStatus => ({
+  host,
+  incarnation: 'run-1',
+  zone: 'z1',
+  peerAddress: `${host}:1`,
+  callerAddress: `${host}:2`,
+  ready: true,
+  readsStore: true,
+  recordsRevision,
+});
+
+const world = () => {
+  let nowMs = 0;
+  const clock = {now: () => ({monotonicMs: nowMs, wallMs: nowMs})};
+  const context: EntryHostContext = {
+    settings: {
+      host: 'me',
+      zone: 'z1',
+      callerAddress: 'me:2',
+      readinessAddress: 'me:3',
+      directoryAddress: 'me:4',
+      peerAddress: 'me:1',
+      seeds: [],
+      storeAddress: 'store:1',
+      addressLifetimeS: 5,
+      stopGraceS: 8,
+      orderLeaseMs: 3_000,
+      retryBudget: {ratio: 0.2, extra: 10, windowS: 10},
+      logLevel: 'error',
+    },
+    // Nothing is written as long as the records are as they should be.
+    platform: {} as PlatformProtocol,
+    clock,
+    timers: new TimerService(),
+    logger: {
+      debug: () => undefined,
+      info: () => undefined,
+      warn: () => undefined,
+      error: () => undefined,
+    },
+    metrics: new EntryHostMetrics(),
+    membership: new Membership(() => status('me', 7)),
+    views: new StoreViews(),
+    servers: new ServerTable(),
+    signal: new AbortController().signal,
+    random: () => 0.5,
+  };
+  const keeper = new ClaimKeeper(
+    context,
+    () => undefined,
+    () => undefined,
+  );
+  const claim = {
+    type: 'claim',
+    server: 's1',
+    host: 'me',
+    fence: 5,
+    takenFrom: 'other',
+  };
+  context.views.offer(
+    {
+      kind: 'records',
+      at: 7,
+      items: [{name: 'claim.s1', revision: 7, value: claim}],
+    },
+    clock.now(),
+    clock.now(),
+  );
+  keeper.recordsChanged();
+  return {
+    keeper,
+    context,
+    setNow: (milliseconds: number) => {
+      nowMs = milliseconds;
+    },
+  };
+};
+
+test('a taker that restarts goes on waiting for the host before', (t) => {
+  const {keeper, context, setNow} = world();
+  t.is(keeper.stateOf('s1'), 'waiting');
+  setNow(400);
+  context.membership.heard(status('other', 7), {monotonicMs: 400, wallMs: 400});
+  setNow(500);
+  keeper.review();
+  setNow(3_900);
+  t.is(keeper.stateOf('s1'), 'waiting');
+  setNow(4_100);
+  t.is(keeper.stateOf('s1'), 'issuing');
+});
+
+test('a host that goes by older records has not given way', (t) => {
+  const {keeper, context, setNow} = world();
+  setNow(400);
+  context.membership.heard(status('other', 6), {monotonicMs: 400, wallMs: 400});
+  setNow(500);
+  keeper.review();
+  setNow(4_100);
+  t.is(keeper.stateOf('s1'), 'waiting');
+  t.is(keeper.stateOf('s2'), 'none');
+});
