--- a/packages/dispatch/src/adapters/place-table.ts
+++ b/packages/dispatch/src/adapters/place-table.ts
@@ -4,6 +4,9 @@
 import type {LoadSource, LoadTimes} from './load-times.js';
 import type {PlacesReport, PrepareAnswer} from './places-events.js';
 
+/** Adapters that may be on their way to one server at a time. */
+export const MAXIMUM_IN_TRANSIT = 4;
+
 /** Share of the expected load time after which a load is asked about. */
 const FIRST_CHECK_SHARE = 0.95;
 
--- a/packages/dispatch/src/adapters/places.ts
+++ b/packages/dispatch/src/adapters/places.ts
@@ -6,8 +6,8 @@
 import {
   checkDueMs,
   checkLater,
-  isHeld,
   isUsable,
+  MAXIMUM_IN_TRANSIT,
   PlaceTable,
 } from './place-table.js';
 import type {
@@ -21,11 +21,13 @@
   PrepareRefusal,
   PrepareRequest,
 } from './places-events.js';
+import {
+  expectedWaitMs,
+  type PlacesPressure,
+  pressureOf,
+} from './wait-estimate.js';
 import {WaitingRequests} from './waiting-requests.js';
 
-/** Adapters that may be on their way to one server at a time. */
-const MAXIMUM_IN_TRANSIT = 4;
-
 /** Reports lag by some hundred milliseconds behind the orders accepted. */
 const REPORT_LAG_MS = 400;
 
@@ -47,23 +49,8 @@
 /** Conflicts in a row that mean that the count of orders is wrong. */
 const CONFLICTS_BEFORE_REPORT = 3;
 
-/** How long hosts hold an adapter for one request, as a rule, milliseconds. */
-const ASSUMED_HOLD_MS = 1_000;
-
 type AdapterOrder = Order & AdapterName;
 
-/** How busy the adapter places of a server are. */
-export interface PlacesPressure {
-  /** Adapters that fit. */
-  readonly capacity: number;
-  readonly taken: number;
-  /** Resident adapters that hosts have not released. */
-  readonly held: number;
-  readonly inTransit: number;
-  /** Adapters that are waited for. */
-  readonly waiting: number;
-}
-
 /**
  * The adapters of one server, as seen by the only host that issues its orders.
  * Orders that change something go out one at a time, each with the count of
@@ -102,13 +89,7 @@
 
   /** What decides how soon an adapter can be resident. */
   pressure(at: Instant): PlacesPressure {
-    return {
-      capacity: this.table.capacity,
-      taken: this.table.size,
-      held: this.table.held(at),
-      inTransit: this.table.inTransit(),
-      waiting: this.wanted(at).length,
-    };
+    return pressureOf(this.table, this.waiting, at);
   }
 
   reduce(event: PlacesEvent, at: Instant): readonly PlacesEffect[] {
@@ -400,7 +381,8 @@
 
   /** The most urgent load, or the unload that it needs first. */
   private nextLoad(expectedOrders: number, at: Instant): Order | undefined {
-    for (const request of this.wanted(at)) {
+    const wanted = this.waiting.wanted(at, (name) => this.table.loadMs(name));
+    for (const request of wanted) {
       const place = this.table.get(request);
       if (place !== undefined && place.state !== 'resident') {
         continue;
@@ -451,49 +433,8 @@
     return known || this.table.hasRoom(at) ? 'too-long' : 'no-place';
   }
 
-  private readonly loadMs = (name: AdapterName) => this.table.loadMs(name);
-
-  private wanted(at: Instant): readonly PrepareRequest[] {
-    return this.waiting.wanted(at, this.loadMs);
-  }
-
   private expectedWaitMs(request: PrepareRequest, at: Instant): number {
-    const place = this.table.get(request);
-    if (place?.state === 'loading') {
-      return Math.max(0, checkDueMs(place, at));
-    }
-    if (place !== undefined && isHeld(place, at)) {
-      // A newer version replaces it only once its runs have ended.
-      return ASSUMED_HOLD_MS + this.table.loadMs(request);
-    }
-    const onTimeMs = this.waitBehindMs(
-      this.waiting.before(request, at, this.loadMs),
-      request,
-      at,
-    );
-    // A request that is late by then waits behind all others.
-    return onTimeMs <= request.onTimeWithinMs
-      ? onTimeMs
-      : this.waitBehindMs(this.wanted(at), request, at);
-  }
-
-  /** Expected time until the adapters ahead and this one have been loaded. */
-  private waitBehindMs(
-    others: readonly PrepareRequest[],
-    request: PrepareRequest,
-    at: Instant,
-  ): number {
-    const ahead = others.filter(
-      (other) => this.table.get(other)?.state !== 'loading',
-    );
-    const transitMs =
-      ahead.reduce((sum, other) => sum + this.table.loadMs(other), 0) /
-      MAXIMUM_IN_TRANSIT;
-    const holdMs = this.table.hasRoom(at)
-      ? 0
-      : ((ahead.length + 1) * ASSUMED_HOLD_MS) /
-        Math.max(1, this.table.capacity);
-    return Math.max(transitMs, holdMs) + this.table.loadMs(request);
+    return expectedWaitMs(this.table, this.waiting, request, at);
   }
 
   private serveWaiting(at: Instant): readonly PlacesEffect[] {
--- a/packages/dispatch/src/adapters/waiting-requests.ts
+++ b/packages/dispatch/src/adapters/waiting-requests.ts
@@ -1,6 +1,6 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 
-import {adapterKey, type AdapterName} from './adapter-key.js';
+import {adapterKey} from './adapter-key.js';
 import type {PrepareRequest} from './places-events.js';
 
 /**
@@ -22,7 +22,7 @@
 }
 
 /** Expected time of an adapter's load, milliseconds. */
-export type LoadMs = (name: AdapterName) => number;
+export type LoadMs = (request: PrepareRequest) => number;
 
 /**
  * Requests of hosts that wait for adapters to be resident. Those whose answers
