Ask servers last whose streams are much slower than the others'

Cause: nothing looked at how fast a server's streams go, so that a slow server got its share until it was crowded.

Change: each host keeps the mean pause between pieces of a server's streams; above 2.5 times the median and 100 ms the server is asked last. A pace is forgotten after two seconds without pieces, so that the server gets another try. Also: a kept connection now ends with the answer that a planned stop found on it (below).

Closing idle connections at the stop does not cover connections that become idle later.

--- a/packages/dispatch/src/servers/choose-server.ts
+++ b/packages/dispatch/src/servers/choose-server.ts
@@ -89,9 +89,16 @@
 const CROWDED_MARGIN = 0.1;
 
 /**
- * Returns the servers that are not much fuller than the others. Without this
- * bound, the server that an often used adapter falls to is crowded: all that it
- * runs is slower, and long answers do not end in time.
+ * Pace of a server's streams above which it counts as slow, given the median of
+ * all: beyond what a large prompt or a full batch does to a healthy one.
+ */
+const SLOW_SHARE = 2.5;
+const SLOW_FLOOR_MS = 100;
+
+/**
+ * Returns the servers that are neither much fuller nor much slower than the
+ * others. Without this bound, the server that an often used adapter falls to is
+ * crowded: all that it runs is slower, and long answers do not end in time.
  */
 export const uncrowded = (
   servers: readonly Server[],
@@ -101,7 +108,19 @@
   const mean =
     taken.reduce((sum, share) => sum + share, 0) / Math.max(1, taken.length);
   const limit = Math.min(ROOMY_SHARE, mean * CROWDED_SHARE + CROWDED_MARGIN);
-  return servers.filter((_server, index) => (taken[index] ?? 0) < limit);
+  const slowMs = slowLimitMs(servers, at);
+  return servers.filter(
+    ({evidence}, index) =>
+      (taken[index] ?? 0) < limit && (evidence.paceMs(at) ?? 0) < slowMs,
+  );
+};
+
+const slowLimitMs = (servers: readonly Server[], at: Instant): number => {
+  const paces = servers
+    .flatMap(({evidence}) => evidence.paceMs(at) ?? [])
+    .sort((first, second) => first - second);
+  const median = paces[Math.floor((paces.length - 1) / 2)] ?? Infinity;
+  return Math.max(SLOW_FLOOR_MS, median * SLOW_SHARE);
 };
 
 /** Where requests for one key should go. */
--- a/packages/dispatch/src/servers/server-evidence.ts
+++ b/packages/dispatch/src/servers/server-evidence.ts
@@ -16,6 +16,18 @@
 /** Weight of the newest sample in a running mean: about the last ten. */
 const SAMPLE_WEIGHT = 0.1;
 
+/**
+ * Weight of the newest pause between two pieces in the running mean: a server
+ * sends some hundred pieces a second, so that a second's pieces decide.
+ */
+const PACE_WEIGHT = 0.05;
+
+/** A pace is believed for this long without new pieces, milliseconds. */
+const PACE_VALIDITY_MS = 2_000;
+
+/** Pieces that are needed for a pace. */
+const PACE_PIECES = 10;
+
 /** First and longest pause after a server was unreachable, milliseconds. */
 const FIRST_PAUSE_MS = 500;
 const LONGEST_PAUSE_MS = 4_000;
@@ -32,6 +44,8 @@
   /** Mean time to the head of a served answer, milliseconds. */
   responseMs: number | undefined;
 
+  private pace = {meanMs: 0, pieces: 0};
+  private pacedAt: Instant | undefined;
   private reported: (ReportedLoad & {at: Instant}) | undefined;
   private sentSinceReport = 0;
   private endedSinceReport = 0;
@@ -55,6 +69,28 @@
     this.silentSince = at;
   }
 
+  /** A piece of a stream arrived `gapMs` after the one before. */
+  paced(gapMs: number, at: Instant): void {
+    const stale =
+      this.pacedAt === undefined ||
+      elapsedMs(this.pacedAt, at) > PACE_VALIDITY_MS;
+    const {meanMs, pieces} = stale ? {meanMs: gapMs, pieces: 0} : this.pace;
+    this.pace = {
+      meanMs: meanMs + PACE_WEIGHT * (gapMs - meanMs),
+      pieces: pieces + 1,
+    };
+    this.pacedAt = at;
+  }
+
+  /** Mean pause between the pieces of its streams, milliseconds, if known. */
+  paceMs(at: Instant): number | undefined {
+    return this.pacedAt === undefined ||
+      this.pace.pieces < PACE_PIECES ||
+      elapsedMs(this.pacedAt, at) > PACE_VALIDITY_MS
+      ? undefined
+      : this.pace.meanMs;
+  }
+
   /** The head of an answer arrived after `waitedMs`. */
   answered(
     waitedMs: number,
--- a/packages/dispatch/src/test/servers/servers_test.ts
+++ b/packages/dispatch/src/test/servers/servers_test.ts
@@ -185,6 +185,38 @@
   t.true(fullest(true) < 2);
 });
 
+test('a server whose streams are much slower than others is asked last', (t) => {
+  const servers = table(entry('a'), entry('b'), entry('c'), entry('d'));
+  const key = 'base/a7';
+  const [home] = rankByAffinity(key, servers.all(), context()).byAffinity;
+  for (let piece = 0; piece < 40; piece += 1) {
+    for (const server of servers.all()) {
+      const gapMs = server === home ? 250 : 40;
+      server.evidence.paced(gapMs, at(piece * 10));
+    }
+  }
+  const now = context({at: at(400)});
+  const {byAffinity, toTry} = rankByAffinity(key, servers.all(), now);
+  t.is(byAffinity[0], home);
+  t.is(toTry.at(-1), home);
+  // Nothing was heard of its pace for a while: it gets another try.
+  const later = context({at: at(3_000)});
+  t.is(rankByAffinity(key, servers.all(), later).toTry[0], home);
+});
+
+test('one slow piece among many does not make a server slow', (t) => {
+  const servers = table(entry('a'), entry('b'), entry('c'));
+  for (let piece = 0; piece < 40; piece += 1) {
+    for (const server of servers.all()) {
+      const slow = server.entry.id === 'a' && piece % 10 === 5;
+      server.evidence.paced(slow ? 300 : 40, at(piece * 10));
+    }
+  }
+  const now = context({at: at(400)});
+  const {byAffinity, toTry} = rankByAffinity('k', servers.all(), now);
+  t.deepEqual(toTry, byAffinity);
+});
+
 test('nothing is refused while a place is free', (t) => {
   const servers = table(entry('a'), entry('b'));
   for (let index = 0; index < 100; index += 1) {
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -126,6 +126,10 @@
     this.inProgress += 1;
     response.once('close', () => {
       this.inProgress -= 1;
+      if (this.closing) {
+        // Its head may have gone out before the stop and told nothing of it.
+        message.socket.destroySoon();
+      }
     });
     const answer = new CallerAnswer(response, () => this.closing);
     const refuse = (status: number, reason: string) => {
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -1,3 +1,4 @@
+import {elapsedMs, type Instant} from '@basilworks/core';
 import type {AttemptVerdict, SendEnd, Server} from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
@@ -58,6 +59,7 @@
 export class ServerSend implements SendControl {
   private handle: ExchangeHandle | undefined;
   private headSeen = false;
+  private pieceAt: Instant | undefined;
   private mode: 'pending' | 'pass-on' | 'failure' | 'refused' = 'pending';
   private head: ResponseHead | undefined;
   private readonly kept: Buffer[] = [];
@@ -104,7 +106,12 @@
             this.takeHead(head);
           },
           data: (chunk) => {
-            evidence.heard(clock.now());
+            const at = clock.now();
+            evidence.heard(at);
+            if (this.pieceAt !== undefined) {
+              evidence.paced(elapsedMs(this.pieceAt, at), at);
+            }
+            this.pieceAt = at;
             this.takeData(chunk);
           },
           end: () => {
