--- a/packages/dispatch/src/test/adapters/places_test.ts
+++ b/packages/dispatch/src/test/adapters/places_test.ts
@@ -1,12 +1,19 @@
 import test from 'ava';
 import fastCheck from 'fast-check';
 
-import {PlacesWorld} from './places-world.js';
+import {PlacesWorld, type WorldOptions} from './places-world.js';
 
 const calm = {capacity: 3, loadMs: 250, random: () => 0.99, lost: 0, late: 0};
 
-/** One result for each call, then the calm one. */
-const lucksOf = (lucks: number[]) => () => lucks.shift() ?? 0.99;
+/** A world whose issuer may issue, and the lucks of its next orders. */
+const worldWithLucks = (options: Partial<WorldOptions>) => {
+  const lucks: number[] = [];
+  const random = () => lucks.shift() ?? 0.99;
+  const world = new PlacesWorld({...calm, ...options, random});
+  world.post({type: 'claim-changed', claim: 'issuing'});
+  world.advance(100);
+  return {world, lucks};
+};
 
 test('loads an adapter that is wanted and answers when it is resident', (t) => {
   const world = new PlacesWorld(calm);
@@ -151,15 +158,7 @@
 });
 
 test('goes on at once when a repeated load turns out to be done', (t) => {
-  const lucks: number[] = [];
-  const world = new PlacesWorld({
-    ...calm,
-    lost: 0.2,
-    holdsFirst: true,
-    random: lucksOf(lucks),
-  });
-  world.post({type: 'claim-changed', claim: 'issuing'});
-  world.advance(100);
+  const {world, lucks} = worldWithLucks({lost: 0.2, holdsFirst: true});
   // Carried out without an answer, and done when it is repeated.
   lucks.push(0.1);
   world.prepare('r1', 'a1');
@@ -226,20 +225,10 @@
 });
 
 test('an order without an answer is repeated with the same count', (t) => {
-  let lucks: number[] = [];
-  const world = new PlacesWorld({
-    ...calm,
-    lost: 0.2,
-    random: () => {
-      const [luck = 0.99, ...rest] = lucks;
-      lucks = rest;
-      return luck;
-    },
-  });
-  world.post({type: 'claim-changed', claim: 'issuing'});
+  const {world, lucks} = worldWithLucks({lost: 0.2});
   world.prepare('r1', 'a1');
   world.advance(400);
-  lucks = [0.1];
+  lucks.push(0.1);
   world.prepare('r2', 'a2');
   world.advance(900);
   t.like(world.answers.get('r2'), {outcome: 'resident'});
@@ -248,15 +237,7 @@
 });
 
 test('counts an order that may still be carried out after a report', (t) => {
-  const lucks: number[] = [];
-  const world = new PlacesWorld({
-    ...calm,
-    capacity: 1,
-    late: 0.3,
-    random: lucksOf(lucks),
-  });
-  world.post({type: 'claim-changed', claim: 'issuing'});
-  world.advance(100);
+  const {world, lucks} = worldWithLucks({capacity: 1, late: 0.3});
   // Not answered, and carried out two seconds later, as is its copy.
   lucks.push(0.1, 0, 0.1, 0);
   world.prepare('r1', 'a1');
@@ -269,15 +250,7 @@
 });
 
 test('takes a conflict of a repeated order for no proof of the order', (t) => {
-  const lucks: number[] = [];
-  const world = new PlacesWorld({
-    ...calm,
-    capacity: 1,
-    late: 0.3,
-    random: lucksOf(lucks),
-  });
-  world.post({type: 'claim-changed', claim: 'issuing'});
-  world.advance(100);
+  const {world, lucks} = worldWithLucks({capacity: 1, late: 0.3});
   // Not answered, and still on its way when it is repeated.
   lucks.push(0.1, 0.99);
   world.prepare('r1', 'a1');
