Tell apart late news, kept servers and late bytes in logs and metrics

From the logs one could not tell whether a late send came from an old view, from a server that was kept open knowingly, or from bytes that waited after the choice. Change: 'server changed', a line a change, with the revision of the entry, the view and its age and the host that read it (relayed with the view, field read_by); 'send ended' for every send with the revisions and age it was chosen by and the time to the first byte; view age, its value at the first byte and the delay as metrics.

--- a/packages/dispatch/src/fleet/store-views.ts
+++ b/packages/dispatch/src/fleet/store-views.ts
@@ -28,6 +28,8 @@
    * saw it; undefined when there was none lately.
    */
   readonly sinceOutageMs?: number | undefined;
+  /** Host that read it from the store, for logs. */
+  readonly readBy?: string | undefined;
 }
 
 /** A snapshot and when it was known to be current. */
--- a/packages/dispatch/src/servers/server-table.ts
+++ b/packages/dispatch/src/servers/server-table.ts
@@ -3,10 +3,33 @@
 import {serverRunKey, type ServerEntry} from './server-entry.js';
 import {ServerEvidence} from './server-evidence.js';
 
+/** An entry of the store and the revision of its last change. */
+export interface RecordedEntry {
+  readonly entry: ServerEntry;
+  readonly revision: number;
+}
+
+/**
+ * What a host goes by for a server: it takes requests, it is leaving, its entry
+ * is missing but may come back, or it is not known (any more).
+ */
+export type ServerState = 'open' | 'leaving' | 'missing' | 'absent';
+
+/** A server's way from one state to another. */
+export interface ServerChange {
+  readonly server: string;
+  readonly from: ServerState;
+  readonly to: ServerState;
+  /** Revision of the entry that it goes by, the last one for a removed entry. */
+  readonly revision: number;
+}
+
 /** One run of a server: what the store says and what this host has seen. */
 export interface Server {
   readonly key: string;
   entry: ServerEntry;
+  /** Revision of the entry's last change. */
+  revision: number;
   readonly evidence: ServerEvidence;
   /** When its entry was missed, while it may still come back. */
   missingSince: Instant | undefined;
@@ -26,59 +49,71 @@
   /**
    * Takes over the store's entries. With `afterOutage`, entries that are
    * missing may have lapsed while the store was away and are kept for a while.
+   * Returns the servers whose state changed.
    */
   update(
-    entries: readonly ServerEntry[],
+    entries: readonly RecordedEntry[],
     afterOutage: boolean,
     at: Instant,
-  ): void {
+  ): readonly ServerChange[] {
+    const changes: ServerChange[] = [];
     const present = new Set<string>();
-    for (const entry of entries) {
+    for (const {entry, revision} of entries) {
       const key = serverRunKey(entry);
       present.add(key);
       const known = this.servers.get(key);
-      if (known === undefined) {
-        this.servers.set(key, {
-          key,
-          entry,
-          evidence: new ServerEvidence(),
-          missingSince: undefined,
-        });
-      } else {
-        known.entry = entry;
-        known.missingSince = undefined;
-      }
+      const from = known === undefined ? 'absent' : stateOf(known);
+      const server: Server = known ?? {
+        key,
+        entry,
+        revision,
+        evidence: new ServerEvidence(),
+        missingSince: undefined,
+      };
+      server.entry = entry;
+      server.revision = revision;
+      server.missingSince = undefined;
+      this.servers.set(key, server);
+      note(changes, server, from, stateOf(server));
     }
-    const ids = new Set(entries.map(({id}) => id));
+    const ids = new Set(entries.map(({entry}) => entry.id));
     for (const [key, server] of this.servers) {
       if (present.has(key)) {
         continue;
       }
+      const from = stateOf(server);
       const replaced = ids.has(server.entry.id);
       if (afterOutage && !replaced && !server.entry.leaving) {
         server.missingSince ??= at;
+        note(changes, server, from, 'missing');
       } else {
         this.servers.delete(key);
+        note(changes, server, from, 'absent');
       }
     }
     this.index();
+    return changes;
   }
 
-  /** Forgets servers whose entries have stayed away for too long. */
-  expire(at: Instant): void {
-    let changed = false;
-    for (const [key, {missingSince}] of this.servers) {
+  /**
+   * Forgets servers whose entries have stayed away for too long. Returns the
+   * servers whose state changed.
+   */
+  expire(at: Instant): readonly ServerChange[] {
+    const changes: ServerChange[] = [];
+    for (const [key, server] of this.servers) {
       if (
-        missingSince !== undefined &&
-        elapsedMs(missingSince, at) > LAPSE_GRACE_MS
+        server.missingSince !== undefined &&
+        elapsedMs(server.missingSince, at) > LAPSE_GRACE_MS
       ) {
         this.servers.delete(key);
-        changed = true;
+        note(changes, server, 'missing', 'absent');
       }
     }
-    if (changed) {
+    if (changes.length > 0) {
       this.index();
     }
+    return changes;
   }
 
   get(key: string): Server | undefined {
@@ -110,3 +145,17 @@
     }
   }
 }
+
+const stateOf = ({entry, missingSince}: Server): ServerState =>
+  entry.leaving ? 'leaving' : missingSince === undefined ? 'open' : 'missing';
+
+const note = (
+  changes: ServerChange[],
+  {entry, revision}: Server,
+  from: ServerState,
+  to: ServerState,
+): void => {
+  if (from !== to) {
+    changes.push({server: entry.id, from, to, revision});
+  }
+};
--- a/packages/dispatch/src/test/servers/servers_test.ts
+++ b/packages/dispatch/src/test/servers/servers_test.ts
@@ -5,6 +5,7 @@
   type ChoiceContext,
   chooseLeastLoaded,
   rankByAffinity,
+  type RecordedEntry,
   type Server,
   type ServerEntry,
   ServerTable,
@@ -25,9 +26,12 @@
   ...extra,
 });
 
+const recorded = (...entries: ServerEntry[]): RecordedEntry[] =>
+  entries.map((entry_) => ({entry: entry_, revision: 1}));
+
 const table = (...entries: ServerEntry[]): ServerTable => {
   const servers = new ServerTable();
-  servers.update(entries, false, at(0));
+  servers.update(recorded(...entries), false, at(0));
   return servers;
 };
 
@@ -48,6 +52,23 @@
   return server;
 };
 
+test('changes of servers are told with the revision that showed them', (t) => {
+  const servers = table(entry('a'), entry('b'));
+  const changed = [
+    {entry: entry('a', {leaving: true}), revision: 7},
+    {entry: entry('c'), revision: 8},
+  ];
+  t.deepEqual(servers.update(changed, true, at(0)), [
+    {server: 'a', from: 'open', to: 'leaving', revision: 7},
+    {server: 'c', from: 'absent', to: 'open', revision: 8},
+    {server: 'b', from: 'open', to: 'missing', revision: 1},
+  ]);
+  t.deepEqual(servers.update(changed, true, at(0)), []);
+  t.deepEqual(servers.expire(at(9_000)), [
+    {server: 'b', from: 'missing', to: 'absent', revision: 1},
+  ]);
+});
+
 test('a leaving server takes nothing new', (t) => {
   const servers = table(entry('a'), entry('b', {leaving: true}));
   t.deepEqual(
@@ -59,14 +80,14 @@
 test('a restart under the same id is another run of the server', (t) => {
   const servers = table(entry('a'));
   byId(servers, 'a').evidence.sent(at(0));
-  servers.update([entry('a', {startedAtWallMs: 2})], false, at(1));
+  servers.update(recorded(entry('a', {startedAtWallMs: 2})), false, at(1));
   t.is(servers.all().length, 1);
   t.is(byId(servers, 'a').evidence.inFlight, 0);
 });
 
 test('an entry that lapsed in an outage is kept for two seconds', (t) => {
   const servers = table(entry('a'), entry('b'));
-  servers.update([entry('a')], true, at(0));
+  servers.update(recorded(entry('a')), true, at(0));
   t.is(servers.all().length, 2);
   servers.expire(at(1_900));
   t.is(servers.all().length, 2);
@@ -76,7 +97,7 @@
 
 test('an entry that vanishes at any other time is gone at once', (t) => {
   const servers = table(entry('a'), entry('b'));
-  servers.update([entry('a')], false, at(0));
+  servers.update(recorded(entry('a')), false, at(0));
   t.is(servers.all().length, 1);
 });
 
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -17,9 +17,10 @@
   addressAnswer,
   type HostStatus,
   Membership,
+  type RecordedEntry,
   ResidencyCache,
   RouteTable,
-  type ServerEntry,
+  type ServerChange,
   serverEntrySchema,
   ServerTable,
   servingConfigurationSchema,
@@ -109,7 +110,10 @@
     const incarnation = randomBytes(8).toString('hex');
     const clock = overrides.clock ?? systemClock;
     const timers = new TimerService();
-    const metrics = new EntryHostMetrics();
+    const views = new StoreViews();
+    const metrics = new EntryHostMetrics((kind) =>
+      views.ageMs(kind, clock.now()),
+    );
     this.context = {
       settings,
       platform,
@@ -121,7 +125,7 @@
         clock,
       ),
       membership: new Membership(() => this.status(incarnation)),
-      views: new StoreViews(),
+      views,
       servers: new ServerTable(),
       signal: this.abort.signal,
       random: overrides.random ?? Math.random,
@@ -275,29 +279,42 @@
     const {views, servers, clock, logger} = this.context;
     const view = views.get('servers');
     const at = clock.now();
-    const entries = (view?.snapshot.items ?? []).flatMap(({name, value}) => {
-      const parsed = serverEntrySchema.safeParse(value);
-      if (!parsed.success) {
-        logger.warn('a server entry is malformed', {server: name});
-        return [];
-      }
-      return [parsed.data satisfies ServerEntry];
-    });
+    const items = view?.snapshot.items ?? [];
+    const entries = items.flatMap(
+      ({name, value, revision}): RecordedEntry[] => {
+        const parsed = serverEntrySchema.safeParse(value);
+        if (!parsed.success) {
+          logger.warn('a server entry is malformed', {server: name});
+          return [];
+        }
+        return [{entry: parsed.data, revision}];
+      },
+    );
     const afterOutage =
       view?.outageEndedAt !== undefined &&
       elapsedMs(view.outageEndedAt, at) < OUTAGE_EFFECT_MS;
-    const before = describe(servers);
-    servers.update(entries, afterOutage, at);
-    const after = describe(servers);
-    if (before !== after) {
-      logger.info('servers changed', {
-        servers: after,
-        revision: view?.snapshot.at,
+    this.logServers(servers.update(entries, afterOutage, at), afterOutage);
+    this.pools.retain(new Set(servers.all().map(({key}) => key)));
+    this.broker.review();
+  }
+
+  /** Tells each change of a server, and the view that showed it. */
+  private logServers(
+    changes: readonly ServerChange[],
+    afterOutage?: boolean,
+  ): void {
+    const {views, clock, logger} = this.context;
+    const snapshot = views.get('servers')?.snapshot;
+    const viewAgeMs = Math.round(views.ageMs('servers', clock.now()));
+    for (const change of changes) {
+      logger.info('server changed', {
+        ...change,
+        viewRevision: snapshot?.at,
+        viewAgeMs,
+        readBy: snapshot?.readBy,
         afterOutage,
       });
     }
-    this.pools.retain(new Set(servers.all().map(({key}) => key)));
-    this.broker.review();
   }
 
   useVersions(): void {
@@ -339,7 +356,7 @@
       'upkeep',
       UPKEEP_PERIOD_MS,
       () => {
-        servers.expire(clock.now());
+        this.logServers(servers.expire(clock.now()));
         this.checkDoubtful();
       },
       {signal},
@@ -459,15 +476,6 @@
   },
 };
 
-const describe = (servers: ServerTable): string =>
-  servers
-    .all()
-    .map(
-      ({entry, missingSince}) =>
-        `${entry.id}${entry.leaving ? ' leaving' : ''}${missingSince === undefined ? '' : ' missing'}`,
-    )
-    .join(', ');
-
 const splitAddress = (address: string): readonly [string, number] => {
   const [host = '', port = ''] = address.split(':');
   return [host, Number(port)];
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -166,18 +166,17 @@
     this.parts.selector.ended(this.request, server);
     const end = result.type === 'no-answer' ? result.end : result.type;
     context.metrics.sends.inc({service: this.service.name, end});
-    if (result.type !== 'answered') {
-      context.logger.info('send ended', {
-        requestId: this.request.id,
-        server: server.entry.id,
-        chosen: reason,
-        load: server.evidence.load(context.clock.now()),
-        end,
-        status: result.type === 'failure' ? result.head.status : result.status,
-        detail: result.type === 'no-answer' ? result.detail : undefined,
-        elapsedMs: this.elapsedMs(),
-      });
-    }
+    context.logger.info('send ended', {
+      requestId: this.request.id,
+      server: server.entry.id,
+      chosen: reason,
+      ...send.grounds,
+      load: server.evidence.load(context.clock.now()),
+      end,
+      status: statusOf(result),
+      detail: result.type === 'no-answer' ? result.detail : undefined,
+      elapsedMs: this.elapsedMs(),
+    });
     return result;
   }
 
@@ -424,6 +423,14 @@
   }
 }
 
+/** Status of an answer that was no success, for the log. */
+const statusOf = (result: SendResult): number | undefined =>
+  result.type === 'failure'
+    ? result.head.status
+    : result.type === 'no-answer'
+      ? result.status
+      : undefined;
+
 /** Framing is this host's own, whatever the server's was. */
 const FRAMING: ReadonlySet<string> = new Set(['content-length']);
 
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -55,6 +55,17 @@
   cancel(): void;
 }
 
+/** What a send went by, for logs. */
+export interface SendGrounds {
+  /** Revision of the server's entry at the choice. */
+  readonly entryRevision: number;
+  /** Revision and age of the view of all servers at the choice. */
+  readonly viewRevision: number;
+  readonly viewAgeMs: number;
+  /** Time from the choice to the first byte; undefined if none left. */
+  readonly delayMs: number | undefined;
+}
+
 /** One send of a request to one server. */
 export class ServerSend implements SendControl {
   private handle: ExchangeHandle | undefined;
@@ -66,6 +77,9 @@
   private keptBytes = 0;
   private cancelled = false;
   private done: (result: SendResult) => void = () => undefined;
+  private readonly chosenAt: Instant;
+  private readonly chosenFrom: Omit<SendGrounds, 'delayMs'>;
+  private delayMs: number | undefined;
 
   constructor(
     private readonly context: EntryHostContext,
@@ -73,7 +87,19 @@
     private readonly server: Server,
     private readonly maximumConnections: number,
     private readonly observer: SendObserver,
-  ) {}
+  ) {
+    const {views, clock} = context;
+    this.chosenAt = clock.now();
+    this.chosenFrom = {
+      entryRevision: server.revision,
+      viewRevision: views.revision('servers'),
+      viewAgeMs: Math.round(views.ageMs('servers', this.chosenAt)),
+    };
+  }
+
+  get grounds(): SendGrounds {
+    return {...this.chosenFrom, delayMs: this.delayMs};
+  }
 
   /** Sends; resolves when the answer, or the lack of one, is complete. */
   run(request: CallerRequest, details: SendDetails): Promise<SendResult> {
@@ -98,6 +124,9 @@
         },
         Math.max(2, Math.floor(share)),
         {
+          sent: () => {
+            this.noteSent();
+          },
           head: (head) => {
             const at = clock.now();
             this.headSeen = true;
@@ -144,6 +173,16 @@
     this.handle?.cancel();
   }
 
+  private noteSent(): void {
+    const {clock, views, metrics} = this.context;
+    const at = clock.now();
+    const {service} = this.server.entry;
+    const delayMs = elapsedMs(this.chosenAt, at);
+    this.delayMs = Math.round(delayMs);
+    metrics.sendDelaySeconds.observe({service}, delayMs / 1_000);
+    metrics.sendViewAgeSeconds.observe(views.ageMs('servers', at) / 1_000);
+  }
+
   private takeHead(head: ResponseHead): void {
     const {headers} = this.context.platform.forwarding;
     const value = (name: string) =>
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -1,3 +1,4 @@
+import {STORE_KINDS, type StoreKind} from '@basilworks/dispatch';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Bounds of latency histograms, seconds: from a hop to a whole stream. */
@@ -59,6 +60,35 @@
     registers: [this.registry],
   });
 
+  readonly sendDelaySeconds = new Histogram({
+    name: 'basilworks_send_delay_seconds',
+    help: 'Time from the choice of a server to the first byte, seconds.',
+    labelNames: ['service'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  readonly sendViewAgeSeconds = new Histogram({
+    name: 'basilworks_send_view_age_seconds',
+    help: 'Age of the view of the servers at the first byte, seconds.',
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  constructor(viewAgeMs: (kind: StoreKind) => number) {
+    new Gauge({
+      name: 'basilworks_view_age_seconds',
+      help: 'Time since the view of a kind was known to be current, seconds.',
+      labelNames: ['kind'],
+      registers: [this.registry],
+      collect() {
+        for (const kind of STORE_KINDS) {
+          this.set({kind}, viewAgeMs(kind) / 1_000);
+        }
+      },
+    });
+  }
+
   private counter(
     name: string,
     help: string,
--- a/packages/entry-host/src/peers/view-codec.ts
+++ b/packages/entry-host/src/peers/view-codec.ts
@@ -57,6 +57,7 @@
           outageEndedAt === undefined
             ? undefined
             : Math.ceil(Math.max(0, elapsedMs(outageEndedAt, at))),
+        readBy: snapshot.readBy ?? '',
       },
     ];
   });
@@ -89,7 +90,6 @@
     if (parsed === undefined) {
       return [];
     }
-    const {sinceOutageMs} = rest;
-    const snapshot = {kind, at: revision, items: parsed, sinceOutageMs};
+    const snapshot = {kind, at: revision, items: parsed, ...rest};
     return views.offer(snapshot, freshAt, at) ? [kind] : [];
   });
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -153,12 +153,13 @@
   }
 
   private offer(snapshot: Snapshot, freshAt: Instant): void {
-    const {views, clock} = this.context;
+    const {views, clock, settings} = this.context;
     const at = clock.now();
     const endedAt = this.outageEndedAt.get(snapshot.kind);
     const sinceMs = endedAt === undefined ? Infinity : elapsedMs(endedAt, at);
     const sinceOutageMs = sinceMs > OUTAGE_MEMORY_MS ? undefined : sinceMs;
-    if (views.offer({...snapshot, sinceOutageMs}, freshAt, at)) {
+    const read = {...snapshot, sinceOutageMs, readBy: settings.host};
+    if (views.offer(read, freshAt, at)) {
       this.onNewer(snapshot.kind);
     }
   }
--- a/packages/entry-host/src/test/orders/claim-keeper_test.ts
+++ b/packages/entry-host/src/test/orders/claim-keeper_test.ts
@@ -52,7 +52,7 @@
       warn: () => undefined,
       error: () => undefined,
     },
-    metrics: new EntryHostMetrics(),
+    metrics: new EntryHostMetrics(() => 0),
     membership: new Membership(() => status('me', 7)),
     views: new StoreViews(),
     servers: new ServerTable(),
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -46,6 +46,8 @@
 
 /** Receives the answer of an exchange; ends with one `end` or `failed`. */
 export interface ExchangeObserver {
+  /** The first byte of the request leaves. */
+  sent?(): void;
   head(head: ResponseHead): void;
   data(chunk: Buffer): void;
   end(): void;
@@ -284,6 +286,7 @@
 
   write(socket: Socket): void {
     this.written = true;
+    this.observer.sent?.();
     const {head, body} = this.request;
     socket.cork();
     socket.write(head, 'latin1');
