Read the store oneself before a view grows older than its bound

Cause: two hosts read the store for all, and any other host trusted them until its own view was 4,000 ms old, while leaving has to be known after 2,000 ms; a lost reader counts as live for 2,000 ms, and a hanging read took 2,000 ms to fail. The times were set one by one and no sum was held against the bound. The configuration (3,400 ms against 2,000) and adapter versions (4,800 against 5,000) had the same fault. Reads wait 400 ms for an answer at first and 800 ms after a missing one; an old view is renewed without a wait. Why it works: the age counts from the start of the read that confirmed the view, so that it bounds what a host may not know, whatever became of the readers.

--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -17,11 +17,8 @@
   addressAnswer,
   type HostStatus,
   Membership,
-  type RecordedEntry,
   ResidencyCache,
   RouteTable,
-  type ServerChange,
-  serverEntrySchema,
   ServerTable,
   servingConfigurationSchema,
   type StoreKind,
@@ -35,10 +32,10 @@
 import {FrontListener, ServerSelector} from './front/index.js';
 import {EntryHostMetrics} from './metrics.js';
 import {AdapterBroker, ClaimKeeper} from './orders/index.js';
-import {FleetPeerService, PeerExchange} from './peers/index.js';
+import {FleetPeerService, PeerExchange, PeerLink} from './peers/index.js';
 import type {PlatformProtocol} from './ports.js';
 import type {EntryHostSettings} from './settings-schema.js';
-import {StoreReader} from './store/index.js';
+import {ServersView, StoreReader} from './store/index.js';
 import {ServerCaller, UpstreamPools} from './upstream/index.js';
 
 /** How often entries that lapsed and servers in doubt are looked at, ms. */
@@ -50,9 +47,6 @@
 /** Between two health checks of a server in doubt, milliseconds. */
 const CHECK_PERIOD_MS = 1_000;
 
-/** A lapsed entry may be an effect of an outage that ended this recently. */
-const OUTAGE_EFFECT_MS = 2_500;
-
 /** Share of the grace after which a stop no longer waits for answers. */
 const STOP_SHARE = 0.9;
 
@@ -91,6 +85,7 @@
   private readonly pools: UpstreamPools;
   private readonly caller: ServerCaller;
   private readonly reader: StoreReader;
+  private readonly serversView: ServersView;
   private readonly exchange: PeerExchange;
   private readonly claims: ClaimKeeper;
   private readonly broker: AdapterBroker;
@@ -143,7 +138,12 @@
     );
     this.caller = new ServerCaller(this.pools, timers, names);
     this.reader = new StoreReader(this.context, onNewer);
-    this.exchange = new PeerExchange(this.context, onNewer);
+    this.serversView = new ServersView(this.context);
+    this.exchange = new PeerExchange(
+      this.context,
+      onNewer,
+      (address) => new PeerLink(address, timers, clock),
+    );
     this.claims = new ClaimKeeper(
       this.context,
       () => this.routes,
@@ -276,47 +276,12 @@
   }
 
   useServers(): void {
-    const {views, servers, clock, logger} = this.context;
-    const view = views.get('servers');
-    const at = clock.now();
-    const items = view?.snapshot.items ?? [];
-    const entries = items.flatMap(
-      ({name, value, revision}): RecordedEntry[] => {
-        const parsed = serverEntrySchema.safeParse(value);
-        if (!parsed.success) {
-          logger.warn('a server entry is malformed', {server: name});
-          return [];
-        }
-        return [{entry: parsed.data, revision}];
-      },
-    );
-    const afterOutage =
-      view?.outageEndedAt !== undefined &&
-      elapsedMs(view.outageEndedAt, at) < OUTAGE_EFFECT_MS;
-    this.logServers(servers.update(entries, afterOutage, at), afterOutage);
+    this.serversView.use();
+    const {servers} = this.context;
     this.pools.retain(new Set(servers.all().map(({key}) => key)));
     this.broker.review();
   }
 
-  /** Tells each change of a server, and the view that showed it. */
-  private logServers(
-    changes: readonly ServerChange[],
-    afterOutage?: boolean,
-  ): void {
-    const {views, clock, logger} = this.context;
-    const snapshot = views.get('servers')?.snapshot;
-    const viewAgeMs = Math.round(views.ageMs('servers', clock.now()));
-    for (const change of changes) {
-      logger.info('server changed', {
-        ...change,
-        viewRevision: snapshot?.at,
-        viewAgeMs,
-        readBy: snapshot?.readBy,
-        afterOutage,
-      });
-    }
-  }
-
   useVersions(): void {
     const {views, logger} = this.context;
     const items = views.get('adapter-versions')?.snapshot.items ?? [];
@@ -351,12 +316,12 @@
   }
 
   private startUpkeep(): void {
-    const {timers, signal, servers, clock, metrics} = this.context;
+    const {timers, signal, clock, metrics} = this.context;
     timers.every(
       'upkeep',
       UPKEEP_PERIOD_MS,
       () => {
-        this.logServers(servers.expire(clock.now()));
+        this.serversView.expire();
         this.checkDoubtful();
       },
       {signal},
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -12,7 +12,7 @@
 
 import type {EntryHostContext} from '../context.js';
 import type {AdapterPreparer} from '../peers/index.js';
-import type {PeerLink} from '../peers/index.js';
+import type {PeerConnection} from '../peers/index.js';
 import type {ServerCaller} from '../upstream/index.js';
 import type {ClaimKeeper} from './claim-keeper.js';
 import {OrderIssuer} from './order-issuer.js';
@@ -31,7 +31,7 @@
     private readonly claims: ClaimKeeper,
     private readonly caller: ServerCaller,
     private readonly routes: () => RouteTable | undefined,
-    private readonly linkTo: (host: string) => PeerLink | undefined,
+    private readonly linkTo: (host: string) => PeerConnection | undefined,
   ) {}
 
   start(): void {
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -9,7 +9,7 @@
 import type {fleet} from '@basilworks/protocol';
 
 import type {EntryHostContext} from '../context.js';
-import {PeerLink} from './peer-link.js';
+import type {PeerLink} from './peer-link.js';
 import {
   encodeViews,
   knownRevisions,
@@ -18,7 +18,7 @@
 } from './view-codec.js';
 
 /** Between two rounds of exchanges, milliseconds. */
-const ROUND_MS = Math.floor(LIVENESS_MS / 4);
+export const ROUND_MS = Math.floor(LIVENESS_MS / 4);
 
 /** Readers of the store that every host asks in each round. */
 const READERS_ASKED = 2;
@@ -26,9 +26,15 @@
 /** Other peers that are asked in each round, in turn. */
 const OTHERS_ASKED = 2;
 
+/** The part of a link that is used from outside. */
+export type PeerConnection = Pick<
+  PeerLink,
+  'exchange' | 'prepare' | 'release' | 'doubtful' | 'close'
+>;
+
 /** Talks to other entry hosts: who lives, and what the store holds. */
 export class PeerExchange {
-  private readonly links = new Map<string, PeerLink>();
+  private readonly links = new Map<string, PeerConnection>();
   private readonly texts = new SnapshotTexts();
   private readonly pending = new Set<string>();
   private turn = 0;
@@ -36,6 +42,8 @@
   constructor(
     private readonly context: EntryHostContext,
     private readonly onNewer: (kind: StoreKind) => void,
+    /** Opens the link to an address. */
+    private readonly connect: (address: string) => PeerConnection,
   ) {}
 
   start(): void {
@@ -52,7 +60,7 @@
   }
 
   /** The link to a host, if its address is known. */
-  linkTo(host: string): PeerLink | undefined {
+  linkTo(host: string): PeerConnection | undefined {
     const address = this.context.membership.status(host)?.peerAddress;
     return address === undefined ? undefined : this.link(address);
   }
@@ -161,12 +169,12 @@
     membership.heard({...status}, at);
   }
 
-  private link(address: string): PeerLink {
+  private link(address: string): PeerConnection {
     const known = this.links.get(address);
     if (known !== undefined) {
       return known;
     }
-    const link = new PeerLink(address, this.context.timers, this.context.clock);
+    const link = this.connect(address);
     this.links.set(address, link);
     return link;
   }
--- a/packages/entry-host/src/ports.ts
+++ b/packages/entry-host/src/ports.ts
@@ -46,13 +46,22 @@
 
 /** The platform's store, in the product's types. */
 export interface MetadataStore {
-  list(kind: StoreKind, signal: AbortSignal): ResultAsync<Snapshot, StoreError>;
-  /** Waits up to `waitMs` for changes after `revision`. */
+  /** Lists a kind; each answer has to come within `answerMs`. */
+  list(
+    kind: StoreKind,
+    signal: AbortSignal,
+    answerMs: number,
+  ): ResultAsync<Snapshot, StoreError>;
+  /**
+   * Waits up to `waitMs` for changes after `revision`; the answer has to come
+   * within `answerMs` of that.
+   */
   watch(
     kind: StoreKind,
     revision: number,
     waitMs: number,
     signal: AbortSignal,
+    answerMs: number,
   ): ResultAsync<StoreChanges, StoreError>;
   /** Creates a record, or replaces the one at a revision. */
   write(
--- a/packages/entry-host/src/settings-schema.ts
+++ b/packages/entry-host/src/settings-schema.ts
@@ -31,6 +31,22 @@
   stopGraceS: z.number().positive(),
   /** Silence that servers need between orders of two hosts, milliseconds. */
   orderLeaseMs: z.number().nonnegative(),
+  /**
+   * Times in which all hosts have to go by what the store has acknowledged,
+   * milliseconds.
+   */
+  newsBounds: z
+    .object({
+      /** A server is leaving or gone. */
+      leavingServerMs: z.number().positive().default(2_000),
+      configurationMs: z.number().positive().default(2_000),
+      adapterVersionMs: z.number().positive().default(5_000),
+    })
+    .default({
+      leavingServerMs: 2_000,
+      configurationMs: 2_000,
+      adapterVersionMs: 5_000,
+    }),
   /** Repeated sends that all hosts share, for each service. */
   retryBudget: z.object({
     ratio: z.number().nonnegative(),
--- a/packages/entry-host/src/store/index.ts
+++ b/packages/entry-host/src/store/index.ts
@@ -1,1 +1,3 @@
+export * from './reading-plans.js';
+export * from './servers-view.js';
 export * from './store-reader.js';
--- /dev/null
+++ b/packages/entry-host/src/store/reading-plans.ts
@@ -0,0 +1,115 @@
+import type {StoreKind} from '@basilworks/dispatch';
+
+import {ROUND_MS} from '../peers/index.js';
+import type {EntryHostSettings} from '../settings-schema.js';
+
+/** How a kind is read. */
+export interface ReadingPlan {
+  /** Longest wait of a watch, milliseconds. */
+  readonly waitMs: number;
+  /** Pause between two watches, milliseconds: joins changes into one call. */
+  readonly pauseMs: number;
+  /** Age of a view at which every host reads it itself, milliseconds. */
+  readonly ownReadAgeMs: number;
+  /** Hosts that read the kind at a time. */
+  readonly readers: number;
+}
+
+/** Between two looks whether this host should read, milliseconds. */
+export const LOOK_MS = 50;
+
+/** First wait for an answer beyond the wait asked for, milliseconds. */
+export const FIRST_ANSWER_MS = 400;
+
+/** Wait after a missing answer, as the store may be slow, milliseconds. */
+export const LONGEST_ANSWER_MS = 800;
+
+/** Pauses after failed calls, milliseconds; each call has its price. */
+export const FIRST_RETRY_MS = 50;
+export const LAST_RETRY_MS = 800;
+
+/** Answer of a store without trouble, a listing of some pages included, ms. */
+const USUAL_ANSWER_MS = 100;
+
+/** Late timers of a busy machine, milliseconds. */
+const LAG_MS = 200;
+
+/**
+ * From the age at which a host reads for itself to the news, if the first
+ * answer is missing, milliseconds.
+ */
+const OWN_READ_MS =
+  LOOK_MS + FIRST_ANSWER_MS + FIRST_RETRY_MS + USUAL_ANSWER_MS + LAG_MS;
+
+/** A way through a reader that is well, milliseconds. */
+const RELAY_MS = ROUND_MS + USUAL_ANSWER_MS;
+
+/** Least time for two waits and a pause together, milliseconds. */
+const SHORTEST_CYCLE_MS = 100;
+
+/** Longest wait of a watch, milliseconds: a few calls a second at rest. */
+const LONGEST_WAIT_MS = 1_500;
+
+/**
+ * A claim's proof holds for 12 s, and its holder has to hear of its end in half
+ * of that, milliseconds.
+ */
+const RECORDS_BOUND_MS = 6_000;
+
+/** Pauses that join changes, milliseconds; a configuration is changed alone. */
+const PAUSES_MS: Readonly<Record<StoreKind, number>> = {
+  configuration: 20,
+  servers: 400,
+  'adapter-versions': 500,
+  records: 500,
+};
+
+const READERS: Readonly<Record<StoreKind, number>> = {
+  configuration: 2,
+  servers: 2,
+  'adapter-versions': 1,
+  records: 1,
+};
+
+/** Time in which each kind has to be known everywhere, milliseconds. */
+const boundsOf = ({
+  newsBounds,
+}: Pick<EntryHostSettings, 'newsBounds'>): Readonly<
+  Record<StoreKind, number>
+> => ({
+  configuration: newsBounds.configurationMs,
+  servers: newsBounds.leavingServerMs,
+  'adapter-versions': newsBounds.adapterVersionMs,
+  records: RECORDS_BOUND_MS,
+});
+
+/**
+ * Returns how a kind is read, so that no host goes by a view that is older than
+ * the kind's bound while it reaches the store, whatever became of the readers.
+ */
+export const readingPlan = (
+  kind: StoreKind,
+  settings: Pick<EntryHostSettings, 'newsBounds'>,
+): ReadingPlan => {
+  const ownReadAgeMs = Math.max(
+    RELAY_MS + SHORTEST_CYCLE_MS,
+    boundsOf(settings)[kind] - OWN_READ_MS,
+  );
+  // A view's age counts from the start of a wait, so that it covers that wait,
+  // the pause and the next wait before it is renewed.
+  const cycleMs = ownReadAgeMs - RELAY_MS;
+  const pauseMs = Math.min(PAUSES_MS[kind], (cycleMs * 2) / 3);
+  const waitMs = Math.floor(Math.min(LONGEST_WAIT_MS, (cycleMs - pauseMs) / 2));
+  return {waitMs, pauseMs, ownReadAgeMs, readers: READERS[kind]};
+};
+
+/**
+ * Oldest view that a host in touch with the store goes by, milliseconds, if it
+ * reads itself and the first answer is missing.
+ */
+export const oldestViewMs = ({
+  waitMs,
+  pauseMs,
+  ownReadAgeMs,
+}: ReadingPlan): number =>
+  Math.max(ownReadAgeMs, pauseMs + 2 * waitMs) + OWN_READ_MS;
--- /dev/null
+++ b/packages/entry-host/src/store/servers-view.ts
@@ -0,0 +1,60 @@
+import {elapsedMs} from '@basilworks/core';
+import {
+  type RecordedEntry,
+  type ServerChange,
+  serverEntrySchema,
+} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+
+/** A lapsed entry may be an effect of an outage that ended this recently. */
+const OUTAGE_EFFECT_MS = 2_500;
+
+/** Keeps the table of servers in step with what the store says of them. */
+export class ServersView {
+  constructor(private readonly context: EntryHostContext) {}
+
+  /** Takes over the newest view. */
+  use(): void {
+    const {views, servers, clock, logger} = this.context;
+    const view = views.get('servers');
+    const at = clock.now();
+    const items = view?.snapshot.items ?? [];
+    const entries = items.flatMap(
+      ({name, value, revision}): RecordedEntry[] => {
+        const parsed = serverEntrySchema.safeParse(value);
+        if (!parsed.success) {
+          logger.warn('a server entry is malformed', {server: name});
+          return [];
+        }
+        return [{entry: parsed.data, revision}];
+      },
+    );
+    const afterOutage =
+      view?.outageEndedAt !== undefined &&
+      elapsedMs(view.outageEndedAt, at) < OUTAGE_EFFECT_MS;
+    this.tell(servers.update(entries, afterOutage, at), afterOutage);
+  }
+
+  /** Drops servers whose entries have stayed away for too long. */
+  expire(): void {
+    const {servers, clock} = this.context;
+    this.tell(servers.expire(clock.now()));
+  }
+
+  /** Logs each change of a server, and the view that showed it. */
+  private tell(changes: readonly ServerChange[], afterOutage?: boolean): void {
+    const {views, clock, logger} = this.context;
+    const snapshot = views.get('servers')?.snapshot;
+    const viewAgeMs = Math.round(views.ageMs('servers', clock.now()));
+    for (const change of changes) {
+      logger.info('server changed', {
+        ...change,
+        viewRevision: snapshot?.at,
+        viewAgeMs,
+        readBy: snapshot?.readBy,
+        afterOutage,
+      });
+    }
+  }
+}
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -5,44 +5,15 @@
 import type {EntryHostContext} from '../context.js';
 import {sleep} from '../lib/sleep.js';
 import type {StoreChanges, StoreError} from '../ports.js';
-
-/** How a kind is read. */
-interface ReadingPlan {
-  /** Longest wait of a watch, milliseconds: bounds the age of the view. */
-  readonly waitMs: number;
-  /** Pause between two watches, milliseconds: joins changes into one call. */
-  readonly pauseMs: number;
-  /**
-   * Age of a view at which a host that relies on others reads it itself: above
-   * two waits and a pause, as an age counts from the start of a wait.
-   */
-  readonly staleMs: number;
-  /** Hosts that read the kind at a time. */
-  readonly readers: number;
-}
-
-/**
- * Configuration and leaving servers have to be known everywhere within two
- * seconds of their acknowledgement, relaying included; versions within five.
- */
-const PLANS: Readonly<Record<StoreKind, ReadingPlan>> = {
-  configuration: {waitMs: 1_200, pauseMs: 20, staleMs: 3_400, readers: 2},
-  servers: {waitMs: 1_200, pauseMs: 500, staleMs: 4_000, readers: 2},
-  'adapter-versions': {
-    waitMs: 1_500,
-    pauseMs: 500,
-    staleMs: 4_800,
-    readers: 1,
-  },
-  records: {waitMs: 1_500, pauseMs: 500, staleMs: 5_200, readers: 1},
-};
-
-/** Between two looks whether this host should read, milliseconds. */
-const IDLE_CHECK_MS = 100;
-
-/** Pauses after failed calls, milliseconds; each call has its price. */
-const FIRST_RETRY_MS = 100;
-const LAST_RETRY_MS = 800;
+import {
+  FIRST_ANSWER_MS,
+  FIRST_RETRY_MS,
+  LAST_RETRY_MS,
+  LONGEST_ANSWER_MS,
+  LOOK_MS,
+  type ReadingPlan,
+  readingPlan,
+} from './reading-plans.js';
 
 /** A gap between successful reads that counts as an outage, milliseconds. */
 const OUTAGE_GAP_MS = 1_500;
@@ -75,18 +46,20 @@
   }
 
   private async readKind(kind: StoreKind): Promise<void> {
-    const {timers, signal, clock} = this.context;
+    const {timers, signal, clock, settings} = this.context;
+    const plan = readingPlan(kind, settings);
     let base: Snapshot | undefined;
     // Revision to watch from: grows also while the kind does not change.
     let cursor = 0;
     // The history that a watch would need is gone, whoever read the base.
     let mustList = false;
     let failures = 0;
+    let answerMs = FIRST_ANSWER_MS;
     const stopped = () => signal.aborted;
     while (!stopped()) {
-      if (!this.shouldRead(kind)) {
+      if (!this.shouldRead(kind, plan)) {
         base = undefined;
-        await sleep(timers, IDLE_CHECK_MS, signal);
+        await sleep(timers, LOOK_MS, signal);
         continue;
       }
       const startedAt = clock.now();
@@ -96,7 +69,10 @@
         cursor = relayed.at;
       }
       const from = mustList ? undefined : base;
-      const result = await this.read(kind, from, cursor);
+      // An old view is renewed at once; waiting for a change comes after.
+      const aged = this.isAged(kind, plan) || failures > 0;
+      const waitMs = aged ? 0 : plan.waitMs;
+      const result = await this.read(kind, from, cursor, waitMs, answerMs);
       if (stopped()) {
         return;
       }
@@ -104,17 +80,19 @@
         failures += 1;
         this.noteFailure(kind, result);
         mustList ||= result.failure === 'history-gone';
+        answerMs = LONGEST_ANSWER_MS;
         const pauseMs = FIRST_RETRY_MS * 2 ** Math.min(failures - 1, 6);
         await sleep(timers, Math.min(LAST_RETRY_MS, pauseMs), signal);
         continue;
       }
       failures = 0;
+      answerMs = answerTimeMs(elapsedMs(startedAt, clock.now()) - waitMs);
       mustList = false;
       this.noteSuccess(kind);
       base = result.snapshot;
       cursor = Math.max(cursor, result.cursor);
       this.offer(base, startedAt);
-      await sleep(timers, PLANS[kind].pauseMs, signal);
+      await sleep(timers, plan.pauseMs, signal);
     }
   }
 
@@ -123,17 +101,21 @@
     kind: StoreKind,
     base: Snapshot | undefined,
     cursor: number,
+    waitMs: number,
+    answerMs: number,
   ): Promise<ReadResult | StoreError> {
     const {platform, signal, metrics} = this.context;
     const operation = base === undefined ? 'list' : 'watch';
     const result =
       base === undefined
-        ? (await platform.store.list(kind, signal)).map((snapshot) => ({
-            snapshot,
-            cursor: snapshot.at,
-          }))
+        ? (await platform.store.list(kind, signal, answerMs)).map(
+            (snapshot) => ({
+              snapshot,
+              cursor: snapshot.at,
+            }),
+          )
         : (
-            await platform.store.watch(kind, cursor, PLANS[kind].waitMs, signal)
+            await platform.store.watch(kind, cursor, waitMs, signal, answerMs)
           ).map((changes) => ({
             snapshot: applyChanges(base, changes),
             cursor: changes.at,
@@ -143,15 +125,19 @@
     return result.isOk() ? result.value : result.error;
   }
 
-  private shouldRead(kind: StoreKind): boolean {
-    const {membership, views, clock} = this.context;
-    const at = clock.now();
+  private shouldRead(kind: StoreKind, plan: ReadingPlan): boolean {
+    const {membership, clock} = this.context;
     return (
-      membership.isReader(PLANS[kind].readers, at) ||
-      views.ageMs(kind, at) > PLANS[kind].staleMs
+      this.isAged(kind, plan) || membership.isReader(plan.readers, clock.now())
     );
   }
 
+  /** Whether the view is too old to rely on other hosts. */
+  private isAged(kind: StoreKind, {ownReadAgeMs}: ReadingPlan): boolean {
+    const {views, clock} = this.context;
+    return views.ageMs(kind, clock.now()) > ownReadAgeMs;
+  }
+
   private offer(snapshot: Snapshot, freshAt: Instant): void {
     const {views, clock, settings} = this.context;
     const at = clock.now();
@@ -215,3 +201,7 @@
   }
   return {kind: base.kind, at: changes.at, items: [...items.values()]};
 };
+
+/** How long to wait for the next answer, by the latest one's time. */
+const answerTimeMs = (latestMs: number): number =>
+  Math.min(LONGEST_ANSWER_MS, Math.max(FIRST_ANSWER_MS, 2 * latestMs));
--- a/packages/entry-host/src/test/orders/claim-keeper_test.ts
+++ b/packages/entry-host/src/test/orders/claim-keeper_test.ts
@@ -39,6 +39,11 @@
       addressLifetimeS: 5,
       stopGraceS: 8,
       orderLeaseMs: 3_000,
+      newsBounds: {
+        leavingServerMs: 2_000,
+        configurationMs: 2_000,
+        adapterVersionMs: 5_000,
+      },
       retryBudget: {ratio: 0.2, extra: 10, windowS: 10},
       logLevel: 'error',
     },
--- /dev/null
+++ b/packages/entry-host/src/test/views/reading-plans_test.ts
@@ -0,0 +1,27 @@
+import {STORE_KINDS} from '@basilworks/dispatch';
+import test from 'ava';
+
+import {oldestViewMs, readingPlan} from '../../index.js';
+
+// A host went by views of up to 4 s while leaving had to be known within 2 s:
+// the age at which it read for itself was no part of any sum.
+test('no plan lets a view grow older than the bound of its kind', (t) => {
+  for (const scale of [0.8, 1, 1.5, 4]) {
+    const newsBounds = {
+      leavingServerMs: 2_000 * scale,
+      configurationMs: 2_000 * scale,
+      adapterVersionMs: 5_000 * scale,
+    };
+    const bounds = {
+      servers: newsBounds.leavingServerMs,
+      configuration: newsBounds.configurationMs,
+      'adapter-versions': newsBounds.adapterVersionMs,
+      records: 6_000,
+    };
+    for (const kind of STORE_KINDS) {
+      const plan = readingPlan(kind, {newsBounds});
+      t.true(oldestViewMs(plan) <= bounds[kind], `${kind} ${scale}`);
+      t.true(plan.waitMs >= 0 && plan.pauseMs >= 0);
+    }
+  }
+});
