Take a time without any read, not one host's trouble, for an outage of the store

Cause: a host whose read had failed measured the time since its own latest success. Turned away by the store, or simply not a reader for a while, it took that for an outage of the store and told all others so; entries that vanished in the next 2.5 s were kept open everywhere for 2 s from when each host missed them. The same was kept after a real outage, up to 4.75 s after its end on each host. Entry acknowledged as gone at 13.009 s; 'server changed ... to missing, afterOutage true' on six hosts from 13.258 s, to absent from 15.288 s; requests from two hosts reach the server at 15.043 and 15.151 s. The store was up all the time. An entry that is missing then is waited for until 2 s after the end of the outage, whenever it was missed.

--- a/packages/dispatch/src/fleet/store-views.ts
+++ b/packages/dispatch/src/fleet/store-views.ts
@@ -23,11 +23,6 @@
   /** Revision of the store that the objects are read at. */
   readonly at: number;
   readonly items: readonly StoredItem[];
-  /**
-   * Milliseconds since the store answered again after an outage, as the reader
-   * saw it; undefined when there was none lately.
-   */
-  readonly sinceOutageMs?: number | undefined;
   /** Host that read it from the store, for logs. */
   readonly readBy?: string | undefined;
 }
@@ -37,10 +32,17 @@
   readonly snapshot: Snapshot;
   /** Start of the latest read that confirmed it. */
   readonly freshAt: Instant;
-  /** When the store came back after an outage that the reader saw. */
+  /** End of the latest time in which neither this host nor any peer read it. */
   readonly outageEndedAt: Instant | undefined;
 }
 
+/**
+ * Time without a read by anyone that counts as an outage of the store,
+ * milliseconds: longer than a host goes by a view when the readers are lost,
+ * shorter than the silence of some beats after which entries lapse.
+ */
+const OUTAGE_GAP_MS = 2_000;
+
 /** An instant `milliseconds` before another. */
 export const before = (at: Instant, milliseconds: number): Instant => ({
   monotonicMs: at.monotonicMs - milliseconds,
@@ -77,29 +79,39 @@
       return false;
     }
     const newer = known === undefined || snapshot.at > known.snapshot.at;
-    const outageEndedAt =
-      snapshot.sinceOutageMs === undefined
-        ? known?.outageEndedAt
-        : before(at, snapshot.sinceOutageMs);
-    this.views.set(snapshot.kind, {
-      snapshot: newer ? snapshot : known.snapshot,
-      freshAt:
-        known !== undefined && elapsedMs(known.freshAt, freshAt) < 0
-          ? known.freshAt
-          : freshAt,
-      outageEndedAt,
-    });
+    this.views.set(
+      snapshot.kind,
+      known === undefined
+        ? {snapshot, freshAt, outageEndedAt: undefined}
+        : renew(newer ? {...known, snapshot} : known, freshAt, at),
+    );
     return newer;
   }
 
   /** Notes that the snapshot at `revision` is still current. */
-  confirm(kind: StoreKind, revision: number, freshAt: Instant): void {
+  confirm(
+    kind: StoreKind,
+    revision: number,
+    freshAt: Instant,
+    at: Instant,
+  ): void {
     const known = this.views.get(kind);
-    if (
-      known?.snapshot.at === revision &&
-      elapsedMs(known.freshAt, freshAt) > 0
-    ) {
-      this.views.set(kind, {...known, freshAt});
+    if (known?.snapshot.at === revision) {
+      this.views.set(kind, renew(known, freshAt, at));
     }
   }
 }
+
+/** The view once it is known, at `at`, that it was current at `freshAt`. */
+const renew = (view: View, freshAt: Instant, at: Instant): View => {
+  const gapMs = elapsedMs(view.freshAt, freshAt);
+  if (gapMs <= 0) {
+    return view;
+  }
+  const {outageEndedAt} = view;
+  return {
+    ...view,
+    freshAt,
+    outageEndedAt: gapMs > OUTAGE_GAP_MS ? at : outageEndedAt,
+  };
+};
--- a/packages/dispatch/src/servers/server-table.ts
+++ b/packages/dispatch/src/servers/server-table.ts
@@ -31,13 +31,16 @@
   /** Revision of the entry's last change. */
   revision: number;
   readonly evidence: ServerEvidence;
-  /** When its entry was missed, while it may still come back. */
-  missingSince: Instant | undefined;
+  /**
+   * Set while its entry is missing and may come back: the end of the outage in
+   * which it may have lapsed.
+   */
+  outageEndedAt: Instant | undefined;
 }
 
 /**
- * How long a server whose entry vanished around an outage of the store is kept:
- * entries of servers that live are back within two seconds of its return.
+ * How long after an outage of the store a missing entry is waited for,
+ * milliseconds: entries of servers that live are back within two seconds.
  */
 const LAPSE_GRACE_MS = 2_000;
 
@@ -47,13 +50,12 @@
   private byService = new Map<string, Server[]>();
 
   /**
-   * Takes over the store's entries. With `afterOutage`, entries that are
-   * missing may have lapsed while the store was away and are kept for a while.
-   * Returns the servers whose state changed.
+   * Takes over the store's entries. Soon after an outage of the store, entries
+   * that are missing may have lapsed in it and are waited for. Returns the servers whose state changed.
    */
   update(
     entries: readonly RecordedEntry[],
-    afterOutage: boolean,
+    outageEndedAt: Instant | undefined,
     at: Instant,
   ): readonly ServerChange[] {
     const changes: ServerChange[] = [];
@@ -68,14 +70,15 @@
         entry,
         revision,
         evidence: new ServerEvidence(),
-        missingSince: undefined,
+        outageEndedAt: undefined,
       };
       server.entry = entry;
       server.revision = revision;
-      server.missingSince = undefined;
+      server.outageEndedAt = undefined;
       this.servers.set(key, server);
       note(changes, server, from, stateOf(server));
     }
+    const waitsFor = outageEndedAt !== undefined && !isOver(outageEndedAt, at);
     const ids = new Set(entries.map(({entry}) => entry.id));
     for (const [key, server] of this.servers) {
       if (present.has(key)) {
@@ -83,8 +86,8 @@
       }
       const from = stateOf(server);
       const replaced = ids.has(server.entry.id);
-      if (afterOutage && !replaced && !server.entry.leaving) {
-        server.missingSince ??= at;
+      if (waitsFor && !replaced && !server.entry.leaving) {
+        server.outageEndedAt = outageEndedAt;
         note(changes, server, from, 'missing');
       } else {
         this.servers.delete(key);
@@ -103,8 +106,8 @@
     const changes: ServerChange[] = [];
     for (const [key, server] of this.servers) {
       if (
-        server.missingSince !== undefined &&
-        elapsedMs(server.missingSince, at) > LAPSE_GRACE_MS
+        server.outageEndedAt !== undefined &&
+        isOver(server.outageEndedAt, at)
       ) {
         this.servers.delete(key);
         note(changes, server, 'missing', 'absent');
@@ -146,8 +149,12 @@
   }
 }
 
-const stateOf = ({entry, missingSince}: Server): ServerState =>
-  entry.leaving ? 'leaving' : missingSince === undefined ? 'open' : 'missing';
+/** Whether lapsed entries should be back after an outage. */
+const isOver = (outageEndedAt: Instant, at: Instant): boolean =>
+  elapsedMs(outageEndedAt, at) > LAPSE_GRACE_MS;
+
+const stateOf = ({entry, outageEndedAt}: Server): ServerState =>
+  entry.leaving ? 'leaving' : outageEndedAt === undefined ? 'open' : 'missing';
 
 const note = (
   changes: ServerChange[],
--- a/packages/dispatch/src/test/fleet/store-views_test.ts
+++ b/packages/dispatch/src/test/fleet/store-views_test.ts
@@ -25,14 +25,27 @@
 test('an older proof never makes a view look fresher', (t) => {
   const views = new StoreViews();
   views.offer(snapshot(5), at(100), at(100));
-  views.confirm('records', 5, at(50));
+  views.confirm('records', 5, at(50), at(200));
   t.is(views.ageMs('records', at(200)), 100);
-  views.confirm('records', 4, at(180));
+  views.confirm('records', 4, at(180), at(200));
   t.is(views.ageMs('records', at(200)), 100);
-  views.confirm('records', 5, at(180));
+  views.confirm('records', 5, at(180), at(200));
   t.is(views.ageMs('records', at(200)), 20);
 });
 
+test('only a time without any read, by whomever, is an outage', (t) => {
+  const views = new StoreViews();
+  const endedAt = () => views.get('records')?.outageEndedAt;
+  views.offer(snapshot(5), at(0), at(0));
+  views.confirm('records', 5, at(1_900), at(1_950));
+  views.offer(snapshot(6), at(3_800), at(3_900));
+  t.is(endedAt(), undefined);
+  views.confirm('records', 6, at(5_900), at(6_000));
+  t.deepEqual(endedAt(), at(6_000));
+  views.offer(snapshot(7), at(6_500), at(6_600));
+  t.deepEqual(endedAt(), at(6_000));
+});
+
 const status = (host: string, extra: Partial<HostStatus> = {}): HostStatus => ({
   host,
   incarnation: 'i',
--- a/packages/dispatch/src/test/servers/servers_test.ts
+++ b/packages/dispatch/src/test/servers/servers_test.ts
@@ -31,7 +31,7 @@
 
 const table = (...entries: ServerEntry[]): ServerTable => {
   const servers = new ServerTable();
-  servers.update(recorded(...entries), false, at(0));
+  servers.update(recorded(...entries), undefined, at(0));
   return servers;
 };
 
@@ -58,12 +58,12 @@
     {entry: entry('a', {leaving: true}), revision: 7},
     {entry: entry('c'), revision: 8},
   ];
-  t.deepEqual(servers.update(changed, true, at(0)), [
+  t.deepEqual(servers.update(changed, at(0), at(0)), [
     {server: 'a', from: 'open', to: 'leaving', revision: 7},
     {server: 'c', from: 'absent', to: 'open', revision: 8},
     {server: 'b', from: 'open', to: 'missing', revision: 1},
   ]);
-  t.deepEqual(servers.update(changed, true, at(0)), []);
+  t.deepEqual(servers.update(changed, at(0), at(0)), []);
   t.deepEqual(servers.expire(at(9_000)), [
     {server: 'b', from: 'missing', to: 'absent', revision: 1},
   ]);
@@ -80,14 +80,14 @@
 test('a restart under the same id is another run of the server', (t) => {
   const servers = table(entry('a'));
   byId(servers, 'a').evidence.sent(at(0));
-  servers.update(recorded(entry('a', {startedAtWallMs: 2})), false, at(1));
+  servers.update(recorded(entry('a', {startedAtWallMs: 2})), undefined, at(1));
   t.is(servers.all().length, 1);
   t.is(byId(servers, 'a').evidence.inFlight, 0);
 });
 
 test('an entry that lapsed in an outage is kept for two seconds', (t) => {
   const servers = table(entry('a'), entry('b'));
-  servers.update(recorded(entry('a')), true, at(0));
+  servers.update(recorded(entry('a')), at(0), at(0));
   t.is(servers.all().length, 2);
   servers.expire(at(1_900));
   t.is(servers.all().length, 2);
@@ -95,9 +95,19 @@
   t.is(servers.all().length, 1);
 });
 
+test('an entry that is missed late after an outage is not kept for longer', (t) => {
+  const servers = table(entry('a'), entry('b'), entry('c'));
+  servers.update(recorded(entry('a'), entry('b')), at(0), at(1_900));
+  t.is(servers.all().length, 3);
+  servers.expire(at(2_100));
+  t.is(servers.all().length, 2);
+  servers.update(recorded(entry('a')), at(0), at(2_100));
+  t.is(servers.all().length, 1);
+});
+
 test('an entry that vanishes at any other time is gone at once', (t) => {
   const servers = table(entry('a'), entry('b'));
-  servers.update(recorded(entry('a')), false, at(0));
+  servers.update(recorded(entry('a')), undefined, at(0));
   t.is(servers.all().length, 1);
 });
 
--- a/packages/entry-host/src/peers/view-codec.ts
+++ b/packages/entry-host/src/peers/view-codec.ts
@@ -45,7 +45,7 @@
     if (view === undefined) {
       return [];
     }
-    const {snapshot, freshAt, outageEndedAt} = view;
+    const {snapshot, freshAt} = view;
     const has = known.find((revision) => revision.kind === kind)?.at ?? -1;
     return [
       {
@@ -53,10 +53,6 @@
         at: snapshot.at,
         ageMs: Math.ceil(Math.max(0, elapsedMs(freshAt, at))),
         items: has >= snapshot.at ? undefined : texts.of(snapshot),
-        sinceOutageMs:
-          outageEndedAt === undefined
-            ? undefined
-            : Math.ceil(Math.max(0, elapsedMs(outageEndedAt, at))),
         readBy: snapshot.readBy ?? '',
       },
     ];
@@ -76,20 +72,20 @@
   askedAt: Instant,
   at: Instant,
 ): readonly Snapshot['kind'][] =>
-  received.flatMap(({kind: name, at: revision, ageMs, items, ...rest}) => {
+  received.flatMap(({kind: name, at: revision, ageMs, items, readBy}) => {
     const kind = kindSchema.safeParse(name).data;
     if (kind === undefined) {
       return [];
     }
     const freshAt = before(askedAt, ageMs);
     if (items === undefined) {
-      views.confirm(kind, revision, freshAt);
+      views.confirm(kind, revision, freshAt, at);
       return [];
     }
     const parsed = itemsSchema.safeParse(parseJson(items)).data;
     if (parsed === undefined) {
       return [];
     }
-    const snapshot = {kind, at: revision, items: parsed, ...rest};
+    const snapshot = {kind, at: revision, items: parsed, readBy};
     return views.offer(snapshot, freshAt, at) ? [kind] : [];
   });
--- a/packages/entry-host/src/store/servers-view.ts
+++ b/packages/entry-host/src/store/servers-view.ts
@@ -7,9 +7,6 @@
 
 import type {EntryHostContext} from '../context.js';
 
-/** A lapsed entry may be an effect of an outage that ended this recently. */
-const OUTAGE_EFFECT_MS = 2_500;
-
 /** Keeps the table of servers in step with what the store says of them. */
 export class ServersView {
   constructor(private readonly context: EntryHostContext) {}
@@ -30,10 +27,7 @@
         return [{entry: parsed.data, revision}];
       },
     );
-    const afterOutage =
-      view?.outageEndedAt !== undefined &&
-      elapsedMs(view.outageEndedAt, at) < OUTAGE_EFFECT_MS;
-    this.tell(servers.update(entries, afterOutage, at), afterOutage);
+    this.tell(servers.update(entries, view?.outageEndedAt, at));
   }
 
   /** Drops servers whose entries have stayed away for too long. */
@@ -43,17 +37,22 @@
   }
 
   /** Logs each change of a server, and the view that showed it. */
-  private tell(changes: readonly ServerChange[], afterOutage?: boolean): void {
+  private tell(changes: readonly ServerChange[]): void {
     const {views, clock, logger} = this.context;
-    const snapshot = views.get('servers')?.snapshot;
-    const viewAgeMs = Math.round(views.ageMs('servers', clock.now()));
+    const at = clock.now();
+    const {snapshot, outageEndedAt} = views.get('servers') ?? {};
+    const viewAgeMs = Math.round(views.ageMs('servers', at));
+    const sinceOutageMs =
+      outageEndedAt === undefined
+        ? undefined
+        : Math.round(elapsedMs(outageEndedAt, at));
     for (const change of changes) {
       logger.info('server changed', {
         ...change,
         viewRevision: snapshot?.at,
         viewAgeMs,
         readBy: snapshot?.readBy,
-        afterOutage,
+        sinceOutageMs,
       });
     }
   }
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -15,17 +15,10 @@
   readingPlan,
 } from './reading-plans.js';
 
-/** A gap between successful reads that counts as an outage, milliseconds. */
-const OUTAGE_GAP_MS = 1_500;
-
-/** An outage is mentioned for this long after its end, milliseconds. */
-const OUTAGE_MEMORY_MS = 10_000;
-
 /** Reads the metadata store while this host is one of the readers. */
 export class StoreReader {
-  private readonly failing = new Set<StoreKind>();
-  private readonly succeededAt = new Map<StoreKind, Instant>();
-  private readonly outageEndedAt = new Map<StoreKind, Instant>();
+  /** Kinds whose latest read failed, and since when. */
+  private readonly failing = new Map<StoreKind, Instant>();
 
   constructor(
     private readonly context: EntryHostContext,
@@ -140,35 +133,28 @@
 
   private offer(snapshot: Snapshot, freshAt: Instant): void {
     const {views, clock, settings} = this.context;
-    const at = clock.now();
-    const endedAt = this.outageEndedAt.get(snapshot.kind);
-    const sinceMs = endedAt === undefined ? Infinity : elapsedMs(endedAt, at);
-    const sinceOutageMs = sinceMs > OUTAGE_MEMORY_MS ? undefined : sinceMs;
-    const read = {...snapshot, sinceOutageMs, readBy: settings.host};
-    if (views.offer(read, freshAt, at)) {
+    const read = {...snapshot, readBy: settings.host};
+    if (views.offer(read, freshAt, clock.now())) {
       this.onNewer(snapshot.kind);
     }
   }
 
   private noteFailure(kind: StoreKind, error: StoreError): void {
     if (!this.failing.has(kind)) {
-      this.failing.add(kind);
+      this.failing.set(kind, this.context.clock.now());
       const {failure, message} = error;
       this.context.logger.warn('store read fails', {kind, failure, message});
     }
   }
 
   private noteSuccess(kind: StoreKind): void {
-    const at = this.context.clock.now();
-    const before = this.succeededAt.get(kind);
-    if (this.failing.delete(kind)) {
-      const gapMs = before === undefined ? 0 : elapsedMs(before, at);
-      this.context.logger.info('store read works again', {kind, gapMs});
-      if (gapMs > OUTAGE_GAP_MS) {
-        this.outageEndedAt.set(kind, at);
-      }
+    const since = this.failing.get(kind);
+    if (since !== undefined) {
+      this.failing.delete(kind);
+      const {clock, logger} = this.context;
+      const failedMs = Math.round(elapsedMs(since, clock.now()));
+      logger.info('store read works again', {kind, failedMs});
     }
-    this.succeededAt.set(kind, at);
   }
 }
 
