Look at the server again before the first byte leaves

Cause: a new connection may take up to 400 ms, and nothing looked at the server again before the request was written; with news that comes in late the sum passes 2,000 ms. Change: the connection asks before the first byte (mayWrite); a request to a server that is leaving, gone or restarted is withheld, counts as not sent and is chosen for anew, and says nothing against the server. ServerTable.isOpen replaces a private copy. With the check taken out the four new tests about it fail; with it they pass. 118 tests of dispatch, entry-host and platform passed.

--- a/packages/dispatch/src/servers/server-table.ts
+++ b/packages/dispatch/src/servers/server-table.ts
@@ -132,6 +132,12 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Whether a run of a server is known and takes new requests. */
+  isOpen({key}: Server): boolean {
+    const known = this.servers.get(key);
+    return known?.entry.leaving === false;
+  }
+
   all(): readonly Server[] {
     return [...this.servers.values()];
   }
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -200,7 +200,7 @@
         selection.signal,
       );
       if (answer.outcome === 'resident') {
-        if (!this.isOpen(server)) {
+        if (!this.context.servers.isOpen(server)) {
           // It was told to leave while the load was waited for.
           refusals.push({server, reason: 'server-gone', retryAfterMs: 0});
           continue;
@@ -212,7 +212,9 @@
         break;
       }
     }
-    const open = ranking.byAffinity.filter((server) => this.isOpen(server));
+    const open = ranking.byAffinity.filter((server) =>
+      this.context.servers.isOpen(server),
+    );
     return this.withoutIssuer(selection, name, version, open, refusals);
   }
 
@@ -293,12 +295,6 @@
     );
   }
 
-  private isOpen(server: Server): boolean {
-    return this.context.servers
-      .open(server.entry.service)
-      .some(({key}) => key === server.key);
-  }
-
   private prepareRequest(
     {request, route, untilLateMs}: SelectionRequest,
     name: {model: string; adapter: string},
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -124,9 +124,7 @@
         },
         Math.max(2, Math.floor(share)),
         {
-          sent: () => {
-            this.noteSent();
-          },
+          mayWrite: () => this.mayWrite(),
           head: (head) => {
             const at = clock.now();
             this.headSeen = true;
@@ -173,14 +171,19 @@
     this.handle?.cancel();
   }
 
-  private noteSent(): void {
-    const {clock, views, metrics} = this.context;
+  /** Whether the server still takes requests; notes the time it took to ask. */
+  private mayWrite(): boolean {
+    const {clock, views, metrics, servers} = this.context;
+    if (!servers.isOpen(this.server)) {
+      return false;
+    }
     const at = clock.now();
     const {service} = this.server.entry;
     const delayMs = elapsedMs(this.chosenAt, at);
     this.delayMs = Math.round(delayMs);
     metrics.sendDelaySeconds.observe({service}, delayMs / 1_000);
     metrics.sendViewAgeSeconds.observe(views.ageMs('servers', at) / 1_000);
+    return true;
   }
 
   private takeHead(head: ResponseHead): void {
@@ -232,6 +235,8 @@
   }
 
   private fail(error: UpstreamError): void {
+    // A request that was withheld tells nothing of its server.
+    this.cancelled ||= error.reason === 'withheld';
     const detail = `${error.reason}: ${error.message}`;
     const end = !error.sent
       ? 'not-sent'
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -83,7 +83,10 @@
       registers: [this.registry],
       collect() {
         for (const kind of STORE_KINDS) {
-          this.set({kind}, viewAgeMs(kind) / 1_000);
+          const ageMs = viewAgeMs(kind);
+          if (Number.isFinite(ageMs)) {
+            this.set({kind}, ageMs / 1_000);
+          }
         }
       },
     });
--- /dev/null
+++ b/packages/entry-host/src/test/front/server-send_test.ts
@@ -0,0 +1,118 @@
+import {type ServerEntry, ServerTable} from '@basilworks/dispatch';
+import test from 'ava';
+
+import type {EntryHostContext} from '../../context.js';
+import type {CallerRequest} from '../../front/caller-request.js';
+import {ServerSend} from '../../front/server-send.js';
+import {
+  type ExchangeObserver,
+  UpstreamError,
+  type UpstreamPools,
+} from '../../upstream/index.js';
+import {ViewFleet} from '../views/view-fleet.js';
+
+const entry: ServerEntry = {
+  id: 's',
+  service: 'service',
+  host: '127.0.0.1',
+  port: 1,
+  zone: 'z',
+  slots: 4,
+  leaving: false,
+  startedAtWallMs: 1,
+  models: [],
+};
+
+const request: CallerRequest = {
+  id: 'r',
+  method: 'GET',
+  target: '/',
+  host: 'h',
+  rawHeaders: [],
+  body: Buffer.alloc(0),
+  model: undefined,
+  callerWaitMs: undefined,
+  arrivedAt: {monotonicMs: 0, wallMs: 0},
+};
+
+const HEADERS = {
+  requestId: 'X-Id',
+  deadlineMs: 'X-Deadline',
+  expectServer: 'X-Expect',
+  expectVersion: 'X-Version',
+  priority: 'X-Priority',
+  lastEventId: 'Last-Event-Id',
+  reserved: [],
+};
+
+/** A send whose connection is not open yet. */
+const begin = () => {
+  const fleet = new ViewFleet(1);
+  const {context: parts} = fleet.startHost('h0');
+  const at = parts.clock.now();
+  parts.views.offer({kind: 'servers', at: 7, items: []}, at, at);
+  const servers = new ServerTable();
+  servers.update([{entry, revision: 1}], undefined, at);
+  const context = {
+    ...parts,
+    servers,
+    platform: {forwarding: {headers: HEADERS}},
+  } as unknown as EntryHostContext;
+  const server = servers.byId('s');
+  if (server === undefined) {
+    throw new Error('no server');
+  }
+  let observer: ExchangeObserver | undefined;
+  const pools = {
+    of: () => ({
+      start: (_request: unknown, _maximum: number, given: ExchangeObserver) => {
+        observer = given;
+        return {pause: () => 0, resume: () => 0, cancel: () => 0};
+      },
+    }),
+  } as unknown as UpstreamPools;
+  const ignore = {head: () => undefined, data: () => undefined};
+  const send = new ServerSend(context, pools, server, 10, ignore);
+  const result = send.run(request, {
+    server: 's',
+    remainingMs: 1_000,
+    version: undefined,
+    priority: 0,
+    resumeAfter: undefined,
+  });
+  fleet.close();
+  if (observer === undefined) {
+    throw new Error('nothing was sent');
+  }
+  return {servers, server, observer, result, send};
+};
+
+test('a send writes to a server that is open', (t) => {
+  const {observer, send} = begin();
+  t.true(observer.mayWrite?.());
+  t.deepEqual(send.grounds, {
+    entryRevision: 1,
+    viewRevision: 7,
+    viewAgeMs: 0,
+    delayMs: 0,
+  });
+});
+
+// Requests reached a server that had begun to leave while a connection to it was
+// opened: nothing looked at it again before the first byte.
+for (const [change, entries] of Object.entries({
+  'is leaving': [{entry: {...entry, leaving: true}, revision: 2}],
+  'is gone': [],
+  'has restarted': [{entry: {...entry, startedAtWallMs: 2}, revision: 2}],
+})) {
+  test(`a send that waited writes nothing to a server that ${change}`, async (t) => {
+    const {servers, server, observer, result} = begin();
+    const at = {monotonicMs: 0, wallMs: 0};
+    servers.update(entries, undefined, at);
+    t.false(observer.mayWrite?.());
+    observer.failed(new UpstreamError(false, 'withheld', 'not wanted'));
+    const end = await result;
+    t.is(end.type === 'no-answer' ? end.end : end.type, 'not-sent');
+    t.false(server.evidence.needsCheck());
+  });
+}
--- a/packages/entry-host/src/test/upstream/connection_test.ts
+++ b/packages/entry-host/src/test/upstream/connection_test.ts
@@ -151,3 +151,40 @@
   pool.close();
   server.close();
 });
+
+// Requests reached a server that had begun to leave while a connection to it was
+// opened: nothing looked at it again before the first byte.
+test('a request that is not wanted any more once connected never leaves', async (t) => {
+  const received: string[] = [];
+  const {server, pool} = await serve((request) => {
+    received.push(idOf(request));
+    return answerTo(idOf(request));
+  });
+  let wanted = true;
+  const ended = new Promise<UpstreamError>((resolve) => {
+    pool.start(
+      {
+        method: 'GET',
+        head: 'GET /late HTTP/1.1\r\nHost: h\r\n\r\n',
+        body: Buffer.alloc(0),
+        requestId: 'late',
+      },
+      10,
+      {
+        mayWrite: () => wanted,
+        head: () => undefined,
+        data: () => undefined,
+        end: () => undefined,
+        failed: resolve,
+      },
+    );
+  });
+  wanted = false;
+  const error = await ended;
+  t.is(error.reason, 'withheld');
+  t.false(error.sent);
+  t.deepEqual(await ask(pool, 'next'), {status: 200, body: 'next'});
+  t.deepEqual(received, ['next']);
+  pool.close();
+  server.close();
+});
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -18,7 +18,12 @@
 
 /** Why an exchange has no complete answer. */
 export type ExchangeFailure =
-  'unreachable' | 'connect-timeout' | 'interrupted' | 'malformed' | 'cancelled';
+  | 'unreachable'
+  | 'connect-timeout'
+  | 'withheld'
+  | 'interrupted'
+  | 'malformed'
+  | 'cancelled';
 
 /** An exchange that ended without a complete answer. */
 export class UpstreamError extends Error {
@@ -46,8 +51,8 @@
 
 /** Receives the answer of an exchange; ends with one `end` or `failed`. */
 export interface ExchangeObserver {
-  /** The first byte of the request leaves. */
-  sent?(): void;
+  /** Asked as the first byte is about to leave; false withholds the request. */
+  mayWrite?(): boolean;
   head(head: ResponseHead): void;
   data(chunk: Buffer): void;
   end(): void;
@@ -94,7 +99,7 @@
     this.socket = connect({...address, noDelay: true});
     this.socket.on('connect', () => {
       this.connected = true;
-      this.exchange?.write(this.socket);
+      this.write();
     });
     this.socket.on('data', (chunk: Buffer) => {
       this.received(chunk);
@@ -131,7 +136,7 @@
     this.exchange = exchange;
     exchange.expect(this.acceptsHead);
     if (this.connected) {
-      exchange.write(this.socket);
+      this.write();
       return;
     }
     const timer = `upstream/connect/${(serial += 1)}`;
@@ -162,6 +167,15 @@
     this.fail('cancelled', 'closed');
   }
 
+  private write(): void {
+    const {exchange} = this;
+    if (exchange?.observer.mayWrite?.() === false) {
+      this.fail('withheld', 'not wanted there any more');
+    } else {
+      exchange?.write(this.socket);
+    }
+  }
+
   private received(chunk: Buffer): void {
     let rest = chunk;
     while (rest.length > 0 && !this.ended) {
@@ -286,7 +300,6 @@
 
   write(socket: Socket): void {
     this.written = true;
-    this.observer.sent?.();
     const {head, body} = this.request;
     socket.cork();
     socket.write(head, 'latin1');
