Send nothing on for callers that left before their request was read

Change: the first request on a connection waits until the loop has polled once more, and is dropped if its caller has closed.

--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -4,6 +4,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 
 import {ListenError} from '@basilworks/daemon';
@@ -42,6 +43,8 @@
 export class FrontListener {
   private readonly server: Server;
   private readonly budgets = new Map<string, RetryBudget>();
+  /** Connections that have had a request. */
+  private readonly used = new WeakSet<Socket>();
   private routes: RouteTable | undefined;
   private limits = FIRST_LIMITS;
   private inProgress = 0;
@@ -149,7 +152,7 @@
       refuse(413, 'the body is too large');
       return;
     }
-    if (body === 'cut') {
+    if (body === 'cut' || (await this.hasLeft(message.socket))) {
       answer.abort();
       return;
     }
@@ -186,6 +189,26 @@
     await run.run();
   }
 
+  /**
+   * Whether a caller closed its connection before the first request on it was
+   * read. Connections are accepted one a turn, so that a burst of them waits,
+   * and a close is read in the turn after the bytes before it.
+   */
+  private async hasLeft(socket: Socket): Promise<boolean> {
+    if (this.used.has(socket)) {
+      return false;
+    }
+    this.used.add(socket);
+    await nextPoll();
+    if (!socket.destroyed && !socket.readableEnded) {
+      return false;
+    }
+    const {metrics, logger} = this.context;
+    metrics.requests.inc({route: 'none', outcome: 'abandoned'});
+    logger.info('caller left before its request was read');
+    return true;
+  }
+
   private budgetOf(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) {
@@ -229,6 +252,14 @@
   }
 }
 
+/** Resolves once the loop has polled for input again. */
+const nextPoll = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(() => {
+      setImmediate(resolve);
+    });
+  });
+
 /** Reads a body up to a limit. */
 const readBody = (
   message: IncomingMessage,
