Forget a failed read of a kind that others read now

Cause: a failed read was forgotten only by a later success of the same host and kind, which never comes once another host reads the kind. Change: a host that need not read a kind has no failed read of it.

--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -17,7 +17,7 @@
 
 /** Reads the metadata store while this host is one of the readers. */
 export class StoreReader {
-  /** Kinds whose latest read failed, and since when. */
+  /** Kinds read here whose latest read failed, and since when. */
   private readonly failing = new Map<StoreKind, Instant>();
 
   constructor(
@@ -52,6 +52,8 @@
     while (!stopped()) {
       if (!this.shouldRead(kind, plan)) {
         base = undefined;
+        failures = 0;
+        this.failing.delete(kind);
         await sleep(timers, LOOK_MS, signal);
         continue;
       }
