Keep the message and host of log lines from being replaced by fields

Cause: fields were spread over a line's own keys, and the line's error text was a field named message, so that the line bore 'read ECONNRESET' as its message; the asked host of a rejected request replaced the name of the entry host. Change: a line's own keys win and keep their place, fields may not bear these names (checked by the compiler, which found four uses), and these are renamed.

--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -3,7 +3,8 @@
 /** Fields of a log line besides time, level, host and message. */
 export type LogFields = Readonly<
   Record<string, string | number | boolean | undefined>
->;
+> &
+  Readonly<Partial<Record<'time' | 'level' | 'host' | 'message', never>>>;
 
 /** Writes JSON lines, one for each message. */
 export interface Logger {
@@ -29,7 +30,7 @@
         log: ({date, type, args}) => {
           const [message, fields] = args as [string, LogFields?];
           const line = {time: date.toISOString(), level: type, host, message};
-          write(`${JSON.stringify({...line, ...fields})}\n`);
+          write(`${JSON.stringify({...line, ...fields, ...line})}\n`);
         },
       },
     ],
--- a/packages/daemon/src/peers/peer-links.ts
+++ b/packages/daemon/src/peers/peer-links.ts
@@ -29,7 +29,7 @@
     const {metrics, logger} = this.context;
     const client = this.clientOf(to);
     if (client === undefined) {
-      logger.debug('no address for peer', {peer: to, message: message.type});
+      logger.debug('no address for peer', {peer: to, type: message.type});
       return;
     }
     metrics.controlMessages.inc({direction: 'sent', type: message.type});
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -231,7 +231,7 @@
     logger.info('request rejected', {
       status,
       reason,
-      host: message.headers.host,
+      requestHost: message.headers.host,
       target: message.url,
       configuration: this.routes?.configuration.version,
     });
--- a/packages/entry-host/src/orders/claim-keeper.ts
+++ b/packages/entry-host/src/orders/claim-keeper.ts
@@ -267,9 +267,9 @@
     const operation = replaces === undefined ? 'create' : 'replace';
     if (result.isErr()) {
       // The next review decides again, by what the store then shows.
-      const {failure, message} = result.error;
+      const {failure, message: detail} = result.error;
       metrics.storeCalls.inc({operation, end: failure});
-      logger.warn('a record was not written', {name, failure, message});
+      logger.warn('a record was not written', {name, failure, detail});
       return undefined;
     }
     metrics.storeCalls.inc({operation, end: result.value.type});
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -144,8 +144,8 @@
   private noteFailure(kind: StoreKind, error: StoreError): void {
     if (!this.failing.has(kind)) {
       this.failing.set(kind, this.context.clock.now());
-      const {failure, message} = error;
-      this.context.logger.warn('store read fails', {kind, failure, message});
+      const {failure, message: detail} = error;
+      this.context.logger.warn('store read fails', {kind, failure, detail});
     }
   }
 
