--- a/packages/dispatch/src/fleet/store-views.ts
+++ b/packages/dispatch/src/fleet/store-views.ts
@@ -41,7 +41,7 @@
  * milliseconds: longer than a host goes by a view when the readers are lost,
  * shorter than the silence of some beats after which entries lapse.
  */
-const OUTAGE_GAP_MS = 2_000;
+export const OUTAGE_GAP_MS = 2_000;
 
 /** An instant `milliseconds` before another. */
 export const before = (at: Instant, milliseconds: number): Instant => ({
--- a/packages/entry-host/src/store/reading-plans.ts
+++ b/packages/entry-host/src/store/reading-plans.ts
@@ -1,4 +1,4 @@
-import type {StoreKind} from '@basilworks/dispatch';
+import {OUTAGE_GAP_MS, type StoreKind} from '@basilworks/dispatch';
 
 import {ROUND_MS} from '../peers/index.js';
 import type {EntryHostSettings} from '../settings-schema.js';
@@ -78,7 +78,8 @@
   Record<StoreKind, number>
 > => ({
   configuration: newsBounds.configurationMs,
-  servers: newsBounds.leavingServerMs,
+  // An older view would pass for an outage of the store.
+  servers: Math.min(newsBounds.leavingServerMs, OUTAGE_GAP_MS),
   'adapter-versions': newsBounds.adapterVersionMs,
   records: RECORDS_BOUND_MS,
 });
--- a/packages/entry-host/src/test/views/reading-plans_test.ts
+++ b/packages/entry-host/src/test/views/reading-plans_test.ts
@@ -1,4 +1,4 @@
-import {STORE_KINDS} from '@basilworks/dispatch';
+import {OUTAGE_GAP_MS, STORE_KINDS} from '@basilworks/dispatch';
 import test from 'ava';
 
 import {oldestViewMs, readingPlan} from '../../index.js';
@@ -25,3 +25,17 @@
     }
   }
 });
+
+// With bounds of some seconds, usual gaps between reads would have counted as
+// outages, after which servers that are gone are kept.
+test('no view of the servers grows old enough to pass for an outage', (t) => {
+  for (const leavingServerMs of [1_600, 2_000, 5_000, 20_000]) {
+    const newsBounds = {
+      leavingServerMs,
+      configurationMs: 2_000,
+      adapterVersionMs: 5_000,
+    };
+    const plan = readingPlan('servers', {newsBounds});
+    t.true(oldestViewMs(plan) <= OUTAGE_GAP_MS, `${leavingServerMs}`);
+  }
+});
