Ask again where a newer version of an adapter came during a wait for a load

Cause: the version was read before the issuers were asked; with a view of up to 4.2 s and waits of some seconds for loads the sum passes 5,000 ms. Change: an answer for an older version than is known by then is passed over, and the next server is asked for the newer one, as for a server that left during the wait. Evidence: 'a version that grew old during the wait is not used' fails on the code before (one server asked, version 1 used) and passes now; the test also covers the server that leaves during the wait, which had none at this level.

--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -173,7 +173,7 @@
     holders: readonly Server[],
     choice: ChoiceContext,
   ): Promise<Selection> {
-    const version = this.versions.get(name);
+    let version = this.versions.get(name);
     const key = `${name.model}/${name.adapter}`;
     const ranking = rankByAffinity(key, holders, choice);
     const promised = this.promised(name, version, ranking.roomy);
@@ -205,6 +205,13 @@
           refusals.push({server, reason: 'server-gone', retryAfterMs: 0});
           continue;
         }
+        const newest = this.versions.get(name);
+        if (newest > answer.version) {
+          // A newer one was announced while the load was waited for.
+          version = newest;
+          refusals.push({server, reason: 'older-version', retryAfterMs: 0});
+          continue;
+        }
         return found(server, answer.version, last ? 'last choice' : 'prepared');
       }
       refusals.push({server, ...answer});
@@ -331,12 +338,12 @@
 /** An issuer's refusal to make an adapter resident. */
 interface Refusal {
   readonly server: Server;
-  readonly reason: PrepareRefusal;
+  readonly reason: PrepareRefusal | 'older-version';
   readonly retryAfterMs: number;
 }
 
 /** Refusals that tell nothing of the server itself. */
-const UNHEARD: ReadonlySet<PrepareRefusal> = new Set([
+const UNHEARD: ReadonlySet<Refusal['reason']> = new Set([
   'not-issuer',
   'unreachable',
 ]);
--- /dev/null
+++ b/packages/entry-host/src/test/front/server-selection_test.ts
@@ -0,0 +1,114 @@
+import {
+  AdapterVersions,
+  type PrepareAnswer,
+  type PrepareRequest,
+  ResidencyCache,
+  type Route,
+  type Server,
+  type ServerEntry,
+  type Service,
+} from '@basilworks/dispatch';
+import test from 'ava';
+
+import type {CallerRequest} from '../../front/caller-request.js';
+import {ServerSelector} from '../../front/server-selection.js';
+import type {AdapterBroker} from '../../orders/index.js';
+import {ViewFleet} from '../views/view-fleet.js';
+
+const NAME = {model: 'base', adapter: 'a1'};
+
+const entry = (id: string, leaving = false): ServerEntry => ({
+  id,
+  service: 'engines',
+  host: '127.0.0.1',
+  port: 1,
+  zone: 'z',
+  slots: 4,
+  leaving,
+  startedAtWallMs: 1,
+  models: ['base'],
+});
+
+type Issuer = (server: Server, request: PrepareRequest) => void;
+
+/** Selects with issuers that have every adapter ready after `issuer` ran. */
+const select = async (
+  issuer: (world: {
+    readonly versions: AdapterVersions;
+    readonly close: (id: string) => void;
+  }) => Issuer,
+) => {
+  const fleet = new ViewFleet(1);
+  const {context} = fleet.startHost('h0');
+  const at = context.clock.now();
+  const list = (closed?: string) => {
+    const entries = ['s0', 's1', 's2'].map((id) => ({
+      entry: entry(id, id === closed),
+      revision: 1,
+    }));
+    context.servers.update(entries, undefined, at);
+  };
+  list();
+  const versions = new AdapterVersions();
+  const run = issuer({versions, close: list});
+  const asked: (readonly [string, number])[] = [];
+  const broker = {
+    hasIssuer: () => true,
+    request: (
+      server: Server,
+      request: PrepareRequest,
+    ): Promise<PrepareAnswer> => {
+      asked.push([server.entry.id, request.version]);
+      run(server, request);
+      const {version} = request;
+      return Promise.resolve({outcome: 'resident', version, validMs: 500});
+    },
+  } as unknown as AdapterBroker;
+  const selector = new ServerSelector(
+    context,
+    broker,
+    new ResidencyCache(),
+    versions,
+  );
+  const selection = await selector.select({
+    request: {id: 'r', model: 'base/a1'} as CallerRequest,
+    route: {priority: 0} as Route,
+    service: {name: 'engines', engine: {}} as Service,
+    remainingMs: 5_000,
+    untilLateMs: 600,
+    tried: new Set(),
+    firstSend: true,
+    signal: new AbortController().signal,
+  });
+  fleet.close();
+  return {selection, asked};
+};
+
+test('a request goes where its adapter was made resident', async (t) => {
+  const {selection, asked} = await select(() => () => undefined);
+  t.is(selection.type, 'server');
+  t.is(asked.length, 1);
+});
+
+test('a server that leaves during the wait is passed over', async (t) => {
+  let first: string | undefined;
+  const {selection} = await select(({close}) => ({entry: {id}}) => {
+    first ??= id;
+    close(first);
+  });
+  t.is(selection.type, 'server');
+  t.not(selection.type === 'server' ? selection.server.entry.id : first, first);
+});
+
+// A request that waited for a load could begin on a version older than one that
+// was announced in the meantime.
+test('a version that grew old during the wait is not used', async (t) => {
+  const {selection, asked} = await select(({versions}) => () => {
+    versions.update([{...NAME, version: 2}]);
+  });
+  t.deepEqual(
+    asked.map(([, version]) => version),
+    [1, 2],
+  );
+  t.is(selection.type === 'server' ? selection.version : undefined, 2);
+});
