Rank the hosts for reading five times a second, not at every look

Cause: the look whether to read a kind became twice as frequent with the bound on views, and each ranked all live hosts for each of four kinds: 80 rankings a second.

--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -15,11 +15,19 @@
   readingPlan,
 } from './reading-plans.js';
 
+/** Between two rankings of the hosts, milliseconds: each hashes all of them. */
+const RANKING_PERIOD_MS = 200;
+
 /** Reads the metadata store while this host is one of the readers. */
 export class StoreReader {
   /** Kinds read here whose latest read failed, and since when. */
   private readonly failing = new Map<StoreKind, Instant>();
 
+  private readonly rankings = new Map<
+    number,
+    {readonly reads: boolean; readonly at: Instant}
+  >();
+
   constructor(
     private readonly context: EntryHostContext,
     /** Called when a view has become newer. */
@@ -121,10 +129,20 @@
   }
 
   private shouldRead(kind: StoreKind, plan: ReadingPlan): boolean {
+    return this.isAged(kind, plan) || this.isReader(plan.readers);
+  }
+
+  /** Whether this host was one of some readers at the latest ranking. */
+  private isReader(count: number): boolean {
     const {membership, clock} = this.context;
-    return (
-      this.isAged(kind, plan) || membership.isReader(plan.readers, clock.now())
-    );
+    const at = clock.now();
+    const known = this.rankings.get(count);
+    if (known !== undefined && elapsedMs(known.at, at) < RANKING_PERIOD_MS) {
+      return known.reads;
+    }
+    const reads = membership.isReader(count, at);
+    this.rankings.set(count, {reads, at});
+    return reads;
   }
 
   /** Whether the view is too old to rely on other hosts. */
