--- a/packages/dispatch/src/servers/server-table.ts
+++ b/packages/dispatch/src/servers/server-table.ts
@@ -51,7 +51,8 @@
 
   /**
    * Takes over the store's entries. Soon after an outage of the store, entries
-   * that are missing may have lapsed in it and are waited for. Returns the servers whose state changed.
+   * that are missing may have lapsed in it and are waited for. Returns the
+   * servers whose state changed.
    */
   update(
     entries: readonly RecordedEntry[],
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -152,7 +152,7 @@
       refuse(413, 'the body is too large');
       return;
     }
-    if (body === 'cut' || (await this.hasLeft(message.socket))) {
+    if (body === 'cut') {
       answer.abort();
       return;
     }
@@ -162,6 +162,10 @@
       arrivedAt,
       platform.forwarding.headers,
     );
+    if (await this.hasLeft(message.socket, request.id)) {
+      answer.abort();
+      return;
+    }
     if (this.routes === undefined) {
       refuse(503, 'no configuration is known yet');
       return;
@@ -194,7 +198,7 @@
    * read. Connections are accepted one a turn, so that a burst of them waits,
    * and a close is read in the turn after the bytes before it.
    */
-  private async hasLeft(socket: Socket): Promise<boolean> {
+  private async hasLeft(socket: Socket, requestId: string): Promise<boolean> {
     if (this.used.has(socket)) {
       return false;
     }
@@ -205,7 +209,7 @@
     }
     const {metrics, logger} = this.context;
     metrics.requests.inc({route: 'none', outcome: 'abandoned'});
-    logger.info('caller left before its request was read');
+    logger.info('caller left before its request was read', {requestId});
     return true;
   }
 
