--- a/packages/entry-host/src/test/front/server-selection_test.ts
+++ b/packages/entry-host/src/test/front/server-selection_test.ts
@@ -13,19 +13,14 @@
 import type {CallerRequest} from '../../front/caller-request.js';
 import {ServerSelector} from '../../front/server-selection.js';
 import type {AdapterBroker} from '../../orders/index.js';
-import {ViewFleet} from '../views/view-fleet.js';
+import {serverEntry, ViewFleet} from '../views/view-fleet.js';
 
 const NAME = {model: 'base', adapter: 'a1'};
 
-const entry = (id: string, leaving = false): ServerEntry => ({
-  id,
+const entry = (id: string, leaving: boolean): ServerEntry => ({
+  ...serverEntry(id),
   service: 'engines',
-  host: '127.0.0.1',
-  port: 1,
-  zone: 'z',
-  slots: 4,
   leaving,
-  startedAtWallMs: 1,
   models: ['base'],
 });
 
--- a/packages/entry-host/src/test/front/server-send_test.ts
+++ b/packages/entry-host/src/test/front/server-send_test.ts
@@ -1,4 +1,4 @@
-import {type ServerEntry, ServerTable} from '@basilworks/dispatch';
+import {ServerTable} from '@basilworks/dispatch';
 import test from 'ava';
 
 import type {EntryHostContext} from '../../context.js';
@@ -9,19 +9,9 @@
   UpstreamError,
   type UpstreamPools,
 } from '../../upstream/index.js';
-import {ViewFleet} from '../views/view-fleet.js';
+import {serverEntry, ViewFleet} from '../views/view-fleet.js';
 
-const entry: ServerEntry = {
-  id: 's',
-  service: 'service',
-  host: '127.0.0.1',
-  port: 1,
-  zone: 'z',
-  slots: 4,
-  leaving: false,
-  startedAtWallMs: 1,
-  models: [],
-};
+const entry = serverEntry('s');
 
 const request: CallerRequest = {
   id: 'r',
--- a/packages/entry-host/src/test/views/view-fleet.ts
+++ b/packages/entry-host/src/test/views/view-fleet.ts
@@ -262,7 +262,8 @@
 const address = (name: string): string =>
   `127.0.0.1:${1_000 + Number(name.slice(1))}`;
 
-const serverEntry = (id: string): ServerEntry => ({
+/** An entry of a plain server. */
+export const serverEntry = (id: string): ServerEntry => ({
   id,
   service: 'service',
   host: '127.0.0.1',
