Measure the time without a read on the monotonic clock

Cause: the gap in reads was the larger of monotonic and wall time, as ages are. Change: the gap that counts as an outage is monotonic time only; ages stay as they were, so that a host that was suspended reads at once. 'a step of the time of day is no outage of the store' fails before and passes now.

--- a/packages/dispatch/src/fleet/store-views.ts
+++ b/packages/dispatch/src/fleet/store-views.ts
@@ -104,10 +104,11 @@
 
 /** The view once it is known, at `at`, that it was current at `freshAt`. */
 const renew = (view: View, freshAt: Instant, at: Instant): View => {
-  const gapMs = elapsedMs(view.freshAt, freshAt);
-  if (gapMs <= 0) {
+  if (elapsedMs(view.freshAt, freshAt) <= 0) {
     return view;
   }
+  // A step of the time of day or a suspended host is no outage of the store.
+  const gapMs = freshAt.monotonicMs - view.freshAt.monotonicMs;
   const {outageEndedAt} = view;
   return {
     ...view,
--- a/packages/dispatch/src/test/fleet/store-views_test.ts
+++ b/packages/dispatch/src/test/fleet/store-views_test.ts
@@ -46,6 +46,16 @@
   t.deepEqual(endedAt(), at(6_000));
 });
 
+// After a step of the time of day a host kept servers that were gone.
+test('a step of the time of day is no outage of the store', (t) => {
+  const views = new StoreViews();
+  views.offer(snapshot(5), at(0), at(0));
+  const stepped = {monotonicMs: 500, wallMs: 5_500};
+  views.confirm('records', 5, stepped, stepped);
+  t.is(views.get('records')?.outageEndedAt, undefined);
+  t.is(views.ageMs('records', stepped), 0);
+});
+
 const status = (host: string, extra: Partial<HostStatus> = {}): HostStatus => ({
   host,
   incarnation: 'i',
