--- a/packages/entry-host/src/test/views/fleet-of-seven.ts
+++ b/packages/entry-host/src/test/views/fleet-of-seven.ts
@@ -3,16 +3,21 @@
 /** Bound on requests to a leaving server, from the store's word on, ms. */
 export const LEAVING_BOUND_MS = 2_000;
 
+export const HOSTS = 7;
+
+/** Between two beats of a server, milliseconds. */
+export const BEAT_MS = 1_200;
+
 /** Servers that write their beats. */
 export const SERVERS = ['s0', 's1', 's2', 's3', 's4', 's5'];
 
 /** Hosts that all know the servers. */
-export const deploy = async (hosts = 7): Promise<ViewFleet> => {
-  const fleet = new ViewFleet(hosts);
+export const deploy = async (): Promise<ViewFleet> => {
+  const fleet = new ViewFleet(HOSTS);
   for (const id of SERVERS) {
     fleet.putServer(id);
   }
-  fleet.beat(() => SERVERS, 1_200);
+  fleet.beat(() => SERVERS, BEAT_MS);
   await fleet.start();
   return fleet;
 };
--- a/packages/entry-host/src/test/views/view-faults.ts
+++ b/packages/entry-host/src/test/views/view-faults.ts
@@ -1,10 +1,10 @@
 import * as fc from 'fast-check';
 
+import {BEAT_MS, HOSTS, LEAVING_BOUND_MS, SERVERS} from './fleet-of-seven.js';
 import type {PathFault} from './store-model.js';
 import {ViewFleet} from './view-fleet.js';
 
-/** Bounds on what hosts in touch go by, milliseconds. */
-const LEAVING_BOUND_MS = 2_000;
+/** Bound on the configuration that hosts in touch go by, milliseconds. */
 const CONFIGURATION_BOUND_MS = 2_000;
 
 /** Time without trouble after which a host or the store counts, ms. */
@@ -16,9 +16,6 @@
 /** Between two looks at all hosts, milliseconds. */
 const CHECK_PERIOD_MS = 50;
 
-const HOSTS = 7;
-const SERVERS = ['s0', 's1', 's2', 's3', 's4', 's5'];
-
 /** How long faults are drawn over, and how long the end is watched, ms. */
 const FAULT_PERIOD_MS = 20_000;
 const SETTLING_MS = 8_000;
@@ -96,7 +93,7 @@
       this.open(id, 1);
     }
     fleet.store.put('configuration', 'main', {version: this.version});
-    fleet.beat(() => SERVERS, 1_200);
+    fleet.beat(() => SERVERS, BEAT_MS);
     await fleet.start();
     const beginMs = fleet.time.nowMs;
     for (const {atMs, action} of schedule) {
