Pass on what differs between tables of hosts, and read the store by zone

Cause: every exchange carried each live host and all hosts asked the same two readers. Hosts that knew few others each took themselves for the holder of most claims.

Change: a table of hosts at versions, compared by 16 digests in each exchange, of which only what differs is passed on, both ways. A host asks the reader of its group (all hosts up to 24, else its zone or part of one; large machines first) and watches two successors on a ring; leaders of groups ask each other. A host that is taken for gone contradicts. Starting hosts wait for a peer's views for 0.3 s, take no claims while the fleet grows, and claims go to large machines by preference. A host that the store turns away tries one kind only, more slowly in larger groups. One timer looks for reads that are due, in place of one a kind.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './events.js';
 export * from './identifiers.js';
 export * from './instant.js';
+export {hashFraction} from './lib/hash.js';
 export * from './load-budget/index.js';
 export * from './membership/index.js';
 export * from './metric.js';
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -6,4 +6,8 @@
 export * from './selectors.js';
 export {CONFIGURATION_HEAD, ZONE_RECORD_KIND} from './records.js';
 export {zoneReader} from './relay.js';
-export {chooseByRendezvous, rankByRendezvous} from './rendezvous.js';
+export {
+  chooseByRendezvous,
+  rankByRendezvous,
+  type WeightedCandidate,
+} from './rendezvous.js';
--- a/packages/dispatch/src/fleet/claims.ts
+++ b/packages/dispatch/src/fleet/claims.ts
@@ -1,4 +1,9 @@
-import {chooseByRendezvous, elapsedMs, type Instant} from '@basilworks/core';
+import {
+  chooseByRendezvous,
+  elapsedMs,
+  type Instant,
+  type WeightedCandidate,
+} from '@basilworks/core';
 
 import type {ClaimRecord} from './records.js';
 
@@ -32,8 +37,8 @@
 export interface ClaimReview {
   readonly at: Instant;
   readonly self: string;
-  /** Names of the live hosts, this one included. */
-  readonly live: readonly string[];
+  /** The live hosts, this one included, and their shares of the claims. */
+  readonly live: readonly WeightedCandidate[];
   /** Identities of the servers that take orders. */
   readonly servers: readonly string[];
   readonly claims: ReadonlyMap<string, StoredClaim>;
@@ -72,8 +77,7 @@
     if (minorityMs > 0 && minorityMs < MINORITY_PATIENCE_MS) {
       return [];
     }
-    const candidates = live.map((name) => ({name, weight: 1}));
-    if (chooseByRendezvous(server, candidates) !== self) {
+    if (chooseByRendezvous(server, live) !== self) {
       return [];
     }
     const record: ClaimRecord = {
@@ -91,7 +95,9 @@
   {host}: ClaimRecord,
   {self, live, silentMs}: ClaimReview,
 ): boolean =>
-  host !== self && !live.includes(host) && silentMs(host) > HOLDER_SILENCE_MS;
+  host !== self &&
+  !live.some(({name}) => name === host) &&
+  silentMs(host) > HOLDER_SILENCE_MS;
 
 /** How a claim of this host came about, as far as this process knows. */
 export interface HeldClaim {
--- a/packages/dispatch/src/fleet/membership.ts
+++ b/packages/dispatch/src/fleet/membership.ts
@@ -1,96 +1,282 @@
-import {elapsedMs, type Instant, rankByRendezvous} from '@basilworks/core';
-
-/** What a host tells others about itself. */
-export interface HostStatus {
-  readonly host: string;
-  /** Identifies one run of its process. */
-  readonly incarnation: string;
-  readonly zone: string;
-  readonly peerAddress: string;
-  readonly callerAddress: string;
-  /** It can serve callers. */
-  readonly ready: boolean;
-  /** It reads the store successfully. */
-  readonly readsStore: boolean;
-  /** Revision of the records that it goes by. */
-  readonly recordsRevision: number;
-}
+import {elapsedMs, hashFraction, type Instant} from '@basilworks/core';
 
-interface KnownHost {
-  status: HostStatus;
-  heardAt: Instant;
-}
+import {type HostEntry, type HostStatus, HostTable} from './host-table.js';
+import {
+  rankReaders,
+  type ReadingGroup,
+  readingGroups,
+} from './reading-groups.js';
+
+/** Exchanges in a row without an answer after which a host is in doubt. */
+const DOUBTFUL_MISSES = 2;
 
 /**
- * A host that was not heard for this long is not live, milliseconds: a few
- * rounds of exchanges.
+ * Silence that comes before a host counts as gone, milliseconds: two exchanges
+ * without an answer.
  */
-export const LIVENESS_MS = 2_000;
+const SILENCE_BEFORE_GONE_MS = 1_500;
+
+/** Hosts that are watched besides for each that missed an exchange. */
+const MORE_WATCHED = 3;
+
+/** Answers and misses of exchanges with one host. */
+interface Contact {
+  heardAt: Instant | undefined;
+  missedSince: Instant | undefined;
+  missesInRow: number;
+  /** Revision of the records that it said it goes by. */
+  recordsRevision: number;
+}
 
 /**
- * Which entry hosts live, by their own word. Nothing is agreed: each host
- * decides by what it heard, and a wrong belief costs efficiency only.
+ * Which entry hosts live. Each host exchanges words with a few others, and the
+ * table of all spreads with them. Nothing is agreed: a wrong belief costs
+ * efficiency only, and a host that is taken for gone contradicts.
  */
 export class Membership {
-  private readonly hosts = new Map<string, KnownHost>();
+  private readonly table = new HostTable();
+  private readonly contacts = new Map<string, Contact>();
+  private version: number;
+  /** When any host answered last. */
+  private answeredAt: Instant | undefined;
+  private ringOf: {revision: number; hosts: readonly string[]} | undefined;
 
-  constructor(readonly self: () => HostStatus) {}
+  constructor(
+    /** What this host says of itself now. */
+    private readonly describe: () => HostStatus,
+    /** First version; above that of earlier runs, as a rule. */
+    firstVersion: number,
+  ) {
+    this.version = Math.max(1, firstVersion);
+  }
+
+  /** This host, at a version that is new whenever it says something new. */
+  self(): HostEntry {
+    const status = this.describe();
+    const known = this.table.get(status.host);
+    if (known !== undefined && !known.gone && isSame(known, status)) {
+      return known;
+    }
+    this.version = Math.max(this.version, (known?.version ?? 0) + 1);
+    const entry = {...status, version: this.version, gone: false};
+    this.table.offer(entry, START);
+    return entry;
+  }
+
+  /** A host spoke to this one. True when it said something new. */
+  heard(entry: HostEntry, recordsRevision: number, at: Instant): boolean {
+    this.answeredAt = at;
+    this.contacts.set(entry.host, {
+      heardAt: at,
+      missedSince: undefined,
+      missesInRow: 0,
+      recordsRevision,
+    });
+    return this.learned(entry, at);
+  }
 
-  /** A host spoke, to this one or to a peer that says so. */
-  heard(status: HostStatus, at: Instant): void {
-    const known = this.hosts.get(status.host);
-    if (known === undefined || elapsedMs(known.heardAt, at) >= 0) {
-      this.hosts.set(status.host, {status, heardAt: at});
+  /** Another host passed an entry on. True when it is new. */
+  learned(entry: HostEntry, at: Instant): boolean {
+    const isNew = this.table.offer(entry, at);
+    if (isNew && entry.gone) {
+      this.contacts.delete(entry.host);
     }
+    return isNew;
   }
 
-  /** Live hosts, this one included. */
-  live(at: Instant): readonly HostStatus[] {
-    const others = [...this.hosts.values()]
-      .filter(({heardAt}) => elapsedMs(heardAt, at) <= LIVENESS_MS)
-      .map(({status}) => status);
-    return [this.self(), ...others];
+  /** A host gave no answer in time. */
+  missed(host: string, at: Instant): void {
+    const known = this.contacts.get(host);
+    this.contacts.set(host, {
+      heardAt: known?.heardAt,
+      missedSince: known?.missedSince ?? at,
+      missesInRow: (known?.missesInRow ?? 0) + 1,
+      recordsRevision: known?.recordsRevision ?? 0,
+    });
   }
 
-  isLive(host: string, at: Instant): boolean {
-    return host === this.self().host || this.silentMs(host, at) <= LIVENESS_MS;
+  /**
+   * Takes hosts that missed several exchanges for gone, unless no host answers:
+   * then this one may be cut off. Returns those that are newly gone.
+   */
+  judge(at: Instant): readonly HostEntry[] {
+    this.table.expire(at);
+    const {answeredAt} = this;
+    return [...this.contacts].flatMap(([host, contact]) => {
+      const entry = this.table.get(host);
+      const heardOthers =
+        answeredAt !== undefined &&
+        contact.missedSince !== undefined &&
+        elapsedMs(contact.missedSince, answeredAt) > 0;
+      if (!isDoubtful(contact) || !heardOthers || entry?.gone !== false) {
+        return [];
+      }
+      const gone = {...entry, gone: true};
+      return this.learned(gone, at) ? [gone] : [];
+    });
+  }
+
+  /** Live hosts, this one first. */
+  live(): readonly HostEntry[] {
+    const self = this.self();
+    const others = this.table
+      .present()
+      .filter(({host}) => host !== self.host && !this.inDoubt(host));
+    return [self, ...others];
+  }
+
+  isLive(host: string): boolean {
+    return (
+      host === this.self().host ||
+      (this.table.get(host)?.gone === false && !this.inDoubt(host))
+    );
   }
 
-  /** Milliseconds since a host was heard. */
+  /** Milliseconds for which a host is known to be silent, 0 if it lives. */
   silentMs(host: string, at: Instant): number {
-    const known = this.hosts.get(host);
-    return known === undefined ? Infinity : elapsedMs(known.heardAt, at);
+    const entry = this.table.get(host);
+    const since = this.table.since(host);
+    if (entry === undefined || since === undefined) {
+      return Infinity;
+    }
+    if (entry.gone) {
+      return elapsedMs(since, at) + SILENCE_BEFORE_GONE_MS;
+    }
+    const contact = this.contacts.get(host);
+    return contact?.missedSince !== undefined && isDoubtful(contact)
+      ? elapsedMs(contact.missedSince, at)
+      : 0;
+  }
+
+  status(host: string): HostEntry | undefined {
+    return host === this.self().host ? this.self() : this.table.get(host);
+  }
+
+  /** Revision of the records that a host said to this one it goes by. */
+  recordsRevisionOf(host: string): number {
+    return this.contacts.get(host)?.recordsRevision ?? 0;
   }
 
-  status(host: string): HostStatus | undefined {
-    return host === this.self().host
-      ? this.self()
-      : this.hosts.get(host)?.status;
+  /** Whether a host missed its latest exchange, and has not spoken since. */
+  hasMissed(host: string): boolean {
+    return (this.contacts.get(host)?.missesInRow ?? 0) > 0;
   }
 
   forget(host: string): void {
-    this.hosts.delete(host);
+    this.table.forget(host);
+    this.contacts.delete(host);
+  }
+
+  /** What other hosts compare with their tables. */
+  digests(): number[] {
+    this.self();
+    return this.table.digests();
+  }
+
+  differences(digests: readonly number[], at: Instant): readonly HostEntry[] {
+    this.self();
+    return this.table.differences(digests, at);
+  }
+
+  /** Grows with each change of what is known of the hosts. */
+  get revision(): number {
+    return this.table.revision;
   }
 
   /**
-   * The hosts that should read the store: the first `count` of a stable ranking
-   * of the live hosts that are able to.
+   * The hosts that this one watches: the next `count` on a ring of all, so that
+   * each host is watched by as many, mostly from other zones. For each host
+   * that missed an exchange some more are watched: where many are lost at once,
+   * few are left to notice.
    */
-  readers(count: number, at: Instant): readonly HostStatus[] {
+  watched(count: number): readonly HostEntry[] {
+    const ring = this.ring();
+    const self = this.self().host;
+    const start = ring.indexOf(self);
+    const chosen: HostEntry[] = [];
+    let wanted = count;
+    for (
+      let step = 1;
+      step < ring.length && chosen.length < wanted;
+      step += 1
+    ) {
+      const host = ring[(start + step) % ring.length] ?? self;
+      const entry = this.table.get(host);
+      if (entry?.gone === false) {
+        chosen.push(entry);
+        wanted += this.hasMissed(host) ? MORE_WATCHED : 0;
+      }
+    }
+    return chosen;
+  }
+
+  /** The hosts that share readers with this one, itself included. */
+  group(): ReadingGroup {
     const self = this.self().host;
-    const able = new Map(
-      this.live(at)
-        .filter(({readsStore, host}) => readsStore || host === self)
-        .map((status) => [status.host, status]),
+    const groups = readingGroups(this.live());
+    return (
+      groups.find(({hosts}) => hosts.some(({host}) => host === self)) ?? {
+        name: 'alone',
+        hosts: [this.self()],
+        maximumReaders: 1,
+      }
     );
-    return rankByRendezvous('store-reader', [...able.keys()])
-      .slice(0, count)
-      .flatMap((host) => able.get(host) ?? []);
   }
 
-  /** Whether this host is one of `count` readers. */
-  isReader(count: number, at: Instant): boolean {
+  /** Hosts of this host's group that should read the store, the first first. */
+  readers(count: number): readonly HostStatus[] {
+    const group = this.group();
+    return rankReaders(group).slice(0, Math.min(count, group.maximumReaders));
+  }
+
+  /** Whether this host is one of `count` readers of its group. */
+  isReader(count: number): boolean {
+    const self = this.self().host;
+    return this.readers(count).some(({host}) => host === self);
+  }
+
+  /** The first readers of the other groups. */
+  otherLeaders(): readonly HostStatus[] {
+    const own = this.group().name;
+    return readingGroups(this.live())
+      .filter(({name}) => name !== own)
+      .flatMap((group) => rankReaders(group).slice(0, 1));
+  }
+
+  private ring(): readonly string[] {
     const self = this.self().host;
-    return this.readers(count, at).some(({host}) => host === self);
+    const {revision} = this.table;
+    if (this.ringOf?.revision !== revision) {
+      const hosts = [
+        ...new Set([self, ...this.table.present().map(({host}) => host)]),
+      ];
+      const place = new Map(
+        hosts.map((host) => [host, hashFraction(`ring\n${host}`)]),
+      );
+      const at = (host: string) => place.get(host) ?? 0;
+      hosts.sort((first, second) => at(first) - at(second));
+      this.ringOf = {revision, hosts};
+    }
+    return this.ringOf.hosts;
+  }
+
+  private inDoubt(host: string): boolean {
+    const contact = this.contacts.get(host);
+    return contact !== undefined && isDoubtful(contact);
   }
 }
+
+/** A host's own entry has no age. */
+const START: Instant = {monotonicMs: 0, wallMs: 0};
+
+const isDoubtful = ({missesInRow}: Contact): boolean =>
+  missesInRow >= DOUBTFUL_MISSES;
+
+const isSame = (known: HostStatus, status: HostStatus): boolean =>
+  known.incarnation === status.incarnation &&
+  known.zone === status.zone &&
+  known.peerAddress === status.peerAddress &&
+  known.callerAddress === status.callerAddress &&
+  known.ready === status.ready &&
+  known.readsStore === status.readsStore &&
+  known.capacity === status.capacity;
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -1,4 +1,5 @@
 import {randomBytes} from 'node:crypto';
+import {setMaxListeners} from 'node:events';
 import {createServer, type Server as HttpServer} from 'node:http';
 
 import {getRequestListener} from '@hono/node-server';
@@ -15,6 +16,7 @@
   AdapterVersions,
   adapterVersionRecordSchema,
   addressAnswer,
+  hostCapacity,
   type HostStatus,
   Membership,
   ResidencyCache,
@@ -102,6 +104,8 @@
     private readonly onStopped: () => void,
     overrides: EntryHostOverrides = {},
   ) {
+    // Every part and each of its timers waits for the end of the process.
+    setMaxListeners(0, this.abort.signal);
     const incarnation = randomBytes(8).toString('hex');
     const clock = overrides.clock ?? systemClock;
     const timers = new TimerService();
@@ -119,7 +123,10 @@
         overrides.logger ?? createLogger(settings.host, settings.logLevel),
         clock,
       ),
-      membership: new Membership(() => this.status(incarnation)),
+      membership: new Membership(
+        () => this.status(incarnation),
+        Math.floor(clock.now().wallMs),
+      ),
       views,
       servers: new ServerTable(),
       signal: this.abort.signal,
@@ -143,6 +150,7 @@
       this.context,
       onNewer,
       (address) => new PeerLink(address, timers, clock),
+      () => this.claims.awaitedHosts(),
     );
     this.claims = new ClaimKeeper(
       this.context,
@@ -302,7 +310,7 @@
   }
 
   private status(incarnation: string): HostStatus {
-    const {host, zone, peerAddress, callerAddress} = this.settings;
+    const {host, zone, peerAddress, callerAddress, machine} = this.settings;
     return {
       host,
       incarnation,
@@ -311,7 +319,7 @@
       callerAddress,
       ready: this.ready,
       readsStore: this.reader.working,
-      recordsRevision: this.context.views.revision('records'),
+      capacity: hostCapacity(machine),
     };
   }
 
@@ -383,14 +391,15 @@
   }
 
   private directoryRoutes(): Hono {
-    const {platform, membership, clock} = this.context;
+    const {platform, membership, random} = this.context;
     const {host} = platform;
     const app = new Hono();
     app.get(host.addressPath, (call) => {
       const addresses = addressAnswer(
-        membership.live(clock.now()),
+        membership.live(),
         call.req.query(host.zoneParameter),
         membership.self(),
+        random,
       );
       return call.json(
         host.addressAnswer(
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -198,7 +198,7 @@
     }
     const {budget, context} = this.parts;
     const at = context.clock.now();
-    const hosts = context.membership.live(at).length;
+    const hosts = context.membership.live().length;
     const step = nextStep(
       end,
       {
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -107,7 +107,7 @@
     const names = platform.forwarding.headers;
     const {evidence} = this.server;
     const sentAt = clock.now();
-    const hosts = Math.max(1, membership.live(sentAt).length);
+    const hosts = Math.max(1, membership.live().length);
     const share = (this.maximumConnections * CONNECTION_SHARE) / hosts;
     return new Promise((resolve) => {
       evidence.sent(sentAt);
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -85,12 +85,12 @@
 
   /** Whether some host is able to make adapters resident on a server. */
   hasIssuer(server: Server): boolean {
-    const {membership, clock, settings} = this.context;
+    const {membership, settings} = this.context;
     const holder = this.claims.holder(server.entry.id);
     return (
       holder === settings.host ||
       (holder !== undefined &&
-        membership.isLive(holder, clock.now()) &&
+        membership.isLive(holder) &&
         this.linkTo(holder)?.doubtful === false)
     );
   }
--- a/packages/entry-host/src/orders/claim-keeper.ts
+++ b/packages/entry-host/src/orders/claim-keeper.ts
@@ -1,6 +1,7 @@
-import type {Instant} from '@basilworks/core';
+import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   claimRecordName,
+  claimWeight,
   type ClaimChange,
   type ClaimRecord,
   type ClaimState,
@@ -28,6 +29,15 @@
 /** Time after the start in which hosts find each other, milliseconds. */
 const START_PAUSE_MS = 1_500;
 
+/**
+ * A starting host takes no claim while it hears of new hosts, milliseconds:
+ * whoever knows few hosts takes itself for the one to hold most claims.
+ */
+const SETTLED_MS = 1_000;
+
+/** Start after which claims are taken however many hosts come, ms. */
+const LONGEST_SETTLING_MS = 6_000;
+
 /** A host that was not heard for this long loses its record, milliseconds. */
 const FORGET_HOST_MS = 60_000;
 
@@ -41,6 +51,8 @@
   private readonly ownWrites = new Map<string, StoredClaim>();
   private readonly startedAt: Instant;
   private minoritySince: Instant | undefined;
+  private grewAt: Instant | undefined;
+  private liveHosts = 0;
 
   constructor(
     private readonly context: EntryHostContext,
@@ -131,7 +143,14 @@
     }
     this.keepHostRecord();
     this.forgetHosts(at);
-    const live = membership.live(at).map(({host}) => host);
+    const live = membership.live();
+    if (live.length > this.liveHosts) {
+      this.grewAt = at;
+    }
+    this.liveHosts = live.length;
+    if (!this.isSettled(upMs, at)) {
+      return;
+    }
     const minority = live.length * 2 <= this.hosts.size;
     this.minoritySince = minority ? (this.minoritySince ?? at) : undefined;
     const engines = servers
@@ -144,7 +163,10 @@
     const changes = reviewClaims({
       at,
       self: settings.host,
-      live,
+      live: live.map(({host, capacity}) => ({
+        name: host,
+        weight: claimWeight(capacity),
+      })),
       servers: engines.map(({entry}) => entry.id),
       claims: this.claims,
       settled: new Set(
@@ -165,6 +187,28 @@
     }
   }
 
+  /** Hosts whose own word is waited for: they may not know of a lost claim. */
+  awaitedHosts(): readonly string[] {
+    return [
+      ...new Set(
+        [...this.held.values()].flatMap(({record, yieldedSince}) =>
+          record.takenFrom === undefined || yieldedSince !== undefined
+            ? []
+            : [record.takenFrom],
+        ),
+      ),
+    ];
+  }
+
+  /** Whether the hosts that started with this one have found each other. */
+  private isSettled(upMs: number, at: Instant): boolean {
+    return (
+      upMs > LONGEST_SETTLING_MS ||
+      this.grewAt === undefined ||
+      elapsedMs(this.grewAt, at) > SETTLED_MS
+    );
+  }
+
   /** Notes which hosts know by now that they lost their claims. */
   private noteYields(at: Instant): void {
     const {membership} = this.context;
@@ -175,7 +219,7 @@
         takenFrom !== undefined &&
         revision !== undefined &&
         held.yieldedSince === undefined &&
-        (membership.status(takenFrom)?.recordsRevision ?? 0) >= revision
+        membership.recordsRevisionOf(takenFrom) >= revision
       ) {
         this.held.set(server, {...held, yieldedSince: at});
       }
@@ -224,7 +268,7 @@
   private forgetHosts(at: Instant): void {
     const {membership, settings, platform, logger} = this.context;
     const upMs = at.monotonicMs - this.startedAt.monotonicMs;
-    const names = membership.live(at).map(({host}) => host);
+    const names = membership.live().map(({host}) => host);
     if (upMs < FORGET_HOST_MS || [...names].sort()[0] !== settings.host) {
       return;
     }
--- a/packages/entry-host/src/peers/index.ts
+++ b/packages/entry-host/src/peers/index.ts
@@ -1,4 +1,5 @@
 export * from './answer-codec.js';
+export * from './host-codec.js';
 export * from './peer-exchange.js';
 export * from './peer-link.js';
 export * from './peer-service.js';
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -1,14 +1,14 @@
 import type {Instant} from '@basilworks/core';
 import {
-  before,
+  type HostEntry,
   hostRecordSchema,
   type HostStatus,
-  LIVENESS_MS,
   type StoreKind,
 } from '@basilworks/dispatch';
 import type {fleet} from '@basilworks/protocol';
 
 import type {EntryHostContext} from '../context.js';
+import {decodeHost, encodeHost} from './host-codec.js';
 import type {PeerLink} from './peer-link.js';
 import {
   encodeViews,
@@ -18,13 +18,22 @@
 } from './view-codec.js';
 
 /** Between two rounds of exchanges, milliseconds. */
-export const ROUND_MS = Math.floor(LIVENESS_MS / 4);
+export const ROUND_MS = 500;
 
-/** Readers of the store that every host asks in each round. */
+/** Readers of the store that every host of a group asks in each round. */
 const READERS_ASKED = 2;
 
-/** Other peers that are asked in each round, in turn. */
-const OTHERS_ASKED = 2;
+/** Hosts that each host watches; each is watched by as many others. */
+const WATCHED = 2;
+
+/** Leaders of other groups that a leader asks in each round, in turn. */
+const LEADERS_ASKED = 2;
+
+/** Before the peer connection of a host that is not talked to is closed, ms. */
+const IDLE_LINK_MS = 20_000;
+
+/** Between two log lines about messages that can't be used, milliseconds. */
+const REFUSAL_LOG_PERIOD_MS = 10_000;
 
 /** The part of a link that is used from outside. */
 export type PeerConnection = Pick<
@@ -32,18 +41,42 @@
   'exchange' | 'prepare' | 'release' | 'doubtful' | 'close'
 >;
 
-/** Talks to other entry hosts: who lives, and what the store holds. */
+interface OpenLink {
+  readonly connection: PeerConnection;
+  usedAt: Instant;
+  /** Digests of the peer's table at its latest answer. */
+  digests: readonly number[] | undefined;
+}
+
+/** A peer to talk to, by its address as hosts may not be known by name yet. */
+interface Target {
+  readonly address: string;
+  /** Undefined until it has said who it is. */
+  readonly host: string | undefined;
+  /** Its views are asked for. */
+  readonly wantsViews: boolean;
+}
+
+/**
+ * Talks to other entry hosts: who lives, and what the store holds. In each
+ * round a host asks the readers of its group for both, and looks after its
+ * successors on the ring of all hosts; the first reader of a group also asks
+ * those of the other groups. So a message costs the same in a fleet of any size.
+ */
 export class PeerExchange {
-  private readonly links = new Map<string, PeerConnection>();
+  private readonly links = new Map<string, OpenLink>();
   private readonly texts = new SnapshotTexts();
   private readonly pending = new Set<string>();
   private turn = 0;
+  private refusalLoggedAt: number | undefined;
 
   constructor(
     private readonly context: EntryHostContext,
     private readonly onNewer: (kind: StoreKind) => void,
     /** Opens the link to an address. */
     private readonly connect: (address: string) => PeerConnection,
+    /** Hosts whose own word is waited for. */
+    private readonly awaited: () => readonly string[] = () => [],
   ) {}
 
   start(): void {
@@ -66,116 +99,261 @@
   }
 
   /** Answers a peer's exchange. */
-  answer({sender, known}: fleet.ExchangeRequest): fleet.ExchangeResponse {
+  answer(request: fleet.ExchangeRequest): fleet.ExchangeResponse {
     const {membership, views, clock} = this.context;
+    const {sender, known, digests, wantsViews, recordsRevision} = request;
     const at = clock.now();
-    if (sender !== undefined) {
-      this.heard(sender, at);
+    this.heard(sender, recordsRevision, at);
+    for (const status of request.hosts) {
+      this.learned(status, at);
     }
-    const self = membership.self();
     return {
-      responder: {...self},
-      views: encodeViews(views, known, this.texts, at),
-      live: membership
-        .live(at)
-        .filter(({host}) => host !== self.host)
-        .map((status) => ({
-          status: {...status},
-          ageMs: Math.ceil(membership.silentMs(status.host, at)),
-        })),
+      responder: encodeHost(membership.self()),
+      views: wantsViews ? encodeViews(views, known, this.texts, at) : [],
+      hosts: membership.differences(digests, at).map(encodeHost),
+      recordsRevision: views.revision('records'),
+      digests: membership.digests(),
     };
   }
 
-  /** Tells all peers at once what this host is. */
+  /** Tells the readers, and where none are known the seeds, what this host is. */
   announce(): void {
-    for (const address of this.addresses()) {
-      void this.exchangeWith(address);
+    const readers = this.readers();
+    for (const target of readers.length > 0 ? readers : this.strangers()) {
+      void this.exchangeWith(target);
     }
   }
 
   close(): void {
-    for (const link of this.links.values()) {
-      link.close();
+    for (const {connection} of this.links.values()) {
+      connection.close();
     }
   }
 
-  /** Asks the readers of the store, and a few others in turn. */
   private runRound(): void {
     const {membership, clock} = this.context;
-    const readers = membership
-      .readers(READERS_ASKED, clock.now())
-      .map(({peerAddress}) => peerAddress);
-    const others = this.addresses().filter(
-      (address) => !readers.includes(address),
-    );
-    const start = this.turn % Math.max(1, others.length);
-    this.turn += OTHERS_ASKED;
-    const chosen = [...others, ...others].slice(start, start + OTHERS_ASKED);
-    for (const address of new Set([...readers, ...chosen])) {
-      void this.exchangeWith(address);
+    this.logGone(membership.judge(clock.now()));
+    this.closeIdleLinks();
+    const targets = [...this.readers(), ...this.others(), ...this.stranger()];
+    const asked = new Set<string>();
+    for (const target of targets) {
+      if (!asked.has(target.address)) {
+        asked.add(target.address);
+        void this.exchangeWith(target);
+      }
     }
   }
 
-  /** Addresses from the store, from peers and from the settings. */
-  private addresses(): readonly string[] {
-    const {settings, membership, views, clock} = this.context;
+  /** The readers of this host's group. */
+  private readers(): readonly Target[] {
+    const {membership, settings} = this.context;
+    return membership
+      .readers(READERS_ASKED)
+      .filter(({host}) => host !== settings.host)
+      .map((status) => ({...targetOf(status), wantsViews: true}));
+  }
+
+  /** Watched hosts, awaited ones, and the leaders of other groups for a leader. */
+  private others(): readonly Target[] {
+    const {membership, settings} = this.context;
+    this.turn += 1;
+    const [leader] = membership.readers(1);
+    const leads = leader?.host === settings.host;
+    const awaited = this.awaited().flatMap(
+      (host) => membership.status(host) ?? [],
+    );
+    const watched = membership.watched(WATCHED);
+    const alert = watched.length > WATCHED;
+    const due = watched.filter(
+      (_host, index) => alert || index % WATCHED === this.turn % WATCHED,
+    );
+    return [
+      ...due,
+      ...awaited.filter(({host}) => host !== settings.host),
+      ...(leads ? this.leaders() : []),
+    ].map(targetOf);
+  }
+
+  /** The leaders of some other groups, in turn. */
+  private leaders(): readonly HostStatus[] {
+    const leaders = this.context.membership.otherLeaders();
+    const start = (this.turn * LEADERS_ASKED) % Math.max(1, leaders.length);
+    return [...leaders, ...leaders].slice(
+      start,
+      start + Math.min(LEADERS_ASKED, leaders.length),
+    );
+  }
+
+  /** One peer in turn that has not said who it is. */
+  private stranger(): readonly Target[] {
+    const strangers = this.strangers();
+    const chosen = strangers[this.turn % Math.max(1, strangers.length)];
+    return chosen === undefined ? [] : [chosen];
+  }
+
+  /** Addresses from the settings and the store at which nobody is known. */
+  private strangers(): readonly Target[] {
+    const {settings, membership, views} = this.context;
     const records = views.get('records')?.snapshot.items ?? [];
     const recorded = records.flatMap(({value}) => {
       const record = hostRecordSchema.safeParse(value).data;
-      return record === undefined ? [] : [record.peerAddress];
+      return record === undefined ||
+        membership.status(record.host) !== undefined
+        ? []
+        : [record.peerAddress];
     });
-    const live = membership
-      .live(clock.now())
-      .map(({peerAddress}) => peerAddress);
-    const all = new Set([...recorded, ...live, ...settings.seeds]);
-    all.delete(settings.peerAddress);
-    return [...all].sort();
+    const known = new Set(
+      membership.live().map(({peerAddress}) => peerAddress),
+    );
+    return [...new Set([...settings.seeds, ...recorded])]
+      .filter(
+        (address) => !known.has(address) && address !== settings.peerAddress,
+      )
+      .map((address) => ({address, host: undefined, wantsViews: true}));
   }
 
-  private async exchangeWith(address: string): Promise<void> {
-    const {membership, views, clock, settings} = this.context;
-    if (this.pending.has(address) || address === settings.peerAddress) {
+  private async exchangeWith({
+    address,
+    host,
+    wantsViews,
+  }: Target): Promise<void> {
+    const {membership, views, clock} = this.context;
+    if (this.pending.has(address)) {
       return;
     }
     this.pending.add(address);
     const askedAt = clock.now();
-    const response = await this.link(address).exchange({
-      sender: {...membership.self()},
-      known: knownRevisions(views),
+    const link = this.open(address);
+    const response = await link.connection.exchange({
+      sender: encodeHost(membership.self()),
+      known: wantsViews ? knownRevisions(views) : [],
+      digests: membership.digests(),
+      wantsViews,
+      recordsRevision: views.revision('records'),
+      hosts:
+        link.digests === undefined
+          ? []
+          : membership.differences(link.digests, askedAt).map(encodeHost),
     });
     this.pending.delete(address);
-    if (response?.responder === undefined) {
+    const at = clock.now();
+    link.digests = response?.digests;
+    if (response === undefined) {
+      if (host !== undefined) {
+        membership.missed(host, at);
+      }
       return;
     }
-    this.heard(response.responder, clock.now());
-    for (const {status, ageMs} of response.live) {
-      if (status !== undefined && status.host !== settings.host) {
-        this.heard(status, before(askedAt, ageMs));
-      }
+    this.heard(response.responder, response.recordsRevision, at);
+    for (const status of response.hosts) {
+      this.learned(status, at);
     }
-    const at = clock.now();
     for (const kind of takeViews(views, response.views, askedAt, at)) {
       this.onNewer(kind);
     }
   }
 
-  private heard(status: HostStatus, at: Instant): void {
-    const {membership, logger} = this.context;
-    const known = membership.status(status.host);
-    if (known?.incarnation !== status.incarnation) {
-      const {host: peer, incarnation} = status;
-      logger.info('host heard', {peer, incarnation});
+  private heard(
+    status: fleet.HostStatus | undefined,
+    recordsRevision: number,
+    at: Instant,
+  ): void {
+    const {membership, settings} = this.context;
+    const entry = this.decode(status);
+    if (entry !== undefined && entry.host !== settings.host) {
+      const before = membership.status(entry.host);
+      if (membership.heard(entry, recordsRevision, at)) {
+        this.logHeard(entry, before);
+      }
+    }
+  }
+
+  private learned(status: fleet.HostStatus, at: Instant): void {
+    const {membership, settings, logger} = this.context;
+    const entry = this.decode(status);
+    if (entry === undefined) {
+      return;
+    }
+    const before = membership.status(entry.host);
+    if (!membership.learned(entry, at)) {
+      return;
+    }
+    if (entry.host === settings.host) {
+      logger.warn('taken for gone or for another run', {
+        version: entry.version,
+        gone: entry.gone,
+      });
+    } else if (entry.gone) {
+      this.logGone([entry]);
+    } else {
+      this.logHeard(entry, before);
+    }
+  }
+
+  /** Decodes a status; one that can't be used is told in the log. */
+  private decode(status: fleet.HostStatus | undefined): HostEntry | undefined {
+    const entry = decodeHost(status);
+    const nowMs = this.context.clock.now().monotonicMs;
+    if (
+      entry === undefined &&
+      nowMs - (this.refusalLoggedAt ?? -Infinity) > REFUSAL_LOG_PERIOD_MS
+    ) {
+      this.refusalLoggedAt = nowMs;
+      this.context.logger.warn('a word on a host is refused', {
+        peer: status?.host,
+        version: status?.version,
+      });
+    }
+    return entry;
+  }
+
+  private logHeard(entry: HostEntry, before: HostEntry | undefined): void {
+    if (before?.incarnation !== entry.incarnation || before.gone) {
+      const {host: peer, incarnation, zone} = entry;
+      this.context.logger.info('host heard', {peer, incarnation, zone});
+    }
+  }
+
+  private logGone(gone: readonly HostEntry[]): void {
+    for (const {host: peer, incarnation, version} of gone) {
+      this.context.logger.info('host gone', {peer, incarnation, version});
+    }
+  }
+
+  /** Closes connections that nobody has used for long. */
+  private closeIdleLinks(): void {
+    const nowMs = this.context.clock.now().monotonicMs;
+    for (const [address, {connection, usedAt}] of this.links) {
+      if (nowMs - usedAt.monotonicMs > IDLE_LINK_MS) {
+        connection.close();
+        this.links.delete(address);
+      }
     }
-    membership.heard({...status}, at);
   }
 
   private link(address: string): PeerConnection {
+    return this.open(address).connection;
+  }
+
+  private open(address: string): OpenLink {
+    const usedAt = this.context.clock.now();
     const known = this.links.get(address);
     if (known !== undefined) {
+      known.usedAt = usedAt;
       return known;
     }
-    const link = this.connect(address);
+    const connection = this.connect(address);
+    const link: OpenLink = {connection, usedAt, digests: undefined};
     this.links.set(address, link);
     return link;
   }
 }
+
+const targetOf = ({
+  host,
+  peerAddress,
+}: Pick<HostEntry, 'host' | 'peerAddress'>): Target => ({
+  address: peerAddress,
+  host,
+  wantsViews: false,
+});
--- a/packages/entry-host/src/settings-schema.ts
+++ b/packages/entry-host/src/settings-schema.ts
@@ -53,6 +53,15 @@
     extra: z.number().nonnegative(),
     windowS: z.number().positive(),
   }),
+  /** The machine; larger ones do more of the work for other hosts. */
+  machine: z
+    .object({
+      /** Share of each core that the process may use, 0 to 1. */
+      coreShare: z.number().positive().default(1),
+      cores: z.number().positive().default(1),
+      linkMbps: z.number().positive().default(1_000),
+    })
+    .default({coreShare: 1, cores: 1, linkMbps: 1_000}),
   logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
 });
 export type EntryHostSettings = z.infer<typeof entryHostSettingsSchema>;
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -18,11 +18,40 @@
 /** Between two rankings of the hosts, milliseconds: each hashes all of them. */
 const RANKING_PERIOD_MS = 200;
 
+/**
+ * A host that starts reads nothing for this long, milliseconds: a peer may
+ * answer with all views first, one exchange away.
+ */
+const FIRST_READ_MS = 300;
+
+/**
+ * A host that starts reads no more than it lacks for this long, milliseconds:
+ * until it has heard of others, each takes itself for the reader.
+ */
+const FINDING_PEERS_MS = 1_500;
+
+/**
+ * Pause after a failed read of a host that is no reader, for each host of its
+ * group, and at the most, milliseconds. So the calls of a group that the store
+ * turns away stay at some tens a second. Shorter than the time without trouble
+ * after which a host counts as in touch.
+ */
+const LONE_RETRY_MS_PER_HOST = 50;
+const LONGEST_LONE_RETRY_MS = 2_000;
+
 /** Reads the metadata store while this host is one of the readers. */
 export class StoreReader {
+  private readonly startedAt: Instant;
+
+  /** The one kind that a host that is no reader reads while its reads fail. */
+  private probedKind: StoreKind | undefined;
+
   /** Kinds read here whose latest read failed, and since when. */
   private readonly failing = new Map<StoreKind, Instant>();
 
+  /** Kinds that are not read here now. */
+  private readonly idle = new Map<StoreKind, () => void>();
+
   private readonly rankings = new Map<
     number,
     {readonly reads: boolean; readonly at: Instant}
@@ -32,7 +61,9 @@
     private readonly context: EntryHostContext,
     /** Called when a view has become newer. */
     private readonly onNewer: (kind: StoreKind) => void,
-  ) {}
+  ) {
+    this.startedAt = context.clock.now();
+  }
 
   /** Whether the latest calls succeeded, as far as any were made. */
   get working(): boolean {
@@ -41,6 +72,15 @@
 
   /** Reads all kinds until the context's signal is aborted. */
   start(): void {
+    const {timers, signal} = this.context;
+    timers.every(
+      'store/look',
+      LOOK_MS,
+      () => {
+        this.look();
+      },
+      {signal},
+    );
     for (const kind of STORE_KINDS) {
       void this.readKind(kind);
     }
@@ -62,7 +102,10 @@
         base = undefined;
         failures = 0;
         this.failing.delete(kind);
-        await sleep(timers, LOOK_MS, signal);
+        if (this.probedKind === kind) {
+          this.probedKind = undefined;
+        }
+        await this.untilNeeded(kind);
         continue;
       }
       const startedAt = clock.now();
@@ -85,10 +128,12 @@
         mustList ||= result.failure === 'history-gone';
         answerMs = LONGEST_ANSWER_MS;
         const pauseMs = FIRST_RETRY_MS * 2 ** Math.min(failures - 1, 6);
-        await sleep(timers, Math.min(LAST_RETRY_MS, pauseMs), signal);
+        const longestMs = this.noteLoneFailure(kind, plan, result);
+        await sleep(timers, Math.min(longestMs, pauseMs), signal);
         continue;
       }
       failures = 0;
+      this.probedKind = undefined;
       answerMs = answerTimeMs(elapsedMs(startedAt, clock.now()) - waitMs);
       mustList = false;
       this.noteSuccess(kind);
@@ -99,6 +144,24 @@
     }
   }
 
+  /** Resolves once this host should read a kind, or the process ends. */
+  private untilNeeded(kind: StoreKind): Promise<void> {
+    return new Promise((resolve) => {
+      this.idle.set(kind, resolve);
+    });
+  }
+
+  /** Lets the kinds go on that this host should read by now. */
+  private look(): void {
+    const {settings} = this.context;
+    for (const [kind, goOn] of this.idle) {
+      if (this.shouldRead(kind, readingPlan(kind, settings))) {
+        this.idle.delete(kind);
+        goOn();
+      }
+    }
+  }
+
   /** Lists, or waits for changes of what is known. */
   private async read(
     kind: StoreKind,
@@ -129,7 +192,38 @@
   }
 
   private shouldRead(kind: StoreKind, plan: ReadingPlan): boolean {
-    return this.isAged(kind, plan) || this.isReader(plan.readers);
+    const {clock, views} = this.context;
+    const upMs = elapsedMs(this.startedAt, clock.now());
+    if (upMs > FINDING_PEERS_MS && this.isReader(plan.readers)) {
+      return true;
+    }
+    return (
+      this.isAged(kind, plan) &&
+      (upMs > FIRST_READ_MS || views.get(kind) !== undefined) &&
+      (this.probedKind ?? kind) === kind
+    );
+  }
+
+  /**
+   * Lets a host that is no reader go on with one kind only, and returns its
+   * longest pause before the next try, milliseconds.
+   */
+  private noteLoneFailure(
+    kind: StoreKind,
+    plan: ReadingPlan,
+    {failure}: StoreError,
+  ): number {
+    if (this.isReader(plan.readers) || failure === 'history-gone') {
+      return LAST_RETRY_MS;
+    }
+    this.probedKind ??= kind;
+    const {membership, random} = this.context;
+    const hosts = membership.group().hosts.length;
+    const spread = 0.75 + 0.5 * random();
+    return Math.min(
+      LONGEST_LONE_RETRY_MS,
+      Math.max(LAST_RETRY_MS, hosts * LONE_RETRY_MS_PER_HOST * spread),
+    );
   }
 
   /** Whether this host was one of some readers at the latest ranking. */
@@ -140,7 +234,7 @@
     if (known !== undefined && elapsedMs(known.at, at) < RANKING_PERIOD_MS) {
       return known.reads;
     }
-    const reads = membership.isReader(count, at);
+    const reads = membership.isReader(count);
     this.rankings.set(count, {reads, at});
     return reads;
   }
