Ask readers once a second, and let large prompts go with half of the room

Change: a prompt larger than half of the bound waits for half of it only. In fleets of several groups a round asks the readers only if a second has passed.

--- a/packages/dispatch/src/servers/prompt-queue.ts
+++ b/packages/dispatch/src/servers/prompt-queue.ts
@@ -15,6 +15,12 @@
  */
 const GAP_SHARE = 0.9;
 
+/**
+ * Share of the bound that is kept free for a prompt that is larger: alone it
+ * makes a pause of its own, whenever it goes.
+ */
+const LARGE_SHARE = 0.5;
+
 /** Speed of reading until some was seen, tokens a millisecond. */
 const ASSUMED_TOKENS_PER_MS = 20;
 
@@ -76,7 +82,9 @@
     for (const prompt of this.queue) {
       const sent = this.sentTokens();
       const {id, tokens} = prompt;
-      if (sent > 0 && sent + tokens > this.limit()) {
+      // Waiting for more room than that helps neither it nor the streams.
+      const room = Math.min(tokens, this.limit() * LARGE_SHARE);
+      if (sent + room > this.limit()) {
         break;
       }
       this.sent.set(id, {tokens, at});
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -1,4 +1,4 @@
-import type {Instant} from '@basilworks/core';
+import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   before,
   type HostEntry,
@@ -22,6 +22,9 @@
 /** Between two rounds of exchanges, milliseconds. */
 export const ROUND_MS = 500;
 
+/** By how much a round may begin early, milliseconds. */
+const EARLY_MS = 50;
+
 /** Readers of the store that every host of a group asks in each round. */
 const READERS_ASKED = 2;
 
@@ -83,6 +86,7 @@
   private readonly texts = new SnapshotTexts();
   private readonly pending = new Set<string>();
   private turn = 0;
+  private readersAskedAt: Instant | undefined;
   private refusalLoggedAt: number | undefined;
 
   constructor(
@@ -162,7 +166,11 @@
     this.logGone(membership.judge(clock.now()));
     this.closeIdleLinks();
     this.sumUpLoad();
-    const targets = [...this.readers(), ...this.others(), ...this.stranger()];
+    const targets = [
+      ...(this.isReadersTurn() ? this.readers() : []),
+      ...this.others(),
+      ...this.stranger(),
+    ];
     const asked = new Set<string>();
     for (const target of targets) {
       if (!asked.has(target.address)) {
@@ -182,9 +190,23 @@
     }
   }
 
+  /**
+   * Whether the readers are asked in this round: in each one in a small fleet,
+   * else once a second, as views that grow old are asked for besides.
+   */
+  private isReadersTurn(): boolean {
+    const {membership, clock} = this.context;
+    return (
+      membership.group().maximumReaders > 1 ||
+      this.readersAskedAt === undefined ||
+      elapsedMs(this.readersAskedAt, clock.now()) > 2 * ROUND_MS - EARLY_MS
+    );
+  }
+
   /** The readers of this host's group. */
   private readers(): readonly Target[] {
     const {membership, settings} = this.context;
+    this.readersAskedAt = this.context.clock.now();
     return membership
       .readers(READERS_ASKED)
       .filter(({host}) => host !== settings.host)
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -25,7 +25,7 @@
  * How long before a host would read a view itself it asks the readers for it
  * again, milliseconds: an exchange, and a late one.
  */
-const ASK_AGAIN_MS = 300;
+const ASK_AGAIN_MS = 200;
 
 /** Between two rankings of the hosts, milliseconds: each hashes all of them. */
 const RANKING_PERIOD_MS = 200;
