--- a/packages/dispatch/src/adapters/places-events.ts
+++ b/packages/dispatch/src/adapters/places-events.ts
@@ -63,10 +63,6 @@
   readonly priority: number;
   /** Requests sent on the last promise for the adapter. */
   readonly uses: number;
-  /** Tokens of the prompt; 0 where the pace of streams does not matter. */
-  readonly promptTokens: number;
-  /** Longest pause between two events of its stream, milliseconds; 0 if any. */
-  readonly eventGapMs: number;
   /** Servers among which the host chose this one. */
   readonly among: number;
   /** Requests that the host has at the server. */
--- a/packages/dispatch/src/test/adapters/places-world.ts
+++ b/packages/dispatch/src/test/adapters/places-world.ts
@@ -122,8 +122,6 @@
         inFlight: 0,
         takesCrowded: false,
         among: 1,
-        promptTokens: 0,
-        eventGapMs: 0,
       },
     });
   }
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -125,7 +125,6 @@
     server,
     version,
     reason,
-    promptId,
   }: Selection & {type: 'server'}): Promise<SendResult> {
     const {context, pools} = this.parts;
     this.sends += 1;
@@ -137,15 +136,6 @@
     this.held.length = 0;
     this.heldBytes = 0;
     this.heldHead = undefined;
-    const sentMs = this.elapsedMs();
-    let isPromptRead = promptId === undefined;
-    const promptRead = () => {
-      if (!isPromptRead && promptId !== undefined) {
-        isPromptRead = true;
-        const tookMs = this.elapsedMs() - sentMs;
-        this.parts.selector.promptRead(server, promptId, tookMs);
-      }
-    };
     const send = new ServerSend(
       context,
       pools,
@@ -156,7 +146,6 @@
           this.takeHead(head);
         },
         data: (chunk) => {
-          promptRead();
           this.takeData(chunk);
         },
       },
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -31,8 +31,6 @@
       /** Version that the server has to have; undefined for any. */
       readonly version: number | undefined;
       readonly reason: string;
-      /** Names the request to the issuer that let its prompt go. */
-      readonly promptId?: string | undefined;
     }
   | {
       readonly type: 'none';
@@ -187,12 +185,7 @@
     let version = this.versions.get(name);
     const key = `${name.model}/${name.adapter}`;
     const ranking = rankByAffinity(key, holders, choice);
-    const {promptTokens} = this.promptOf(selection);
-    // Prompts go by the issuer's word only, wherever there is one.
-    const unasked = ranking.roomy.filter(
-      (server) => promptTokens === 0 || !this.broker.hasIssuer(server),
-    );
-    const promised = this.promised(name, version, unasked);
+    const promised = this.promised(name, version, ranking.roomy);
     if (promised !== undefined) {
       return promised;
     }
@@ -227,8 +220,6 @@
       };
       const answer = await this.ask(server, prepare, selection.signal);
       if (answer.outcome === 'resident') {
-        const promptId =
-          prepare.promptTokens > 0 ? prepare.requestId : undefined;
         if (!this.context.servers.isOpen(server)) {
           // It was told to leave while the load was waited for.
           refusals.push({server, reason: 'server-gone', retryAfterMs: 0});
@@ -241,8 +232,7 @@
           refusals.push({server, reason: 'older-version', retryAfterMs: 0});
           continue;
         }
-        const reason = last ? 'last choice' : 'prepared';
-        return {...found(server, answer.version, reason), promptId};
+        return found(server, answer.version, last ? 'last choice' : 'prepared');
       }
       refusals.push({server, ...answer});
       if (last) {
@@ -255,26 +245,6 @@
     return this.withoutIssuer(selection, name, version, open, refusals);
   }
 
-  /** The first event came `tookMs` after a request was sent. */
-  promptRead(server: Server, requestId: string, tookMs: number): void {
-    this.broker.promptRead({server: server.key, requestId, tookMs});
-  }
-
-  /** What an issuer has to know of a prompt to let streams keep their pace. */
-  private promptOf({request, route}: SelectionRequest): {
-    readonly promptTokens: number;
-    readonly eventGapMs: number;
-  } {
-    const {eventGapMs} = route;
-    if (eventGapMs === undefined) {
-      return {promptTokens: 0, eventGapMs: 0};
-    }
-    const {forwarding} = this.context.platform;
-    const name = forwarding.headers.tokenUsage.toLowerCase();
-    const usage = headerValue(request.rawHeaders, name) ?? '';
-    return {promptTokens: forwarding.readPromptTokens(usage) ?? 0, eventGapMs};
-  }
-
   /** The first server where the adapter was promised to stay. */
   private promised(
     name: {model: string; adapter: string},
@@ -358,16 +328,14 @@
   }
 
   private prepareRequest(
-    selection: SelectionRequest,
+    {request, route, untilLateMs}: SelectionRequest,
     name: {model: string; adapter: string},
     version: number,
     server: Server,
     maximumWaitMs: number,
   ): PrepareRequest {
-    const {request, route, untilLateMs} = selection;
     return {
       ...name,
-      ...this.promptOf(selection),
       host: this.context.settings.host,
       requestId: `${request.id}/${(this.serial += 1)}`,
       version,
@@ -442,11 +410,7 @@
       undefined,
     )?.server;
 
-const found = (
-  server: Server,
-  version: number,
-  reason: string,
-): Selection & {type: 'server'} => ({
+const found = (server: Server, version: number, reason: string): Selection => ({
   type: 'server',
   server,
   version: version > FIRST_VERSION ? version : undefined,
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -6,7 +6,6 @@
   LoadTimes,
   type PrepareAnswer,
   type PrepareRequest,
-  type PromptRead,
   type Release,
   type RouteTable,
   type Server,
@@ -24,16 +23,12 @@
 /** Between two looks at which servers this host issues orders to, ms. */
 const REVIEW_PERIOD_MS = 400;
 
-/** Prompts that issuers are told of at the most, at a time. */
-const MAXIMUM_READ = 64;
-
 /** Finds the issuer of a server's orders: this host, or a peer. */
 export class AdapterBroker implements AdapterPreparer {
   private readonly issuers = new Map<string, OrderIssuer>();
   private readonly claimStates = new Map<string, ClaimState>();
   private readonly loadTimes = new LoadTimes();
   private readonly ownRequests = new ToldRequests();
-  private promptsRead: readonly PromptRead[] = [];
 
   constructor(
     private readonly context: EntryHostContext,
@@ -149,26 +144,17 @@
         requests: evidence.inFlight,
       })),
     );
-    this.tell({releases, requests, promptsRead: this.promptsRead});
-    this.promptsRead = [];
-  }
-
-  /** A server has read a prompt; its issuer is told when there is more. */
-  promptRead(read: PromptRead): void {
-    this.promptsRead = [...this.promptsRead, read].slice(-MAXIMUM_READ);
+    this.tell({releases, requests});
   }
 
   /** A host tells what has changed at servers whose orders are issued here. */
-  told(host: string, {releases, requests, promptsRead}: IssuerNews): void {
+  told(host: string, {releases, requests}: IssuerNews): void {
     for (const {server, name} of releases) {
       this.issuers.get(server)?.release(host, name);
     }
     for (const {server, requests: count} of requests) {
       this.issuers.get(server)?.told(host, count);
     }
-    for (const {server, requestId, tookMs} of promptsRead) {
-      this.issuers.get(server)?.promptRead(requestId, tookMs);
-    }
   }
 
   /** Passes news on to the issuers that they are for. */
@@ -182,7 +168,6 @@
       const theirs = {
         releases: news.releases.filter(isTheirs),
         requests: news.requests.filter(isTheirs),
-        promptsRead: news.promptsRead.filter(isTheirs),
       };
       if (holder === settings.host) {
         this.told(settings.host, theirs);
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -9,7 +9,6 @@
   type PlacesEvent,
   type PrepareAnswer,
   type PrepareRequest,
-  PromptQueue,
   type Server,
   ServerDemand,
 } from '@basilworks/dispatch';
@@ -27,12 +26,6 @@
 /** Wait at a full server that a crowded one is told to cause, by its share. */
 const FULL_SERVER_WAIT_MS = 300;
 
-/** Share of the time to a late first event that prompts may wait. */
-const PROMPTS_SHARE = 0.5;
-
-/** Wait that a prompt is given even if its first event will be late, ms. */
-const SHORTEST_PROMPT_WAIT_MS = 100;
-
 /** Longest wait for a report, milliseconds. */
 const REPORT_TIMEOUT_MS = 500;
 
@@ -41,9 +34,6 @@
   private readonly answers = new Map<string, (answer: PrepareAnswer) => void>();
   private readonly demand = new ServerDemand();
   private readonly adapterDemand = new AdapterDemand();
-  private readonly prompts = new PromptQueue();
-  /** Answers that wait until the prompts of their requests may go. */
-  private readonly promptWaits = new Map<string, () => void>();
 
   constructor(
     private readonly context: EntryHostContext,
@@ -91,29 +81,15 @@
         }
         timers.cancel(timer);
         signal.removeEventListener('abort', giveUp);
-        const finish = () => {
-          resolve({
-            ...answer,
-            requests: this.requests(),
-            spread: this.spreadOf(request),
-          });
-        };
-        if (answer.outcome === 'resident' && request.promptTokens > 0) {
-          this.waitForPrompts(request, signal, finish);
-        } else {
-          finish();
-        }
+        resolve({
+          ...answer,
+          requests: this.requests(),
+          spread: this.spreadOf(request),
+        });
       };
       const occupancy = this.requests() / this.server.entry.slots;
-      const promptsMs = this.prompts.expectedWaitMs(request.priority);
-      if (
-        !request.takesCrowded &&
-        (this.isCrowded(occupancy) ||
-          promptsMs > request.onTimeWithinMs * PROMPTS_SHARE)
-      ) {
-        const retryAfterMs = Math.ceil(
-          occupancy * FULL_SERVER_WAIT_MS + promptsMs,
-        );
+      if (!request.takesCrowded && this.isCrowded(occupancy)) {
+        const retryAfterMs = Math.ceil(occupancy * FULL_SERVER_WAIT_MS);
         settle({outcome: 'refused', reason: 'crowded', retryAfterMs});
         return;
       }
@@ -124,11 +100,6 @@
     });
   }
 
-  /** The server has read a prompt. */
-  promptRead(requestId: string, tookMs: number): void {
-    this.prompts.read(requestId, tookMs);
-  }
-
   /** A host says how many requests it has at the server. */
   told(host: string, requests: number): void {
     this.demand.told(host, requests, this.context.clock.now());
@@ -142,7 +113,6 @@
 
   close(): void {
     this.context.timers.cancel(this.wakeTimer);
-    this.context.timers.cancel(`prompts/${this.server.key}`);
     this.post({type: 'server-gone'});
   }
 
@@ -203,51 +173,6 @@
       });
   }
 
-  /** Calls back once the prompt of a request may go, or has waited enough. */
-  private waitForPrompts(
-    request: PrepareRequest,
-    signal: AbortSignal,
-    goOn: () => void,
-  ): void {
-    const {timers} = this.context;
-    const {requestId: id, promptTokens: tokens, priority} = request;
-    const timer = `prompt/${this.server.key}/${id}`;
-    const finish = () => {
-      timers.cancel(timer);
-      signal.removeEventListener('abort', giveUp);
-      this.promptWaits.delete(id);
-      goOn();
-    };
-    // Answered all the same: the host holds the adapter by then.
-    const giveUp = () => {
-      this.prompts.withdraw(id);
-      finish();
-    };
-    this.prompts.keepGap(request.eventGapMs || Infinity);
-    this.prompts.add({id, tokens, priority});
-    this.promptWaits.set(id, finish);
-    signal.addEventListener('abort', giveUp, {once: true});
-    const longestMs = Math.max(
-      SHORTEST_PROMPT_WAIT_MS,
-      request.onTimeWithinMs * PROMPTS_SHARE,
-    );
-    timers.after(timer, Math.min(request.maximumWaitMs, longestMs), giveUp);
-    this.servePrompts();
-  }
-
-  /** Lets the prompts go that may. */
-  private servePrompts(): void {
-    for (const {id} of this.prompts.take(this.context.clock.now())) {
-      this.promptWaits.get(id)?.();
-    }
-    const nextMs = this.prompts.nextMs(this.context.clock.now());
-    if (nextMs !== undefined) {
-      this.context.timers.after(`prompts/${this.server.key}`, nextMs, () => {
-        this.servePrompts();
-      });
-    }
-  }
-
   /** Whether the server is much fuller than the others of its service. */
   private isCrowded(occupancy: number): boolean {
     return occupancy >= (this.crowdedFrom() ?? Infinity);
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -94,8 +94,7 @@
     late: (answer: PrepareAnswer) => void,
   ): Promise<PrepareAnswer> {
     const {requestId, model, adapter, version, priority, uses} = request;
-    const {inFlight, takesCrowded, among, promptTokens} = request;
-    const eventGapMs = Math.ceil(request.eventGapMs);
+    const {inFlight, takesCrowded, among} = request;
     const maximumWaitMs = Math.ceil(request.maximumWaitMs);
     const onTimeWithinMs = Math.max(0, Math.floor(request.onTimeWithinMs));
     const about = {fromHost, serverRun, requestId, model, adapter, version};
@@ -111,8 +110,6 @@
           inFlight,
           takesCrowded,
           among,
-          promptTokens,
-          eventGapMs,
         },
       },
       maximumWaitMs + PREPARE_SLACK_MS,
@@ -129,21 +126,13 @@
   }
 
   /** Tells the peer what this host is done with, and what it has at servers. */
-  release(
-    fromHost: string,
-    {releases, requests, promptsRead}: IssuerNews,
-  ): void {
+  release(fromHost: string, {releases, requests}: IssuerNews): void {
     const value: fleet.ReleaseAdaptersRequest = {
       fromHost,
       requests: requests.map(({server, requests: count}) => ({
         serverRun: server,
         requests: count,
       })),
-      promptsRead: promptsRead.map(({server, requestId, tookMs}) => ({
-        serverRun: server,
-        requestId,
-        tookMs,
-      })),
       releases: releases.map(({server, name}) => ({
         serverRun: server,
         model: name.model,
--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -109,7 +109,7 @@
     prepare: (serial, {fromHost, serverRun, requestId, ...rest}) => {
       const controller = new AbortController();
       this.prepares.set(serial, controller);
-      const id = idAt(fromHost, requestId);
+      const id = `${fromHost}/${requestId}`;
       const request = {...rest, host: fromHost, requestId: id};
       void this.preparer
         .prepare(serverRun, request, controller.signal)
@@ -119,7 +119,7 @@
           this.call.write({serial, response: {$case: 'prepare', value}});
         });
     },
-    release: (_serial, {fromHost, releases, requests, promptsRead}) => {
+    release: (_serial, {fromHost, releases, requests}) => {
       this.preparer.told(fromHost, {
         releases: releases.map(({serverRun, model, adapter}) => ({
           server: serverRun,
@@ -129,11 +129,6 @@
           server: serverRun,
           requests: count,
         })),
-        promptsRead: promptsRead.map(({serverRun, requestId, tookMs}) => ({
-          server: serverRun,
-          requestId: idAt(fromHost, requestId),
-          tookMs,
-        })),
       });
     },
     cancel: (_serial, cancelled) => {
@@ -142,7 +137,3 @@
     },
   };
 }
-
-/** Tells requests of different hosts apart. */
-const idAt = (host: string, requestId: string): string =>
-  `${host}/${requestId}`;
--- a/packages/entry-host/src/ports.ts
+++ b/packages/entry-host/src/ports.ts
@@ -111,8 +111,6 @@
   readonly priority: string;
   readonly lastEventId: string;
   readonly serverLoad: string;
-  /** Tokens of the prompt and of the answer. */
-  readonly tokenUsage: string;
   /** Set by entry hosts only; those of callers are dropped. */
   readonly reserved: readonly string[];
 }
@@ -123,8 +121,6 @@
   /** Ranks that servers know, 0 to this. */
   readonly lowestPriority: number;
   readLoad(value: string): HeaderLoad | undefined;
-  /** Tokens of a prompt; undefined where they are not told. */
-  readPromptTokens(value: string): number | undefined;
   /** Names of a prompt's parts that other requests share. */
   readSharedParts(value: string): readonly string[];
 }
--- a/packages/entry-host/src/test/front/caller-request_test.ts
+++ b/packages/entry-host/src/test/front/caller-request_test.ts
@@ -20,7 +20,6 @@
   expectVersion: 'X-Expect-Version',
   priority: 'X-Priority',
   lastEventId: 'Last-Event-Id',
-  tokenUsage: 'x-usage',
   serverLoad: 'X-Load',
   reserved: ['X-Hold'],
 };
--- a/packages/entry-host/src/test/peers/peer-link_test.ts
+++ b/packages/entry-host/src/test/peers/peer-link_test.ts
@@ -18,8 +18,6 @@
   inFlight: 0,
   takesCrowded: false,
   among: 1,
-  promptTokens: 0,
-  eventGapMs: 0,
 };
 
 test('passes a silent peer over, and takes a late answer for a release', async (t) => {
