--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -76,10 +76,10 @@
 }
 
 /**
- * Talks to other entry hosts: who lives, and what the store holds. In each
- * round a host asks the readers of its group for both, and looks after its
- * successors on the ring of all hosts; the first reader of a group also asks
- * those of the other groups. So a message costs the same in a fleet of any size.
+ * Talks to other entry hosts: who lives, and what the store holds. A host asks
+ * the readers of its group for both, and watches its successors on the ring of
+ * all hosts; the first reader of a group also asks those of the other groups. So
+ * a host sends as many messages, of the same size, in a fleet of any size.
  */
 export class PeerExchange {
   private readonly links = new Map<string, OpenLink>();
