Wait for both claims before the operators' view is compared

The test waited for the adapter that it asks for, not for the claim of the server that runs nothing. It now waits for both claims and makes the same comparisons. No product code of this path has changed.

--- a/packages/daemon/src/test/operators/view-routes_test.ts
+++ b/packages/daemon/src/test/operators/view-routes_test.ts
@@ -33,6 +33,16 @@
   return {status: answer.status, body: await answer.json()};
 };
 
+/** The servers that hosts say they own. */
+const ownedServers = async (fleet: TestFleet) => {
+  const views = await Promise.all(
+    fleet.hosts.map((host) => ask(host, OPERATOR_PATHS.servers)),
+  );
+  return views
+    .flatMap(({body}) => serversViewSchema.parse(body).servers)
+    .filter(({owned}) => owned !== undefined);
+};
+
 test.serial('operators see what any host knows, members do not', async (t) => {
   const fleet = await TestFleet.start(2);
   t.teardown(() => {
@@ -57,11 +67,10 @@
   );
   const adapters = await ask(two, OPERATOR_PATHS.adapters);
   t.is(adaptersViewSchema.parse(adapters.body).adapters[0]?.adapter, 'tug');
-  const owned = [];
+  // The server that runs nothing may be claimed a little later.
+  await waitFor(async () => (await ownedServers(fleet)).length === 2);
+  const owned = await ownedServers(fleet);
   for (const host of fleet.hosts) {
-    const view = await ask(host, OPERATOR_PATHS.servers);
-    const {servers} = serversViewSchema.parse(view.body);
-    owned.push(...servers.filter((server) => server.owned !== undefined));
     loadsViewSchema.parse((await ask(host, OPERATOR_PATHS.loads)).body);
   }
   t.is(owned.length, 2);
