Log and count what servers say of themselves with their answers

Callers' view: none; nothing is decided by it yet.

Heads are not looked at, so that nothing shows when a host was told of a limit, and calls of a host's own (reports, checks) leave no trace.

Change: one typed notice (leaving, pause, limit), decoded in platform/, kept per run of a server; a line 'server notice' where it changes; the limit known at the choice in 'send ended'; a counter of own calls by purpose. Answers cross: a limit is lifted only by an answer to a request that left after the limit was heard, and of two that may be in either order the stricter counts.

The expectation of the test of a send's grounds has the new field, undefined, as no limit is known there.

--- a/packages/dispatch/src/servers/index.ts
+++ b/packages/dispatch/src/servers/index.ts
@@ -6,4 +6,5 @@
 export * from './server-demand.js';
 export * from './server-entry.js';
 export * from './server-evidence.js';
+export * from './server-notices.js';
 export * from './server-table.js';
--- a/packages/dispatch/src/servers/server-table.ts
+++ b/packages/dispatch/src/servers/server-table.ts
@@ -2,6 +2,7 @@
 
 import {serverRunKey, type ServerEntry} from './server-entry.js';
 import {ServerEvidence} from './server-evidence.js';
+import {ServerNotices} from './server-notices.js';
 
 /** An entry of the store and the revision of its last change. */
 export interface RecordedEntry {
@@ -31,6 +32,8 @@
   /** Revision of the entry's last change. */
   revision: number;
   readonly evidence: ServerEvidence;
+  /** What the server has said of itself. */
+  readonly notices: ServerNotices;
   /**
    * Set while its entry is missing and may come back: the end of the outage in
    * which it may have lapsed.
@@ -71,6 +74,7 @@
         entry,
         revision,
         evidence: new ServerEvidence(),
+        notices: new ServerNotices(),
         outageEndedAt: undefined,
       };
       server.entry = entry;
--- /dev/null
+++ b/packages/dispatch/src/test/servers/server-notices_test.ts
@@ -0,0 +1,66 @@
+import test from 'ava';
+import fc from 'fast-check';
+
+import {type ServerNotice, ServerNotices} from '../../index.js';
+
+const at = (ms: number, wallMs = ms) => ({monotonicMs: ms, wallMs});
+
+const NOTHING: ServerNotice = {
+  leaving: false,
+  pauseMs: undefined,
+  requestsPerSecond: undefined,
+};
+
+const limit = (requestsPerSecond: number): ServerNotice => ({
+  ...NOTHING,
+  requestsPerSecond,
+});
+
+test('a limit holds until an answer to a later request names none', (t) => {
+  const notices = new ServerNotices();
+  t.true(notices.take(limit(5), at(0), at(100)));
+  t.is(notices.requestsPerSecond, 5);
+  t.false(notices.take(NOTHING, at(50), at(150)), 'may be the older one');
+  t.is(notices.requestsPerSecond, 5);
+  t.true(notices.take(NOTHING, at(200), at(250)));
+  t.is(notices.requestsPerSecond, undefined);
+});
+
+test('of answers that crossed the stricter counts, in any order', (t) => {
+  const word = fc.record({
+    rate: fc.option(fc.integer({min: 1, max: 9}), {nil: undefined}),
+    sentMs: fc.integer({min: 0, max: 50}),
+    tookMs: fc.integer({min: 51, max: 99}),
+  });
+  fc.assert(
+    fc.property(fc.array(word, {minLength: 1, maxLength: 6}), (words) => {
+      const notices = new ServerNotices();
+      for (const {rate, sentMs, tookMs} of words) {
+        notices.takeRate({
+          requestsPerSecond: rate,
+          after: at(sentMs),
+          before: at(sentMs + tookMs),
+        });
+      }
+      const strictest = Math.min(...words.map(({rate}) => rate ?? Infinity));
+      return (notices.requestsPerSecond ?? Infinity) === strictest;
+    }),
+    {seed: 11},
+  );
+  t.pass();
+});
+
+test('a pause lasts as long as was asked, whatever the time of day does', (t) => {
+  const notices = new ServerNotices();
+  t.true(notices.take({...NOTHING, pauseMs: 2_000}, at(0), at(0)));
+  t.false(notices.take({...NOTHING, pauseMs: 500}, at(100), at(100)));
+  t.true(notices.refuses(at(1_900, 9_000)));
+  t.false(notices.refuses(at(2_000)));
+});
+
+test('a run that said that it leaves stays closed', (t) => {
+  const notices = new ServerNotices();
+  t.true(notices.take({...NOTHING, leaving: true}, at(0), at(10)));
+  t.false(notices.take(NOTHING, at(20), at(30)));
+  t.true(notices.refuses(at(60_000)));
+});
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -150,7 +150,7 @@
         metrics.connections.inc({service});
       },
     );
-    this.caller = new ServerCaller(this.pools, timers, names);
+    this.caller = new ServerCaller(this.context, this.pools);
     this.reader = new StoreReader(this.context, onNewer, () => {
       this.exchange.askReaders();
     });
@@ -410,7 +410,12 @@
       }
       this.checkedAt.set(server.key, at);
       void this.caller
-        .call(server, {method: 'GET', path, body: ''}, CHECK_TIMEOUT_MS)
+        .call(
+          server,
+          'check',
+          {method: 'GET', path, body: ''},
+          CHECK_TIMEOUT_MS,
+        )
         .then((answer) => {
           const status = answer instanceof Error ? 0 : answer.status;
           server.evidence.checked(status === 200, clock.now());
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -6,6 +6,7 @@
   type ExchangeHandle,
   headerValue,
   type ResponseHead,
+  takeNotice,
   UpstreamError,
   type UpstreamPools,
 } from '../upstream/index.js';
@@ -62,6 +63,8 @@
   /** Revision and age of the view of all servers at the choice. */
   readonly viewRevision: number;
   readonly viewAgeMs: number;
+  /** Requests a second that the server had said to take. */
+  readonly requestsPerSecond: number | undefined;
   /** Time from the choice to the first byte; undefined if none left. */
   readonly delayMs: number | undefined;
 }
@@ -94,6 +97,7 @@
       entryRevision: server.revision,
       viewRevision: views.revision('servers'),
       viewAgeMs: Math.round(views.ageMs('servers', this.chosenAt)),
+      requestsPerSecond: server.notices.requestsPerSecond,
     };
   }
 
@@ -130,6 +134,7 @@
             this.headSeen = true;
             const waitedMs = at.monotonicMs - sentAt.monotonicMs;
             evidence.answered(waitedMs, this.readLoad(head), at);
+            takeNotice(this.context, this.server, head, sentAt);
             this.takeHead(head);
           },
           data: (chunk) => {
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -34,6 +34,18 @@
     ['outcome'],
   );
 
+  readonly ownCalls = this.counter(
+    'basilworks_own_calls_total',
+    'Calls of this host to servers by purpose and how they ended.',
+    ['service', 'purpose', 'status'],
+  );
+
+  readonly serverNotices = this.counter(
+    'basilworks_server_notices_total',
+    'Changes in what servers say of themselves, by service.',
+    ['service'],
+  );
+
   readonly storeCalls = this.counter(
     'basilworks_store_calls_total',
     'Calls to the metadata store by operation and how they ended.',
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -139,7 +139,7 @@
     const {platform, settings} = this.context;
     const call = platform.engines.order(order, settings.host, fence);
     void this.caller
-      .call(this.server, call, ORDER_TIMEOUT_MS)
+      .call(this.server, 'order', call, ORDER_TIMEOUT_MS)
       .then((answer) => {
         this.endOrder(
           order,
@@ -155,7 +155,7 @@
   readReport(): void {
     const {platform, logger} = this.context;
     void this.caller
-      .call(this.server, platform.engines.report, REPORT_TIMEOUT_MS)
+      .call(this.server, 'report', platform.engines.report, REPORT_TIMEOUT_MS)
       .then((answer) => {
         if (answer instanceof UpstreamError || answer.status !== 200) {
           this.post({type: 'report-failed'});
--- a/packages/entry-host/src/ports.ts
+++ b/packages/entry-host/src/ports.ts
@@ -3,6 +3,7 @@
   Order,
   OrderEnd,
   PlacesReport,
+  ServerNotice,
   Snapshot,
   StoredItem,
   StoreKind,
@@ -121,6 +122,11 @@
   /** Ranks that servers know, 0 to this. */
   readonly lowestPriority: number;
   readLoad(value: string): HeaderLoad | undefined;
+  /** What an answer says of its server; `header` returns a header's value. */
+  readNotice(
+    status: number,
+    header: (name: string) => string | undefined,
+  ): ServerNotice;
   /** Names of a prompt's parts that other requests share. */
   readSharedParts(value: string): readonly string[];
 }
--- a/packages/entry-host/src/test/front/server-send_test.ts
+++ b/packages/entry-host/src/test/front/server-send_test.ts
@@ -84,6 +84,7 @@
     entryRevision: 1,
     viewRevision: 7,
     viewAgeMs: 0,
+    requestsPerSecond: undefined,
     delayMs: 0,
   });
 });
--- a/packages/entry-host/src/upstream/index.ts
+++ b/packages/entry-host/src/upstream/index.ts
@@ -3,3 +3,4 @@
 export * from './response-parser.js';
 export * from './pools.js';
 export * from './server-caller.js';
+export * from './server-notice.js';
--- a/packages/entry-host/src/upstream/server-caller.ts
+++ b/packages/entry-host/src/upstream/server-caller.ts
@@ -1,9 +1,10 @@
-import type {TimerService} from '@basilworks/daemon';
 import type {Server} from '@basilworks/dispatch';
 
-import type {HeaderNames, ServerCall} from '../ports.js';
+import type {EntryHostContext} from '../context.js';
+import type {ServerCall} from '../ports.js';
 import {UpstreamError} from './connection.js';
 import type {UpstreamPools} from './pools.js';
+import {takeNotice} from './server-notice.js';
 
 /** A whole answer to a call of this host's own. */
 export interface ServerAnswer {
@@ -12,6 +13,9 @@
   readonly body: string;
 }
 
+/** What a call of this host's own is for. */
+export type CallPurpose = 'order' | 'report' | 'check';
+
 /** Connections for calls of this host's own, beside those for requests. */
 const OWN_CONNECTIONS = 8;
 
@@ -21,29 +25,37 @@
 /** Makes calls of this host's own to servers: orders, reports and checks. */
 export class ServerCaller {
   constructor(
+    private readonly context: EntryHostContext,
     private readonly pools: UpstreamPools,
-    private readonly timers: TimerService,
-    private readonly headers: HeaderNames,
   ) {}
 
   /** Runs a call; a missing answer is an `UpstreamError`. */
   call(
     server: Server,
+    purpose: CallPurpose,
     {method, path, body}: ServerCall,
     timeoutMs: number,
   ): Promise<ServerAnswer | UpstreamError> {
-    const {host, port, id} = server.entry;
+    const {platform, timers, clock, metrics} = this.context;
+    const {host, port, id, service} = server.entry;
+    const {expectServer} = platform.forwarding.headers;
     const bytes = Buffer.from(body);
     const head = [
       `${method} ${path} HTTP/1.1`,
       `Host: ${host}:${port}`,
-      `${this.headers.expectServer}: ${id}`,
+      `${expectServer}: ${id}`,
       ...(bytes.length > 0 ? ['Content-Type: application/json'] : []),
       `Content-Length: ${bytes.length}`,
       '',
       '',
     ].join('\r\n');
+    const sentAt = clock.now();
     return new Promise((resolve) => {
+      const settle = (end: ServerAnswer | UpstreamError) => {
+        const status = end instanceof UpstreamError ? end.reason : end.status;
+        metrics.ownCalls.inc({service, purpose, status});
+        resolve(end);
+      };
       let answer: Omit<ServerAnswer, 'body'> = {status: 0, rawHeaders: []};
       const chunks: Buffer[] = [];
       const timer = `upstream/call/${(serial += 1)}`;
@@ -55,25 +67,26 @@
           {
             head: (received) => {
               answer = received;
+              takeNotice(this.context, server, received, sentAt);
             },
             data: (chunk) => {
               chunks.push(chunk);
             },
             end: () => {
-              this.timers.cancel(timer);
-              resolve({...answer, body: Buffer.concat(chunks).toString()});
+              timers.cancel(timer);
+              settle({...answer, body: Buffer.concat(chunks).toString()});
             },
             failed: (error) => {
-              this.timers.cancel(timer);
-              resolve(error);
+              timers.cancel(timer);
+              settle(error);
             },
           },
         );
       if (handle instanceof UpstreamError) {
-        resolve(handle);
+        settle(handle);
         return;
       }
-      this.timers.after(timer, timeoutMs, () => {
+      timers.after(timer, timeoutMs, () => {
         handle.cancel();
       });
     });
