Send nothing new to a server that says with an answer that it leaves

Callers' view: requests ran on a server about to end, and ended with it, although its answers had said so for seconds and other servers had room.

Cause: only the entry in the store was gone by; a header was passed on unread.

Change: the run of a server that says that it leaves is closed on this host for good, in each choice and again as the first byte leaves; its issuer loads nothing there. A new run of the server starts open.

A test of the table covers the new run.

--- a/packages/dispatch/src/servers/server-table.ts
+++ b/packages/dispatch/src/servers/server-table.ts
@@ -134,13 +134,14 @@
 
   /** Servers of a service that take new requests. */
   open(service: string): readonly Server[] {
-    return this.byService.get(service) ?? [];
+    const listed = this.byService.get(service) ?? [];
+    return listed.filter(({notices}) => !notices.leaving);
   }
 
   /** Whether a run of a server is known and takes new requests. */
   isOpen({key}: Server): boolean {
     const known = this.servers.get(key);
-    return known?.entry.leaving === false;
+    return known?.entry.leaving === false && !known.notices.leaving;
   }
 
   all(): readonly Server[] {
--- a/packages/dispatch/src/test/servers/servers_test.ts
+++ b/packages/dispatch/src/test/servers/servers_test.ts
@@ -77,6 +77,23 @@
   );
 });
 
+// The entry of a server that said with an answer that it leaves stayed open.
+test('a server that said that it leaves takes nothing new in this run', (t) => {
+  const servers = table(entry('a'), entry('b'));
+  const told = byId(servers, 'a');
+  const leaving = {
+    leaving: true,
+    pauseMs: undefined,
+    requestsPerSecond: undefined,
+  };
+  told.notices.take(leaving, at(0), at(1));
+  t.deepEqual(servers.open('s'), [byId(servers, 'b')]);
+  t.false(servers.isOpen(told));
+  const again = entry('a', {startedAtWallMs: 2});
+  servers.update(recorded(again, entry('b')), undefined, at(2));
+  t.is(servers.open('s').length, 2);
+});
+
 test('a restart under the same id is another run of the server', (t) => {
   const servers = table(entry('a'));
   byId(servers, 'a').evidence.sent(at(0));
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -87,6 +87,10 @@
           spread: this.spreadOf(request),
         });
       };
+      if (this.server.notices.leaving) {
+        settle({outcome: 'refused', reason: 'server-gone', retryAfterMs: 0});
+        return;
+      }
       const occupancy = this.requests() / this.server.entry.slots;
       if (!request.takesCrowded && this.isCrowded(occupancy)) {
         const retryAfterMs = Math.ceil(occupancy * FULL_SERVER_WAIT_MS);
