Leave a server alone for as long as it asks with a refusal

Callers' view: requests were spent on a server that had said when to come back, one after the other, before another server or a refusal was tried.

Cause: a refusal counted as a sign of life and its Retry-After was not read.

Change: a pause holds on this host for each choice, again as the first byte leaves, and for orders, reports and checks of its own; it is measured on the monotonic clock, as a step of the time of day must not end it. Callers of a service whose servers all pause are refused at once and told when the first one is back.

A test of the table covers two pauses of different lengths.

--- a/packages/dispatch/src/adapters/places-events.ts
+++ b/packages/dispatch/src/adapters/places-events.ts
@@ -105,6 +105,7 @@
   'not-issuer',
   'unknown-adapter',
   'server-gone',
+  'held-back',
   'unreachable',
 ] as const;
 export type PrepareRefusal = (typeof PREPARE_REFUSALS)[number];
--- a/packages/dispatch/src/servers/server-table.ts
+++ b/packages/dispatch/src/servers/server-table.ts
@@ -132,16 +132,24 @@
     return this.all().find(({entry}) => entry.id === id);
   }
 
-  /** Servers of a service that take new requests. */
-  open(service: string): readonly Server[] {
+  /** Servers of a service that take new requests from this host. */
+  open(service: string, at: Instant): readonly Server[] {
     const listed = this.byService.get(service) ?? [];
-    return listed.filter(({notices}) => !notices.leaving);
+    return listed.filter(({notices}) => !notices.refuses(at));
   }
 
-  /** Whether a run of a server is known and takes new requests. */
-  isOpen({key}: Server): boolean {
+  /** Whether a run of a server is known and takes requests from this host. */
+  isOpen({key}: Server, at: Instant): boolean {
     const known = this.servers.get(key);
-    return known?.entry.leaving === false && !known.notices.leaving;
+    return known?.entry.leaving === false && !known.notices.refuses(at);
+  }
+
+  /** When the first server that asked for a pause is back, milliseconds. */
+  shortestPauseMs(service: string, at: Instant): number | undefined {
+    const pauses = (this.byService.get(service) ?? [])
+      .filter(({notices}) => !notices.leaving)
+      .map(({notices}) => notices.pauseLeftMs(at));
+    return pauses.length === 0 ? undefined : Math.min(...pauses);
   }
 
   all(): readonly Server[] {
--- a/packages/dispatch/src/test/servers/servers_test.ts
+++ b/packages/dispatch/src/test/servers/servers_test.ts
@@ -72,7 +72,7 @@
 test('a leaving server takes nothing new', (t) => {
   const servers = table(entry('a'), entry('b', {leaving: true}));
   t.deepEqual(
-    servers.open('s').map((server) => server.entry.id),
+    servers.open('s', at(0)).map((server) => server.entry.id),
     ['a'],
   );
 });
@@ -87,11 +87,23 @@
     requestsPerSecond: undefined,
   };
   told.notices.take(leaving, at(0), at(1));
-  t.deepEqual(servers.open('s'), [byId(servers, 'b')]);
-  t.false(servers.isOpen(told));
+  t.deepEqual(servers.open('s', at(1)), [byId(servers, 'b')]);
+  t.false(servers.isOpen(told, at(1)));
   const again = entry('a', {startedAtWallMs: 2});
   servers.update(recorded(again, entry('b')), undefined, at(2));
-  t.is(servers.open('s').length, 2);
+  t.is(servers.open('s', at(2)).length, 2);
+});
+
+test('a server that asked for a pause takes nothing until its end', (t) => {
+  const servers = table(entry('a'), entry('b'));
+  for (const [id, pauseMs] of Object.entries({a: 3_000, b: 500})) {
+    const notice = {leaving: false, pauseMs, requestsPerSecond: undefined};
+    byId(servers, id).notices.take(notice, at(0), at(0));
+  }
+  t.deepEqual(servers.open('s', at(100)), []);
+  t.is(servers.shortestPauseMs('s', at(100)), 400);
+  t.deepEqual(servers.open('s', at(500)), [byId(servers, 'b')]);
+  t.true(servers.isOpen(byId(servers, 'a'), at(3_000)));
 });
 
 test('a restart under the same id is another run of the server', (t) => {
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -402,6 +402,7 @@
       if (
         path === undefined ||
         server.entry.leaving ||
+        server.notices.refuses(at) ||
         !server.evidence.needsCheck() ||
         server.evidence.paused(at) ||
         (last !== undefined && elapsedMs(last, at) < CHECK_PERIOD_MS)
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -100,15 +100,17 @@
   async select(selection: SelectionRequest): Promise<Selection> {
     const {request, route, service, remainingMs} = selection;
     const {servers, clock} = this.context;
-    const open = servers.open(service.name);
+    const at = clock.now();
+    const open = servers.open(service.name, at);
     if (open.length === 0) {
-      return none('no server is open', NO_SERVER_RETRY_MS);
+      const pauseMs = servers.shortestPauseMs(service.name, at);
+      return none('no server is open', pauseMs ?? NO_SERVER_RETRY_MS);
     }
     const admission = admit(
       open,
       {remainingMs, priority: route.priority},
       undefined,
-      clock.now(),
+      at,
     );
     if (!admission.admitted) {
       return none('all servers are full', admission.retryAfterMs);
@@ -220,7 +222,7 @@
       };
       const answer = await this.ask(server, prepare, selection.signal);
       if (answer.outcome === 'resident') {
-        if (!this.context.servers.isOpen(server)) {
+        if (!this.context.servers.isOpen(server, this.context.clock.now())) {
           // It was told to leave while the load was waited for.
           refusals.push({server, reason: 'server-gone', retryAfterMs: 0});
           continue;
@@ -239,8 +241,9 @@
         break;
       }
     }
+    const at = this.context.clock.now();
     const open = ranking.byAffinity.filter((server) =>
-      this.context.servers.isOpen(server),
+      this.context.servers.isOpen(server, at),
     );
     return this.withoutIssuer(selection, name, version, open, refusals);
   }
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -179,10 +179,10 @@
   /** Whether the server still takes requests; notes the time it took to ask. */
   private mayWrite(): boolean {
     const {clock, views, metrics, servers} = this.context;
-    if (!servers.isOpen(this.server)) {
+    const at = clock.now();
+    if (!servers.isOpen(this.server, at)) {
       return false;
     }
-    const at = clock.now();
     const {service} = this.server.entry;
     const delayMs = elapsedMs(this.chosenAt, at);
     this.delayMs = Math.round(delayMs);
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -87,10 +87,17 @@
           spread: this.spreadOf(request),
         });
       };
-      if (this.server.notices.leaving) {
+      const {notices} = this.server;
+      if (notices.leaving) {
         settle({outcome: 'refused', reason: 'server-gone', retryAfterMs: 0});
         return;
       }
+      const retryMs = notices.pauseLeftMs(clock.now());
+      if (retryMs > 0) {
+        const retryAfterMs = Math.ceil(retryMs);
+        settle({outcome: 'refused', reason: 'held-back', retryAfterMs});
+        return;
+      }
       const occupancy = this.requests() / this.server.entry.slots;
       if (!request.takesCrowded && this.isCrowded(occupancy)) {
         const retryAfterMs = Math.ceil(occupancy * FULL_SERVER_WAIT_MS);
--- a/packages/entry-host/src/test/views/view-fleet.ts
+++ b/packages/entry-host/src/test/views/view-fleet.ts
@@ -140,7 +140,9 @@
     return (
       this.running &&
       known !== undefined &&
-      this.context.servers.open(known.entry.service).includes(known)
+      this.context.servers
+        .open(known.entry.service, this.context.clock.now())
+        .includes(known)
     );
   }
 
--- a/packages/entry-host/src/upstream/server-caller.ts
+++ b/packages/entry-host/src/upstream/server-caller.ts
@@ -56,6 +56,11 @@
         metrics.ownCalls.inc({service, purpose, status});
         resolve(end);
       };
+      const mayWrite = () => server.notices.pauseLeftMs(clock.now()) === 0;
+      if (!mayWrite()) {
+        settle(new UpstreamError(false, 'withheld', 'the server pauses'));
+        return;
+      }
       let answer: Omit<ServerAnswer, 'body'> = {status: 0, rawHeaders: []};
       const chunks: Buffer[] = [];
       const timer = `upstream/call/${(serial += 1)}`;
@@ -65,6 +70,7 @@
           {method, head, body: bytes, requestId: undefined},
           OWN_CONNECTIONS + server.entry.slots,
           {
+            mayWrite,
             head: (received) => {
               answer = received;
               takeNotice(this.context, server, received, sentAt);
