Keep all hosts together to the limits that servers name

Callers' view: none at once; the server in need was pressed on until it failed, while others had room.

The class: what a server says of itself with its answers was no input of any decision, and what it says concerns all hosts while each decides for itself.

Change: one host meters each limited server, and every request, first sends, repeats, resumed streams and health checks alike, needs its permit just before it goes. The meter is the issuer of the server's orders, who holds its claim exclusively and sends the orders and reports, which it counts too; where there are no orders, the host that the server's identity falls to by rendezvous. Permits are given at the rate itself, with half a second's burst; a new meter begins a second in debt, as it does not know what another let go. Who is denied goes to another server at once; where there is none, it is refused with the time that those who wait take. More urgent requests go first. A limited server loads adapters only for requests that no other server takes. What a server says is passed on with exchanges and permits, with the time in which it can have been said, so that words that crossed are ordered. A send that waited looks at the limit again before its first byte.

--- a/packages/dispatch/src/adapters/places.ts
+++ b/packages/dispatch/src/adapters/places.ts
@@ -87,6 +87,12 @@
     return this.table.size;
   }
 
+  /** Whether a version of an adapter can be used without a load. */
+  isResident(name: AdapterName & {readonly version: number}): boolean {
+    const place = this.table.get(name);
+    return place !== undefined && isUsable(place, name.version);
+  }
+
   /** What decides how soon an adapter can be resident. */
   pressure(at: Instant): PlacesPressure {
     return pressureOf(this.table, this.waiting, at);
--- a/packages/dispatch/src/servers/index.ts
+++ b/packages/dispatch/src/servers/index.ts
@@ -3,6 +3,7 @@
 export * from './crowding.js';
 export * from './fleet-load.js';
 export * from './issuer-news.js';
+export * from './request-meter.js';
 export * from './server-demand.js';
 export * from './server-entry.js';
 export * from './server-evidence.js';
--- a/packages/dispatch/src/servers/server-notices.ts
+++ b/packages/dispatch/src/servers/server-notices.ts
@@ -21,12 +21,27 @@
   readonly before: Instant;
 }
 
+/** What other hosts should know of one run of a server. */
+export interface ServerNews {
+  readonly leaving: boolean;
+  /** Undefined where it never named a limit. */
+  readonly word: RateWord | undefined;
+}
+
+/** Time in which a word is passed on, milliseconds: some rounds of exchanges. */
+const NEWS_MS = 10_000;
+
 /** What one run of a server has said of itself, as far as this host knows. */
 export class ServerNotices {
-  /** It said that it leaves; a run that leaves never comes back. */
-  leaving = false;
   private pause: {since: Instant; forMs: number} | undefined;
   private word: RateWord | undefined;
+  private limitedOnce = false;
+  private leavingSince: Instant | undefined;
+
+  /** It said that it leaves; a run that leaves never comes back. */
+  get leaving(): boolean {
+    return this.leavingSince !== undefined;
+  }
 
   /**
    * Takes what an answer said; returns whether that changes anything. The
@@ -34,8 +49,7 @@
    */
   take(notice: ServerNotice, sentAt: Instant, at: Instant): boolean {
     const {leaving, pauseMs, requestsPerSecond} = notice;
-    const leaves = leaving && !this.leaving;
-    this.leaving ||= leaving;
+    const leaves = leaving && this.takeLeaving(at);
     const pauses = pauseMs !== undefined && pauseMs > this.pauseLeftMs(at);
     if (pauses) {
       this.pause = {since: at, forMs: pauseMs};
@@ -56,6 +70,7 @@
   takeRate(word: RateWord): boolean {
     const known = this.word;
     const before = this.requestsPerSecond;
+    this.limitedOnce ||= word.requestsPerSecond !== undefined;
     if (known === undefined || isLater(word, known)) {
       this.word = word;
     } else if (!isLater(known, word)) {
@@ -65,14 +80,29 @@
     return this.requestsPerSecond !== before;
   }
 
+  /** Takes what another host passed on; returns whether it changes anything. */
+  takeNews({leaving, word}: ServerNews, at: Instant): boolean {
+    const leaves = leaving && this.takeLeaving(at);
+    const limits = word !== undefined && this.takeRate(word);
+    return leaves || limits;
+  }
+
+  /** What is to be passed on; undefined if nothing was said lately. */
+  news(at: Instant): ServerNews | undefined {
+    const leaving = isNews(this.leavingSince, at);
+    const word =
+      this.limitedOnce && isNews(this.word?.before, at) ? this.word : undefined;
+    return leaving || word !== undefined ? {leaving, word} : undefined;
+  }
+
   /** Requests a second over all hosts; undefined where there is no limit. */
   get requestsPerSecond(): number | undefined {
     return this.word?.requestsPerSecond;
   }
 
-  /** The latest word on the limit, to be passed on. */
+  /** The latest word on its limit; undefined where it never named one. */
   get rateWord(): RateWord | undefined {
-    return this.word;
+    return this.limitedOnce ? this.word : undefined;
   }
 
   /** How much longer it wants nothing from this host, milliseconds. */
@@ -87,8 +117,17 @@
   refuses(at: Instant): boolean {
     return this.leaving || this.pauseLeftMs(at) > 0;
   }
+
+  private takeLeaving(at: Instant): boolean {
+    const isNew = this.leavingSince === undefined;
+    this.leavingSince ??= at;
+    return isNew;
+  }
 }
 
+const isNews = (since: Instant | undefined, at: Instant): boolean =>
+  since !== undefined && monotonicMs(since, at) < NEWS_MS;
+
 const monotonicMs = (from: Instant, to: Instant): number =>
   to.monotonicMs - from.monotonicMs;
 
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -22,6 +22,7 @@
   Membership,
   ResidencyCache,
   RouteTable,
+  type Server,
   ServerTable,
   servingConfigurationSchema,
   type StoreKind,
@@ -35,6 +36,7 @@
 import {FrontListener, ServerSelector} from './front/index.js';
 import {EntryHostMetrics} from './metrics.js';
 import {AdapterBroker, ClaimKeeper} from './orders/index.js';
+import {SendPermits} from './permits/index.js';
 import {FleetPeerService, PeerExchange, PeerLink} from './peers/index.js';
 import type {PlatformProtocol} from './ports.js';
 import {reloadSettings} from './settings-reload.js';
@@ -51,6 +53,9 @@
 /** Between two health checks of a server in doubt, milliseconds. */
 const CHECK_PERIOD_MS = 1_000;
 
+/** Checks take permits of limited servers behind all requests. */
+const LAST_PRIORITY = 10;
+
 /** Share of the grace after which a stop no longer waits for answers. */
 const STOP_SHARE = 0.9;
 
@@ -92,6 +97,7 @@
   private readonly serversView: ServersView;
   private readonly exchange: PeerExchange;
   private readonly claims: ClaimKeeper;
+  private readonly permits: SendPermits;
   private readonly broker: AdapterBroker;
   private readonly peerService: FleetPeerService;
   private readonly front: FrontListener;
@@ -171,17 +177,26 @@
         this.broker.review();
       },
     );
+    const routes = () => this.routes;
+    const linkTo = (host: string) => this.exchange.linkTo(host);
+    this.permits = new SendPermits(this.context, this.claims, routes, linkTo);
     this.broker = new AdapterBroker(
       this.context,
       this.claims,
       this.caller,
-      () => this.routes,
-      (host) => this.exchange.linkTo(host),
+      this.permits,
+      routes,
+      linkTo,
+    );
+    this.peerService = new FleetPeerService(
+      this.exchange,
+      this.broker,
+      this.permits,
     );
-    this.peerService = new FleetPeerService(this.exchange, this.broker);
     const selector = new ServerSelector(
       this.context,
       this.broker,
+      this.permits,
       this.residency,
       this.versions,
       () => {
@@ -314,7 +329,9 @@
   useServers(): void {
     this.serversView.use();
     const {servers} = this.context;
-    this.pools.retain(new Set(servers.all().map(({key}) => key)));
+    const keys = new Set(servers.all().map(({key}) => key));
+    this.pools.retain(keys);
+    this.permits.retain(keys);
     this.broker.review();
   }
 
@@ -394,7 +411,7 @@
 
   /** Asks servers that were unreachable whether they serve again. */
   private checkDoubtful(): void {
-    const {servers, clock, logger} = this.context;
+    const {servers, clock} = this.context;
     const at = clock.now();
     for (const server of servers.all()) {
       const path = this.routes?.service(server.entry.service)?.healthPath;
@@ -410,21 +427,27 @@
         continue;
       }
       this.checkedAt.set(server.key, at);
-      void this.caller
-        .call(
-          server,
-          'check',
-          {method: 'GET', path, body: ''},
-          CHECK_TIMEOUT_MS,
-        )
-        .then((answer) => {
-          const status = answer instanceof Error ? 0 : answer.status;
-          server.evidence.checked(status === 200, clock.now());
-          logger.info('server checked', {server: server.entry.id, status});
-        });
+      void this.checkServer(server, path);
     }
   }
 
+  private async checkServer(server: Server, path: string): Promise<void> {
+    const {logger, clock} = this.context;
+    const permit = await this.permits.acquire(server, LAST_PRIORITY);
+    if (!permit.granted) {
+      return;
+    }
+    const answer = await this.caller.call(
+      server,
+      'check',
+      {method: 'GET', path, body: ''},
+      CHECK_TIMEOUT_MS,
+    );
+    const status = answer instanceof Error ? 0 : answer.status;
+    server.evidence.checked(status === 200, clock.now());
+    logger.info('server checked', {server: server.entry.id, status});
+  }
+
   private readinessRoutes(): Hono {
     const app = new Hono();
     app.get(this.context.platform.host.readyPath, (call) =>
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -125,6 +125,7 @@
     server,
     version,
     reason,
+    permitted,
   }: Selection & {type: 'server'}): Promise<SendResult> {
     const {context, pools} = this.parts;
     this.sends += 1;
@@ -141,6 +142,7 @@
       pools,
       server,
       this.service.maximumConnections,
+      permitted,
       {
         head: (head) => {
           this.takeHead(head);
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -20,6 +20,7 @@
 
 import type {EntryHostContext} from '../context.js';
 import type {AdapterBroker} from '../orders/index.js';
+import type {SendPermits} from '../permits/index.js';
 import {headerValue} from '../upstream/index.js';
 import type {CallerRequest} from './caller-request.js';
 
@@ -31,6 +32,8 @@
       /** Version that the server has to have; undefined for any. */
       readonly version: number | undefined;
       readonly reason: string;
+      /** It may be sent there although the server names a limit. */
+      readonly permitted: boolean;
     }
   | {
       readonly type: 'none';
@@ -90,14 +93,67 @@
   constructor(
     private readonly context: EntryHostContext,
     private readonly broker: AdapterBroker,
+    private readonly permits: Pick<SendPermits, 'acquire' | 'denial'>,
     private readonly residency: ResidencyCache,
     private readonly versions: AdapterVersions,
     /** Called when there is something to tell issuers soon. */
     private readonly hasNews: () => void,
   ) {}
 
-  /** Chooses a server; for an adapter, waits until it is resident there. */
+  /**
+   * Chooses a server; for an adapter, waits until it is resident there. Servers
+   * that are at their limits are passed over.
+   */
   async select(selection: SelectionRequest): Promise<Selection> {
+    const {request, route, service, signal} = selection;
+    const {logger} = this.context;
+    const passedOver = new Set(selection.tried);
+    let heldBackMs = this.passOverDenied(service, passedOver);
+    for (;;) {
+      const chosen = await this.choose({...selection, tried: passedOver});
+      if (chosen.type === 'none') {
+        return heldBackMs === undefined
+          ? chosen
+          : none(`${chosen.reason}, others are at their limits`, heldBackMs);
+      }
+      const {server} = chosen;
+      const permit = await this.permits.acquire(server, route.priority);
+      if (permit.granted || signal.aborted) {
+        return {...chosen, permitted: permit.granted};
+      }
+      const {retryAfterMs} = permit;
+      logger.info('server passed over', {
+        requestId: request.id,
+        server: server.entry.id,
+        requestsPerSecond: server.notices.requestsPerSecond,
+        retryAfterMs: Math.round(retryAfterMs),
+      });
+      heldBackMs = Math.min(heldBackMs ?? Infinity, retryAfterMs);
+      passedOver.add(server.key);
+    }
+  }
+
+  /**
+   * Adds the servers that denied a permit just before; returns when the first
+   * of them takes requests again, milliseconds.
+   */
+  private passOverDenied(
+    {name}: Service,
+    passedOver: Set<string>,
+  ): number | undefined {
+    const {servers, clock} = this.context;
+    const waits = servers.open(name, clock.now()).flatMap((server) => {
+      const denial = this.permits.denial(server);
+      if (denial === undefined) {
+        return [];
+      }
+      passedOver.add(server.key);
+      return [denial.retryAfterMs];
+    });
+    return waits.length === 0 ? undefined : Math.min(...waits);
+  }
+
+  private async choose(selection: SelectionRequest): Promise<Selection> {
     const {request, route, service, remainingMs} = selection;
     const {servers, clock} = this.context;
     const at = clock.now();
@@ -120,7 +176,7 @@
       const server = chooseLeastLoaded(open, choice);
       return server === undefined
         ? none('no server is left to try', NO_SERVER_RETRY_MS)
-        : {type: 'server', server, version: undefined, reason: 'least loaded'};
+        : found(server, undefined, 'least loaded');
     }
     const {model, adapter} = parseModelReference(request.model);
     const holders = open.filter(({entry}) => entry.models.includes(model));
@@ -175,7 +231,7 @@
     const [server] = rankByAffinity(key, holders, choice).toTry;
     return server === undefined
       ? none('no server is left to try', NO_SERVER_RETRY_MS)
-      : {type: 'server', server, version: undefined, reason: 'prompt parts'};
+      : found(server, undefined, 'prompt parts');
   }
 
   private async selectForAdapter(
@@ -399,6 +455,7 @@
   'too-long',
   'no-place',
   'crowded',
+  'held-back',
 ]);
 
 /** The server at which the request would run first. */
@@ -413,11 +470,16 @@
       undefined,
     )?.server;
 
-const found = (server: Server, version: number, reason: string): Selection => ({
+const found = (
+  server: Server,
+  version: number | undefined,
+  reason: string,
+): Selection => ({
   type: 'server',
   server,
-  version: version > FIRST_VERSION ? version : undefined,
+  version: version === FIRST_VERSION ? undefined : version,
   reason,
+  permitted: false,
 });
 
 const none = (reason: string, retryAfterMs: number): Selection => ({
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -89,6 +89,8 @@
     private readonly pools: UpstreamPools,
     private readonly server: Server,
     private readonly maximumConnections: number,
+    /** It may go although the server names a limit. */
+    private readonly permitted: boolean,
     private readonly observer: SendObserver,
   ) {
     const {views, clock} = context;
@@ -180,7 +182,9 @@
   private mayWrite(): boolean {
     const {clock, views, metrics, servers} = this.context;
     const at = clock.now();
-    if (!servers.isOpen(this.server, at)) {
+    const {requestsPerSecond} = this.server.notices;
+    const limited = requestsPerSecond !== undefined && !this.permitted;
+    if (limited || !servers.isOpen(this.server, at)) {
       return false;
     }
     const {service} = this.server.entry;
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -46,6 +46,12 @@
     ['service'],
   );
 
+  readonly permits = this.counter(
+    'basilworks_permits_total',
+    'Permits to send to limited servers, by service and outcome.',
+    ['service', 'outcome'],
+  );
+
   readonly storeCalls = this.counter(
     'basilworks_store_calls_total',
     'Calls to the metadata store by operation and how they ended.',
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -16,6 +16,7 @@
 import type {EntryHostContext} from '../context.js';
 import type {AdapterPreparer} from '../peers/index.js';
 import type {PeerConnection} from '../peers/index.js';
+import type {SendPermits} from '../permits/index.js';
 import type {ServerCaller} from '../upstream/index.js';
 import type {ClaimKeeper} from './claim-keeper.js';
 import {OrderIssuer} from './order-issuer.js';
@@ -34,6 +35,7 @@
     private readonly context: EntryHostContext,
     private readonly claims: ClaimKeeper,
     private readonly caller: ServerCaller,
+    private readonly permits: SendPermits,
     private readonly routes: () => RouteTable | undefined,
     private readonly linkTo: (host: string) => PeerConnection | undefined,
   ) {}
@@ -226,6 +228,7 @@
       this.context,
       this.claims,
       this.caller,
+      this.permits,
       server,
       new AdapterPlaces(this.loadTimes),
     );
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -8,6 +8,7 @@
   type PlacesEffect,
   type PlacesEvent,
   type PrepareAnswer,
+  type PrepareRefusal,
   type PrepareRequest,
   type Server,
   ServerDemand,
@@ -15,6 +16,7 @@
 
 import type {EntryHostContext} from '../context.js';
 import {UpstreamError, type ServerCaller} from '../upstream/index.js';
+import type {SendPermits} from '../permits/index.js';
 import type {ClaimKeeper} from './claim-keeper.js';
 
 /**
@@ -26,6 +28,9 @@
 /** Wait at a full server that a crowded one is told to cause, by its share. */
 const FULL_SERVER_WAIT_MS = 300;
 
+/** An unload, a load, the question whether it is done, and the request. */
+const CALLS_OF_A_LOAD = 4;
+
 /** Longest wait for a report, milliseconds. */
 const REPORT_TIMEOUT_MS = 500;
 
@@ -39,6 +44,7 @@
     private readonly context: EntryHostContext,
     private readonly claims: ClaimKeeper,
     private readonly caller: ServerCaller,
+    private readonly permits: SendPermits,
     private readonly server: Server,
     private readonly places: AdapterPlaces,
   ) {}
@@ -70,7 +76,7 @@
       const giveUp = () => {
         if (this.answers.delete(requestId)) {
           this.post({type: 'prepare-cancelled', requestId});
-          settle({outcome: 'refused', reason: 'too-long', retryAfterMs: 0});
+          settle(refused('too-long', 0));
         }
       };
       const settle = (answer: PrepareAnswer) => {
@@ -87,21 +93,9 @@
           spread: this.spreadOf(request),
         });
       };
-      const {notices} = this.server;
-      if (notices.leaving) {
-        settle({outcome: 'refused', reason: 'server-gone', retryAfterMs: 0});
-        return;
-      }
-      const retryMs = notices.pauseLeftMs(clock.now());
-      if (retryMs > 0) {
-        const retryAfterMs = Math.ceil(retryMs);
-        settle({outcome: 'refused', reason: 'held-back', retryAfterMs});
-        return;
-      }
-      const occupancy = this.requests() / this.server.entry.slots;
-      if (!request.takesCrowded && this.isCrowded(occupancy)) {
-        const retryAfterMs = Math.ceil(occupancy * FULL_SERVER_WAIT_MS);
-        settle({outcome: 'refused', reason: 'crowded', retryAfterMs});
+      const refusal = this.refusal(request);
+      if (refusal !== undefined) {
+        settle(refusal);
         return;
       }
       this.answers.set(requestId, settle);
@@ -141,6 +135,12 @@
   }
 
   sendOrder(order: Order): void {
+    this.whenPermitted(`order/${order.serial}`, () => {
+      this.writeOrder(order);
+    });
+  }
+
+  private writeOrder(order: Order): void {
     // Checked in the turn in which the order is written.
     const fence = this.claims.fenceFor(this.server.entry.id);
     if (fence === undefined) {
@@ -164,6 +164,12 @@
   }
 
   readReport(): void {
+    this.whenPermitted('report', () => {
+      this.writeReport();
+    });
+  }
+
+  private writeReport(): void {
     const {platform, logger} = this.context;
     void this.caller
       .call(this.server, 'report', platform.engines.report, REPORT_TIMEOUT_MS)
@@ -184,6 +190,42 @@
       });
   }
 
+  /** Runs a call of this host's own as soon as the server's limit allows. */
+  private whenPermitted(name: string, run: () => void): void {
+    const delayMs = this.permits.reserve(this.server);
+    if (delayMs === 0) {
+      run();
+    } else {
+      const timer = `held/${this.server.key}/${name}`;
+      this.context.timers.after(timer, delayMs, run);
+    }
+  }
+
+  /** Why the server is not worth a load, whatever its places hold. */
+  private refusal(request: PrepareRequest): PrepareAnswer | undefined {
+    const {notices, entry} = this.server;
+    if (notices.leaving) {
+      return refused('server-gone', 0);
+    }
+    const pauseMs = notices.pauseLeftMs(this.context.clock.now());
+    if (pauseMs > 0) {
+      return refused('held-back', pauseMs);
+    }
+    const room = this.permits.room(this.server);
+    // Orders take up a limit: no load where the request may not go, or where
+    // another server may do it.
+    if (
+      room !== undefined &&
+      !(room.free && (request.takesCrowded || this.places.isResident(request)))
+    ) {
+      return refused('held-back', CALLS_OF_A_LOAD * room.msPerRequest);
+    }
+    const occupancy = this.requests() / entry.slots;
+    return !request.takesCrowded && this.isCrowded(occupancy)
+      ? refused('crowded', occupancy * FULL_SERVER_WAIT_MS)
+      : undefined;
+  }
+
   /** Whether the server is much fuller than the others of its service. */
   private isCrowded(occupancy: number): boolean {
     return occupancy >= (this.crowdedFrom() ?? Infinity);
@@ -254,6 +296,12 @@
   }
 }
 
+const refused = (reason: PrepareRefusal, waitMs: number): PrepareAnswer => ({
+  outcome: 'refused',
+  reason,
+  retryAfterMs: Math.ceil(waitMs),
+});
+
 type Runners = {
   readonly [Type in PlacesEffect['type']]: (
     issuer: OrderIssuer,
--- a/packages/entry-host/src/peers/index.ts
+++ b/packages/entry-host/src/peers/index.ts
@@ -4,3 +4,4 @@
 export * from './peer-link.js';
 export * from './peer-service.js';
 export * from './view-codec.js';
+export * from './word-codec.js';
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -18,6 +18,12 @@
   SnapshotTexts,
   takeViews,
 } from './view-codec.js';
+import {
+  encodeWords,
+  lookedBefore,
+  lookedSince,
+  takeWord,
+} from './word-codec.js';
 
 /** Between two rounds of exchanges, milliseconds. */
 export const ROUND_MS = 500;
@@ -43,7 +49,7 @@
 /** The part of a link that is used from outside. */
 export type PeerConnection = Pick<
   PeerLink,
-  'exchange' | 'prepare' | 'release' | 'doubtful' | 'close'
+  'exchange' | 'prepare' | 'permit' | 'release' | 'doubtful' | 'close'
 >;
 
 interface OpenLink {
@@ -128,6 +134,9 @@
     if (sender !== undefined && request.loads.length > 0) {
       fleetLoad.takeIssued(sender.host, request.loads, at);
     }
+    for (const word of request.words) {
+      takeWord(this.context, word, lookedBefore(at));
+    }
     return {
       responder: encodeHost(membership.self()),
       views: wantsViews ? encodeViews(views, known, this.texts, at) : [],
@@ -137,6 +146,7 @@
       loads: fleetLoad
         .known(at)
         .map(({ageMs, ...load}) => ({...load, ageMs: Math.ceil(ageMs)})),
+      words: encodeWords(this.context),
     };
   }
 
@@ -299,6 +309,7 @@
             .issuedLoads()
             .map((load) => ({...load, group: '', ageMs: 0}))
         : [],
+      words: encodeWords(this.context),
     });
     this.pending.delete(address);
     const at = clock.now();
@@ -316,6 +327,9 @@
     for (const {ageMs, ...load} of response.loads) {
       fleetLoad.takeGroup(load, before(askedAt, ageMs));
     }
+    for (const word of response.words) {
+      takeWord(this.context, word, lookedSince(askedAt, at));
+    }
     for (const kind of takeViews(views, response.views, askedAt, at)) {
       this.onNewer(kind);
     }
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -16,6 +16,9 @@
 /** Time on top of a prepare's own wait for its way there and back, ms. */
 const PREPARE_SLACK_MS = 120;
 
+/** Longest wait for a permit, milliseconds: some round trips of a region. */
+const PERMIT_TIMEOUT_MS = 120;
+
 /** How long an answer that comes late is still taken, milliseconds. */
 const LATE_ANSWER_MS = 5_000;
 
@@ -125,6 +128,15 @@
       : UNREACHABLE;
   }
 
+  /** Asks the peer for a permit; the answer, or undefined if none comes. */
+  async permit(
+    value: fleet.PermitRequest,
+  ): Promise<fleet.PermitResponse | undefined> {
+    const request: Request = {$case: 'permit', value};
+    const response = await this.call(request, PERMIT_TIMEOUT_MS);
+    return response?.$case === 'permit' ? response.value : undefined;
+  }
+
   /** Tells the peer what this host is done with, and what it has at servers. */
   release(fromHost: string, {releases, requests}: IssuerNews): void {
     const value: fleet.ReleaseAdaptersRequest = {
--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -27,16 +27,25 @@
   told(host: string, news: IssuerNews): void;
 }
 
+/** Lets requests of other hosts go to servers that are metered here. */
+export interface PermitGranter {
+  grant(request: fleet.PermitRequest): fleet.PermitResponse;
+}
+
 type Conversation = ServerDuplexStream<fleet.PeerRequest, fleet.PeerResponse>;
 
 /** The gRPC listener for other entry hosts. */
 export class FleetPeerService {
   private readonly server = new Server(PEER_OPTIONS);
 
-  constructor(exchange: PeerExchange, preparer: AdapterPreparer) {
+  constructor(
+    exchange: PeerExchange,
+    preparer: AdapterPreparer,
+    granter: PermitGranter,
+  ) {
     const service: fleet.FleetServiceServer = {
       converse: (call) => {
-        new PeerConversation(call, exchange, preparer).start();
+        new PeerConversation(call, exchange, preparer, granter).start();
       },
     };
     this.server.addService(fleet.FleetServiceService, service);
@@ -80,6 +89,7 @@
     private readonly call: Conversation,
     private readonly exchange: PeerExchange,
     private readonly preparer: AdapterPreparer,
+    private readonly granter: PermitGranter,
   ) {}
 
   start(): void {
@@ -119,6 +129,10 @@
           this.call.write({serial, response: {$case: 'prepare', value}});
         });
     },
+    permit: (serial, request) => {
+      const value = this.granter.grant(request);
+      this.call.write({serial, response: {$case: 'permit', value}});
+    },
     release: (_serial, {fromHost, releases, requests}) => {
       this.preparer.told(fromHost, {
         releases: releases.map(({serverRun, model, adapter}) => ({
--- /dev/null
+++ b/packages/entry-host/src/peers/word-codec.ts
@@ -0,0 +1,89 @@
+import type {Instant} from '@basilworks/core';
+import {before, type ServerNews} from '@basilworks/dispatch';
+import type {fleet} from '@basilworks/protocol';
+
+import type {EntryHostContext} from '../context.js';
+
+/** Longest way of a request from a peer, milliseconds. */
+const LONGEST_WAY_MS = 500;
+
+/** Servers of which one message tells: many more than are ever in need. */
+const MAXIMUM_WORDS = 64;
+
+/** When a peer can have looked at what it passes on. */
+interface Looked {
+  readonly earliest: Instant;
+  readonly latest: Instant;
+}
+
+/** A peer that answered looked after it was asked. */
+export const lookedSince = (askedAt: Instant, latest: Instant): Looked => ({
+  earliest: askedAt,
+  latest,
+});
+
+/** A peer that asks looked shortly before. */
+export const lookedBefore = (latest: Instant): Looked => ({
+  earliest: before(latest, LONGEST_WAY_MS),
+  latest,
+});
+
+/** Returns what servers said lately. */
+export const encodeWords = ({
+  servers,
+  clock,
+}: EntryHostContext): fleet.ServerWord[] => {
+  const at = clock.now();
+  return servers
+    .all()
+    .flatMap(({key, notices}) => {
+      const news = notices.news(at);
+      return news === undefined ? [] : [encodeWord(key, news, at)];
+    })
+    .slice(0, MAXIMUM_WORDS);
+};
+
+/** Encodes what a run of a server said. */
+export const encodeWord = (
+  serverRun: string,
+  {leaving, word}: ServerNews,
+  at: Instant,
+): fleet.ServerWord => ({
+  serverRun,
+  leaving,
+  rate:
+    word === undefined
+      ? undefined
+      : {
+          requestsPerSecond: word.requestsPerSecond,
+          sentAgeMs: Math.ceil(ageMs(word.after, at)),
+          arrivedAgeMs: Math.floor(ageMs(word.before, at)),
+        },
+});
+
+/** Takes over what a peer passed on of a server. */
+export const takeWord = (
+  {servers, clock, logger, metrics}: EntryHostContext,
+  {serverRun, leaving, rate}: fleet.ServerWord,
+  {earliest, latest}: Looked,
+): void => {
+  const server = servers.get(serverRun);
+  const word = rate && {
+    requestsPerSecond: rate.requestsPerSecond,
+    after: before(earliest, rate.sentAgeMs),
+    before: before(latest, rate.arrivedAgeMs),
+  };
+  if (server?.notices.takeNews({leaving, word}, clock.now()) === true) {
+    const {id, service} = server.entry;
+    metrics.serverNotices.inc({service});
+    logger.info('server notice', {
+      server: id,
+      leaving,
+      requestsPerSecond: word?.requestsPerSecond,
+      passedOn: true,
+    });
+  }
+};
+
+const ageMs = (since: Instant, at: Instant): number =>
+  Math.max(0, at.monotonicMs - since.monotonicMs);
--- /dev/null
+++ b/packages/entry-host/src/permits/index.ts
@@ -0,0 +1,1 @@
+export * from './send-permits.js';
--- a/packages/entry-host/src/test/front/server-selection_test.ts
+++ b/packages/entry-host/src/test/front/server-selection_test.ts
@@ -62,6 +62,7 @@
   const selector = new ServerSelector(
     context,
     broker,
+    {acquire: () => Promise.resolve({granted: true}), denial: () => undefined},
     new ResidencyCache(),
     versions,
     () => undefined,
--- a/packages/entry-host/src/test/front/server-send_test.ts
+++ b/packages/entry-host/src/test/front/server-send_test.ts
@@ -36,7 +36,7 @@
 };
 
 /** A send whose connection is not open yet. */
-const begin = () => {
+const begin = (permitted = false) => {
   const fleet = new ViewFleet(1);
   const {context: parts} = fleet.startHost('h0');
   const at = parts.clock.now();
@@ -62,7 +62,7 @@
     }),
   } as unknown as UpstreamPools;
   const ignore = {head: () => undefined, data: () => undefined};
-  const send = new ServerSend(context, pools, server, 10, ignore);
+  const send = new ServerSend(context, pools, server, 10, permitted, ignore);
   const result = send.run(request, {
     server: 's',
     remainingMs: 1_000,
@@ -89,6 +89,16 @@
   });
 });
 
+// A request that was on its way when its server named a limit came on top of it.
+test('a send without a permit writes nothing to a limited server', (t) => {
+  for (const permitted of [false, true]) {
+    const {observer, server} = begin(permitted);
+    const at = {monotonicMs: 0, wallMs: 0};
+    server.notices.takeRate({requestsPerSecond: 5, after: at, before: at});
+    t.is(observer.mayWrite?.(), permitted);
+  }
+});
+
 // Requests reached a server that had begun to leave while a connection to it was
 // opened: nothing looked at it again before the first byte.
 for (const [change, entries] of Object.entries({
--- a/packages/entry-host/src/test/views/view-fleet.ts
+++ b/packages/entry-host/src/test/views/view-fleet.ts
@@ -117,6 +117,7 @@
     this.exchange = new PeerExchange(this.context, onNewer, (to) => ({
       exchange: (request) => fleet_.exchange(this, to, request, whenRunning),
       prepare: () => Promise.reject(new Error('not part of this rig')),
+      permit: () => Promise.reject(new Error('not part of this rig')),
       release: ignore,
       doubtful: false,
       close: ignore,
