Test limits over fleets of 1 to 195 hosts, and while hosts are lost

Real permits, meters, membership and exchanges on virtual time; a server that names limits of 0.5 to 200 a second which appear, change and end; engines with an issuer and plain servers; hosts that freeze, restart, are cut off and join. Checked: the bound over each window of 4 s from 3 s after the first naming, over hosts that were told and not in trouble, and that 0.8 of the limit is used where there is demand.

Mutations by hand on built code, undone: every host meters for itself, all five fail; a meter that starts full, two fail. A permit that was given before a limit was known no longer counts as one at the first byte, here and in the selection.

--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -117,9 +117,11 @@
           : none(`${chosen.reason}, others are at their limits`, heldBackMs);
       }
       const {server} = chosen;
+      // A limit that is named from here on was not asked for.
+      const limited = server.notices.requestsPerSecond !== undefined;
       const permit = await this.permits.acquire(server, route.priority);
       if (permit.granted || signal.aborted) {
-        return {...chosen, permitted: permit.granted};
+        return {...chosen, permitted: limited && permit.granted};
       }
       const {retryAfterMs} = permit;
       logger.info('server passed over', {
--- a/packages/entry-host/src/index.ts
+++ b/packages/entry-host/src/index.ts
@@ -4,6 +4,7 @@
 export * from './metrics.js';
 export * from './orders/index.js';
 export * from './peers/index.js';
+export * from './permits/index.js';
 export * from './ports.js';
 export * from './settings-reload.js';
 export * from './settings-schema.js';
--- a/packages/entry-host/src/test/views/view-fleet.ts
+++ b/packages/entry-host/src/test/views/view-fleet.ts
@@ -4,6 +4,7 @@
   FleetLoad,
   type HostStatus,
   Membership,
+  type RouteTable,
   type ServerEntry,
   ServerTable,
   STORE_KINDS,
@@ -12,10 +13,12 @@
 import {fleet} from '@basilworks/protocol';
 
 import {
+  type ClaimKeeper,
   type EntryHostContext,
   EntryHostMetrics,
   entryHostSettingsSchema,
   PeerExchange,
+  SendPermits,
   type PlatformProtocol,
   ServersView,
   StoreReader,
@@ -26,6 +29,7 @@
 /** One way between hosts, and the longest wait for an exchange, ms. */
 const PEER_LATENCY_MS = 2;
 const EXCHANGE_TIMEOUT_MS = 700;
+const PERMIT_TIMEOUT_MS = 120;
 
 /** Between two looks for lapsed servers, as the entry host makes them, ms. */
 const UPKEEP_PERIOD_MS = 250;
@@ -35,6 +39,7 @@
   readonly context: EntryHostContext;
   readonly path: StorePath;
   readonly exchange: PeerExchange;
+  readonly permits: SendPermits;
   /** It is cut off from all other hosts. */
   isolated = false;
   /** It takes callers' requests. */
@@ -117,11 +122,25 @@
     this.exchange = new PeerExchange(this.context, onNewer, (to) => ({
       exchange: (request) => fleet_.exchange(this, to, request, whenRunning),
       prepare: () => Promise.reject(new Error('not part of this rig')),
-      permit: () => Promise.reject(new Error('not part of this rig')),
+      permit: (request) => fleet_.permit(this, to, request, whenRunning),
       release: ignore,
       doubtful: false,
       close: ignore,
     }));
+    const claims = {
+      holder: (server: string) => fleet_.issuers.get(server),
+      fenceFor: (server: string) =>
+        fleet_.issuers.get(server) === name ? 1 : undefined,
+    };
+    const routes = {
+      service: () => (fleet_.issuers.size > 0 ? {engine: {}} : {}),
+    };
+    this.permits = new SendPermits(
+      this.context,
+      claims as unknown as ClaimKeeper,
+      () => routes as unknown as RouteTable,
+      (host) => this.exchange.linkTo(host),
+    );
     this.reader.start();
     this.exchange.start();
     this.context.timers.every('upkeep', UPKEEP_PERIOD_MS, () => {
@@ -193,6 +212,8 @@
   readonly store = new StoreModel(this.time);
   readonly names: readonly string[];
   readonly hosts = new Map<string, ViewHost>();
+  /** Hosts that issue orders, by server; where there are any, all have one. */
+  readonly issuers = new Map<string, string>();
   private incarnations = 0;
 
   constructor(
@@ -285,10 +306,40 @@
     request: fleet.ExchangeRequest,
     whenRunning: (run: () => void) => void,
   ): Promise<fleet.ExchangeResponse | undefined> {
-    const {time} = this;
     const sent = fleet.ExchangeRequest.encode(request).finish().length;
+    const answer = (peer: ViewHost) => {
+      const response = peer.exchange.answer(request);
+      const got = fleet.ExchangeResponse.encode(response).finish().length;
+      for (const {traffic} of [from, peer]) {
+        traffic.messages += 2;
+        traffic.bytes += sent + got;
+      }
+      return response;
+    };
+    return this.call(from, to, EXCHANGE_TIMEOUT_MS, answer, whenRunning);
+  }
+
+  permit(
+    from: ViewHost,
+    to: string,
+    request: fleet.PermitRequest,
+    whenRunning: (run: () => void) => void,
+  ): Promise<fleet.PermitResponse | undefined> {
+    const answer = (peer: ViewHost) => peer.permits.grant(request);
+    return this.call(from, to, PERMIT_TIMEOUT_MS, answer, whenRunning);
+  }
+
+  /** Carries a request to a host and its answer back, if both can be reached. */
+  private call<Answer>(
+    from: ViewHost,
+    to: string,
+    timeoutMs: number,
+    answer: (peer: ViewHost) => Answer,
+    whenRunning: (run: () => void) => void,
+  ): Promise<Answer | undefined> {
+    const {time} = this;
     return new Promise((resolve) => {
-      time.after(EXCHANGE_TIMEOUT_MS, () => {
+      time.after(timeoutMs, () => {
         whenRunning(() => {
           resolve(undefined);
         });
@@ -298,12 +349,7 @@
         if (peer?.running !== true || peer.isolated || from.isolated) {
           return;
         }
-        const response = peer.exchange.answer(request);
-        const got = fleet.ExchangeResponse.encode(response).finish().length;
-        for (const {traffic} of [from, peer]) {
-          traffic.messages += 2;
-          traffic.bytes += sent + got;
-        }
+        const response = answer(peer);
         time.after(PEER_LATENCY_MS, () => {
           if (!peer.isolated && !from.isolated) {
             whenRunning(() => {
