Never read an answer without end, nor another's as an order's

Callers' view: a late second answer to a caller's request, on a connection that was in use again for an order, was taken for the order's answer: a load counted as done, and requests went to a server that lacked their adapter. Bytes without end held a request, an order or a report until its time was over, and a report filled memory.

Cause: calls of a host's own carry no identity and took any answer for theirs; an answer that names a request is never theirs now. Bodies of own calls, second answers that are passed over, trailers and informational heads had no bound.

Evidence: nine new tests of the connection. Before: the order got 200 of another request instead of 409; of eight kinds of bytes without end, five ran into the test's time-out (bodies, trailers, informational heads), the three kinds in heads were closed already. After: closed at a bound, all pass.

--- a/packages/entry-host/src/test/upstream/connection_test.ts
+++ b/packages/entry-host/src/test/upstream/connection_test.ts
@@ -4,7 +4,11 @@
 import {TimerService} from '@basilworks/daemon';
 import test from 'ava';
 
-import {UpstreamError, UpstreamPool} from '../../upstream/index.js';
+import {
+  UpstreamError,
+  UpstreamPool,
+  type UpstreamRequest,
+} from '../../upstream/index.js';
 
 const ID_HEADER = 'x-id';
 
@@ -42,7 +46,11 @@
   return {server, pool, opened: () => opened};
 };
 
-const ask = (pool: UpstreamPool, id: string): Promise<Ended | UpstreamError> =>
+const ask = (
+  pool: UpstreamPool,
+  id: string,
+  options: Partial<UpstreamRequest> = {},
+): Promise<Ended | UpstreamError> =>
   new Promise((resolve) => {
     let status = 0;
     let body = '';
@@ -52,6 +60,7 @@
         head: `GET /${id} HTTP/1.1\r\nHost: h\r\n\r\n`,
         body: Buffer.alloc(0),
         requestId: id,
+        ...options,
       },
       10,
       {
@@ -188,3 +197,79 @@
   pool.close();
   server.close();
 });
+
+// A late second answer to a caller's request was taken for the answer to an order,
+// which then counted as carried out.
+test('a call without an identity gets no answer that names another', async (t) => {
+  const {server, pool} = await serve((request, socket) => {
+    if (idOf(request) === 'order') {
+      socket.write(answerTo('request'));
+      return 'HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n';
+    }
+    return answerTo(idOf(request));
+  });
+  await ask(pool, 'request');
+  const own = {requestId: undefined};
+  t.like(await ask(pool, 'order', own), {status: 409});
+  await ask(pool, 'request');
+  pool.close();
+  server.close();
+});
+
+/** Writes pieces until the socket is closed; returns how many bytes went. */
+const writeWithoutEnd = (socket: Socket, piece: Buffer): (() => number) => {
+  let bytes = 0;
+  const write = () => {
+    while (!socket.destroyed) {
+      bytes += piece.length;
+      if (!socket.write(piece)) {
+        socket.once('drain', write);
+        return;
+      }
+    }
+  };
+  write();
+  return () => bytes;
+};
+
+/** More than this is never read of an answer without an end, bytes. */
+const ENDLESS_BOUND_BYTES = 8 * 1_048_576;
+
+const HEAD = 'HTTP/1.1 200 OK\r\n';
+const OWN_HEAD = `${HEAD}${ID_HEADER}: r\r\n`;
+
+// Bytes without end in a head or a body were read until the request's time was over.
+for (const [where, {begin, piece}] of Object.entries({
+  'a status line': {begin: '', piece: 'x'},
+  'a header line': {begin: `${HEAD}a: `, piece: 'x'},
+  'header lines': {begin: HEAD, piece: 'a: b\r\n'},
+  'informational heads': {begin: '', piece: 'HTTP/1.1 100 Continue\r\n\r\n'},
+  'a body with a length': {
+    begin: `${OWN_HEAD}Content-Length: 99999999999\r\n\r\n`,
+    piece: 'x',
+  },
+  'a body without a length': {begin: `${OWN_HEAD}\r\n`, piece: 'x'},
+  'trailer lines': {
+    begin: `${OWN_HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n`,
+    piece: 'a: b\r\n',
+  },
+  chunks: {
+    begin: `${OWN_HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+    piece: '1\r\nx\r\n',
+  },
+})) {
+  test(`closes a connection on bytes without end in ${where}`, async (t) => {
+    let written: () => number = () => 0;
+    const {server, pool} = await serve((_request, socket) => {
+      socket.write(begin);
+      written = writeWithoutEnd(socket, Buffer.from(piece.repeat(10_000)));
+      return undefined;
+    });
+    const result = await ask(pool, 'r', {maximumBytes: 262_144});
+    t.true(result instanceof UpstreamError);
+    t.is(result instanceof UpstreamError ? result.reason : '', 'malformed');
+    t.true(written() < ENDLESS_BOUND_BYTES, `${written()} bytes were read`);
+    pool.close();
+    server.close();
+  });
+}
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -47,6 +47,8 @@
   readonly body: Buffer;
   /** Identity that answers echo; undefined where they don't. */
   readonly requestId: string | undefined;
+  /** Most that is read of an answer, bytes; no bound where it is passed on. */
+  readonly maximumBytes?: number;
 }
 
 /** Receives the answer of an exchange; ends with one `end` or `failed`. */
@@ -205,9 +207,6 @@
     head: ResponseHead,
   ): HeadVerdict => {
     const {requestId} = exchange.request;
-    if (requestId === undefined) {
-      return 'mine';
-    }
     const echoed = headerValue(head.rawHeaders, this.requestIdHeader);
     if (echoed === requestId) {
       return 'mine';
@@ -274,6 +273,9 @@
 /** Whose answer a head begins. */
 type HeadVerdict = 'mine' | 'earlier' | 'foreign';
 
+/** Most that is passed over of second answers on one exchange, bytes. */
+const MAXIMUM_SKIPPED_BYTES = 1_048_576;
+
 /** One request on a connection and the reading of its answer. */
 class Exchange {
   written = false;
@@ -281,6 +283,8 @@
   endedByLength = true;
   head: ResponseHead | undefined;
   private skipping = false;
+  private skippedBytes = 0;
+  private receivedBytes = 0;
   private parser: ResponseParser;
   private verdictOf: (exchange: Exchange, head: ResponseHead) => HeadVerdict =
     () => 'mine';
@@ -311,6 +315,10 @@
 
   /** Takes bytes; returns those after the answer. */
   feed(chunk: Buffer): Buffer {
+    this.receivedBytes += chunk.length;
+    if (this.receivedBytes > (this.request.maximumBytes ?? Infinity)) {
+      throw new MalformedResponse('the answer is too long');
+    }
     let rest = this.parser.feed(chunk);
     while (this.skipping && this.parser.done) {
       this.skipping = false;
@@ -346,6 +354,11 @@
         data: (chunk) => {
           if (!this.skipping) {
             this.observer.data(chunk);
+            return;
+          }
+          this.skippedBytes += chunk.length;
+          if (this.skippedBytes > MAXIMUM_SKIPPED_BYTES) {
+            throw new MalformedResponse('a second answer is too long');
           }
         },
         // The connection reports the end once the bytes after it are known.
--- a/packages/entry-host/src/upstream/response-parser.ts
+++ b/packages/entry-host/src/upstream/response-parser.ts
@@ -19,6 +19,9 @@
 const MAXIMUM_HEAD_BYTES = 65_536;
 const MAXIMUM_LINE_BYTES = 1_024;
 
+/** Informational heads that are passed over before an answer. */
+const MAXIMUM_INFORMATIONAL = 16;
+
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-9]\d\d)(?: |$)/;
 const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*(.*?)[ \t]*$/;
 const CHUNK_SIZE = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?$/;
@@ -48,6 +51,8 @@
   private state: State = 'head';
   private buffered: Buffer = Buffer.alloc(0);
   private left = 0;
+  private informational = 0;
+  private trailerBytes = 0;
 
   constructor(
     private readonly observer: ResponseObserver,
@@ -117,6 +122,8 @@
     const rest = bytes.subarray(end + 4);
     if (status >= 200) {
       this.beginBody(status, rawHeaders);
+    } else if ((this.informational += 1) > MAXIMUM_INFORMATIONAL) {
+      throw this.malformed('too many informational heads');
     }
     return rest;
   }
@@ -177,6 +184,10 @@
       }
       return undefined;
     }
+    this.trailerBytes += end;
+    if (this.trailerBytes > MAXIMUM_HEAD_BYTES) {
+      throw this.malformed('the trailers are too long');
+    }
     if (end === 0) {
       this.finish();
     }
--- a/packages/entry-host/src/upstream/server-caller.ts
+++ b/packages/entry-host/src/upstream/server-caller.ts
@@ -19,6 +19,9 @@
 /** Connections for calls of this host's own, beside those for requests. */
 const OWN_CONNECTIONS = 8;
 
+/** Longest answer that is read, bytes: a report on thousands of adapters. */
+const MAXIMUM_ANSWER_BYTES = 1_048_576;
+
 /** Tells the timers of calls apart. */
 let serial = 0;
 
@@ -64,30 +67,34 @@
       let answer: Omit<ServerAnswer, 'body'> = {status: 0, rawHeaders: []};
       const chunks: Buffer[] = [];
       const timer = `upstream/call/${(serial += 1)}`;
-      const handle = this.pools
-        .of(server)
-        .start(
-          {method, head, body: bytes, requestId: undefined},
-          OWN_CONNECTIONS + server.entry.slots,
-          {
-            mayWrite,
-            head: (received) => {
-              answer = received;
-              takeNotice(this.context, server, received, sentAt);
-            },
-            data: (chunk) => {
-              chunks.push(chunk);
-            },
-            end: () => {
-              timers.cancel(timer);
-              settle({...answer, body: Buffer.concat(chunks).toString()});
-            },
-            failed: (error) => {
-              timers.cancel(timer);
-              settle(error);
-            },
+      const handle = this.pools.of(server).start(
+        {
+          method,
+          head,
+          body: bytes,
+          requestId: undefined,
+          maximumBytes: MAXIMUM_ANSWER_BYTES,
+        },
+        OWN_CONNECTIONS + server.entry.slots,
+        {
+          mayWrite,
+          head: (received) => {
+            answer = received;
+            takeNotice(this.context, server, received, sentAt);
+          },
+          data: (chunk) => {
+            chunks.push(chunk);
+          },
+          end: () => {
+            timers.cancel(timer);
+            settle({...answer, body: Buffer.concat(chunks).toString()});
+          },
+          failed: (error) => {
+            timers.cancel(timer);
+            settle(error);
           },
-        );
+        },
+      );
       if (handle instanceof UpstreamError) {
         settle(handle);
         return;
