Never pass on a part of a server's failure as if it were whole

Callers' view: a failure of a server with more than 64 KB reached its caller cut off, with a length that made it look complete.

Cause: what is kept of a failure has a bound, and the rest was dropped without a word. Such a send now ends as broken off, and its connection is closed, which also ends failures and refusals without end; a refusal stays a proof of not run.

Evidence: a test of the send failed before (not cancelled, 'failure') and passes. An order that waits for a limit is dropped with its server.

--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -43,7 +43,7 @@
 /** Statuses that promise that a request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
-/** Largest failure answer that is kept, bytes. */
+/** Largest failure or refusal that is read to its end, bytes. */
 const MAXIMUM_FAILURE_BYTES = 65_536;
 
 /** Share of a server's connections that one host may use, split evenly. */
@@ -224,9 +224,13 @@
   private takeData(chunk: Buffer): void {
     if (this.mode === 'pass-on') {
       this.observer.data(chunk);
-    } else if (this.keptBytes < MAXIMUM_FAILURE_BYTES) {
-      this.kept.push(chunk);
-      this.keptBytes += chunk.length;
+      return;
+    }
+    this.kept.push(chunk);
+    this.keptBytes += chunk.length;
+    if (this.keptBytes > MAXIMUM_FAILURE_BYTES) {
+      // Passed on in part, it would look complete.
+      this.handle?.cancel();
     }
   }
 
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -39,6 +39,7 @@
   private readonly answers = new Map<string, (answer: PrepareAnswer) => void>();
   private readonly demand = new ServerDemand();
   private readonly adapterDemand = new AdapterDemand();
+  private closed = false;
 
   constructor(
     private readonly context: EntryHostContext,
@@ -117,6 +118,7 @@
   }
 
   close(): void {
+    this.closed = true;
     this.context.timers.cancel(this.wakeTimer);
     this.post({type: 'server-gone'});
   }
@@ -195,10 +197,14 @@
     const delayMs = this.permits.reserve(this.server);
     if (delayMs === 0) {
       run();
-    } else {
-      const timer = `held/${this.server.key}/${name}`;
-      this.context.timers.after(timer, delayMs, run);
+      return;
     }
+    const timer = `held/${this.server.key}/${name}`;
+    this.context.timers.after(timer, delayMs, () => {
+      if (!this.closed) {
+        run();
+      }
+    });
   }
 
   /** Why the server is not worth a load, whatever its places hold. */
--- a/packages/entry-host/src/test/front/server-send_test.ts
+++ b/packages/entry-host/src/test/front/server-send_test.ts
@@ -32,6 +32,10 @@
   expectVersion: 'X-Version',
   priority: 'X-Priority',
   lastEventId: 'Last-Event-Id',
+  notRun: 'X-Not-Run',
+  signature: 'X-Signature',
+  serverId: 'X-Server',
+  serverLoad: 'X-Load',
   reserved: [],
 };
 
@@ -46,18 +50,29 @@
   const context = {
     ...parts,
     servers,
-    platform: {forwarding: {headers: HEADERS}},
+    platform: {
+      forwarding: {
+        headers: HEADERS,
+        readNotice: () => ({leaving: false}),
+        readLoad: () => undefined,
+      },
+    },
   } as unknown as EntryHostContext;
   const server = servers.byId('s');
   if (server === undefined) {
     throw new Error('no server');
   }
   let observer: ExchangeObserver | undefined;
+  let cancelled = false;
   const pools = {
     of: () => ({
       start: (_request: unknown, _maximum: number, given: ExchangeObserver) => {
         observer = given;
-        return {pause: () => 0, resume: () => 0, cancel: () => 0};
+        const cancel = () => {
+          cancelled = true;
+          given.failed(new UpstreamError(true, 'cancelled', 'cancelled'));
+        };
+        return {pause: () => 0, resume: () => 0, cancel};
       },
     }),
   } as unknown as UpstreamPools;
@@ -74,7 +89,8 @@
   if (observer === undefined) {
     throw new Error('nothing was sent');
   }
-  return {servers, server, observer, result, send};
+  const wasCancelled = () => cancelled;
+  return {servers, server, observer, result, send, cancelled: wasCancelled};
 };
 
 test('a send writes to a server that is open', (t) => {
@@ -117,3 +133,15 @@
     t.false(server.evidence.needsCheck());
   });
 }
+
+// A failure with a long body reached the caller cut off, and looked complete.
+test('a failure that is too long to be kept is not passed on', async (t) => {
+  const {observer, result, cancelled} = begin();
+  observer.head({status: 500, rawHeaders: [], endsWithConnection: false});
+  for (let index = 0; index < 3 && !cancelled(); index += 1) {
+    observer.data(Buffer.alloc(40_000));
+  }
+  t.true(cancelled());
+  const end = await result;
+  t.is(end.type === 'no-answer' ? end.end : end.type, 'unknown');
+});
