--- a/packages/entry-host/src/test/front/server-selection_test.ts
+++ b/packages/entry-host/src/test/front/server-selection_test.ts
@@ -26,12 +26,33 @@
 
 type Issuer = (server: Server, request: PrepareRequest) => void;
 
+type Permits = ConstructorParameters<typeof ServerSelector>[2];
+
+const FREE: Permits = {
+  acquire: () => Promise.resolve({granted: true}),
+  denial: () => undefined,
+};
+
+/** Denies the servers that `denies` names, with the time that it gives. */
+const denying = (denies: (id: string) => number | undefined): Permits => ({
+  ...FREE,
+  acquire: ({entry: {id}}) => {
+    const retryAfterMs = denies(id);
+    return Promise.resolve(
+      retryAfterMs === undefined
+        ? {granted: true}
+        : {granted: false, nextMs: 100, retryAfterMs},
+    );
+  },
+});
+
 /** Selects with issuers that have every adapter ready after `issuer` ran. */
 const select = async (
   issuer: (world: {
     readonly versions: AdapterVersions;
     readonly close: (id: string) => void;
   }) => Issuer,
+  permits: Permits = FREE,
 ) => {
   const fleet = new ViewFleet(1);
   const {context} = fleet.startHost('h0');
@@ -62,7 +83,7 @@
   const selector = new ServerSelector(
     context,
     broker,
-    {acquire: () => Promise.resolve({granted: true}), denial: () => undefined},
+    permits,
     new ResidencyCache(),
     versions,
     () => undefined,
@@ -109,3 +130,25 @@
   );
   t.is(selection.type === 'server' ? selection.version : undefined, 2);
 });
+
+test('a request goes elsewhere at once when a server is at its limit', async (t) => {
+  const [first = ''] = (await select(() => () => undefined)).asked.map(
+    ([id]) => id,
+  );
+  const {selection, asked} = await select(
+    () => () => undefined,
+    denying((id) => (id === first ? 3_000 : undefined)),
+  );
+  t.is(asked.length, 2);
+  t.not(selection.type === 'server' ? selection.server.entry.id : first, first);
+});
+
+test('a request is refused at once when all servers are at their limits', async (t) => {
+  const waits: Readonly<Record<string, number>> = {s0: 900, s1: 700, s2: 800};
+  const {selection, asked} = await select(
+    () => () => undefined,
+    denying((id) => waits[id]),
+  );
+  t.is(asked.length, 3, 'each was asked once');
+  t.like(selection, {type: 'none', retryAfterMs: 700});
+});
