End a limit although answers overlap without a gap

Callers' view: a server whose need was over could go on being spared for as long as it was busy.

Cause: of two answers that may have been given in either order the stricter counts, and each such answer, also one without a limit, moved on the time up to which the limit can have been said. Where requests overlap all the time none was ever later. Now an answer that is less strict leaves the known one as it is.

Evidence: a test of six overlapping answers failed before (the limit stayed) and passes. Found in reading the change; no play showed it.

--- a/packages/dispatch/src/servers/server-notices.ts
+++ b/packages/dispatch/src/servers/server-notices.ts
@@ -73,9 +73,8 @@
     this.limitedOnce ||= word.requestsPerSecond !== undefined;
     if (known === undefined || isLater(word, known)) {
       this.word = word;
-    } else if (!isLater(known, word)) {
-      const stricter = isStricter(word, known) ? word : known;
-      this.word = {...stricter, before: latest(word.before, known.before)};
+    } else if (!isLater(known, word) && !isStricter(known, word)) {
+      this.word = {...word, before: latest(word.before, known.before)};
     }
     return this.requestsPerSecond !== before;
   }
--- a/packages/dispatch/src/test/servers/server-notices_test.ts
+++ b/packages/dispatch/src/test/servers/server-notices_test.ts
@@ -26,6 +26,16 @@
   t.is(notices.requestsPerSecond, undefined);
 });
 
+// Answers to requests that overlap without a gap kept a limit that had ended.
+test('a limit ends though answers overlap all the time', (t) => {
+  const notices = new ServerNotices();
+  notices.take(limit(5), at(0), at(100));
+  for (let sentMs = 20; sentMs <= 100; sentMs += 20) {
+    notices.take(NOTHING, at(sentMs), at(sentMs + 100));
+  }
+  t.is(notices.requestsPerSecond, undefined);
+});
+
 test('of answers that crossed the stricter counts, in any order', (t) => {
   const word = fc.record({
     rate: fc.option(fc.integer({min: 1, max: 9}), {nil: undefined}),
