Let a late permit tell nothing of the peer that gives it

Callers' view: requests for cold adapters could be lost when the host that issues their orders also metered a limited server and was slow for a moment.

Cause: a permit is waited for 120 ms, as a request waits with it, and two answers that came later replaced the connection to the peer and ended all that waited on it.

Evidence: a test with a silent peer failed before (the link in doubt) and passes.

--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -47,6 +47,14 @@
 type Request = NonNullable<fleet.PeerRequest['request']>;
 type Response = fleet.PeerResponse['response'];
 
+interface CallOptions {
+  readonly signal?: AbortSignal;
+  /** Takes an answer that comes after the wait. */
+  readonly late?: (response: Response) => void;
+  /** The wait is too short for a missing answer to tell of the peer. */
+  readonly brief?: boolean;
+}
+
 /** Tells the timers of links apart. */
 let links = 0;
 
@@ -116,11 +124,13 @@
         },
       },
       maximumWaitMs + PREPARE_SLACK_MS,
-      signal,
-      (response_) => {
-        if (response_?.$case === 'prepare') {
-          late(decodeAnswer(response_.value));
-        }
+      {
+        signal,
+        late: (response_) => {
+          if (response_?.$case === 'prepare') {
+            late(decodeAnswer(response_.value));
+          }
+        },
       },
     );
     return response?.$case === 'prepare'
@@ -133,7 +143,7 @@
     value: fleet.PermitRequest,
   ): Promise<fleet.PermitResponse | undefined> {
     const request: Request = {$case: 'permit', value};
-    const response = await this.call(request, PERMIT_TIMEOUT_MS);
+    const response = await this.call(request, PERMIT_TIMEOUT_MS, {brief: true});
     return response?.$case === 'permit' ? response.value : undefined;
   }
 
@@ -165,8 +175,7 @@
   private call(
     request: Request,
     timeoutMs: number,
-    signal?: AbortSignal,
-    late?: (response: Response) => void,
+    {signal, late, brief = false}: CallOptions = {},
   ): Promise<Response> {
     return new Promise((resolve) => {
       const serial = this.write(request);
@@ -196,7 +205,9 @@
       this.pending.set(serial, settle);
       this.timers.after(timer, timeoutMs, () => {
         giveUp();
-        this.missed();
+        if (!brief) {
+          this.missed();
+        }
       });
       signal?.addEventListener('abort', giveUp, {once: true});
     });
--- a/packages/entry-host/src/test/peers/peer-link_test.ts
+++ b/packages/entry-host/src/test/peers/peer-link_test.ts
@@ -20,6 +20,18 @@
   among: 1,
 };
 
+const listen = (server: Server): Promise<number> =>
+  new Promise((resolve, reject) => {
+    const insecure = ServerCredentials.createInsecure();
+    server.bindAsync('127.0.0.1:0', insecure, (error, port) => {
+      if (error) {
+        reject(error);
+      } else {
+        resolve(port);
+      }
+    });
+  });
+
 test('passes a silent peer over, and takes a late answer for a release', async (t) => {
   let now = 0;
   const clock = {now: () => ({monotonicMs: now, wallMs: now})};
@@ -45,16 +57,7 @@
       call.on('error', () => undefined);
     },
   });
-  const port = await new Promise<number>((resolve, reject) => {
-    const insecure = ServerCredentials.createInsecure();
-    server.bindAsync('127.0.0.1:0', insecure, (error, bound) => {
-      if (error) {
-        reject(error);
-      } else {
-        resolve(bound);
-      }
-    });
-  });
+  const port = await listen(server);
   const link = new PeerLink(`127.0.0.1:${port}`, new TimerService(), clock);
   const signal = new AbortController().signal;
   const late = new Promise((resolve) => {
@@ -70,3 +73,20 @@
   link.close();
   server.forceShutdown();
 });
+
+// The connection to a peer was replaced, and all that waited on it lost, when two
+// permits took longer than a request can wait for them.
+test('a permit that does not come in time tells nothing of the peer', async (t) => {
+  const server = new Server();
+  server.addService(fleet.FleetServiceService, {converse: () => undefined});
+  const port = await listen(server);
+  const clock = {now: () => ({monotonicMs: 0, wallMs: 0})};
+  const address = `127.0.0.1:${port}`;
+  const link = new PeerLink(address, new TimerService(), clock);
+  const permit = {serverRun: 's#1', priority: 0, word: undefined};
+  t.is(await link.permit(permit), undefined);
+  t.is(await link.permit(permit), undefined);
+  t.false(link.doubtful);
+  link.close();
+  server.forceShutdown();
+});
