Refuse a limit from a peer that is no rate

Callers' view: none was seen. A rate that is not a number would have made a meter that gives no permit ever, on all hosts that it was passed on to.

Cause: what a server says is checked where it is decoded, what a peer passes on was not. It is refused with a line now.

Evidence: two tests of the codec; without the check the second fails (the limit of 3 gave way).

--- a/packages/entry-host/src/peers/word-codec.ts
+++ b/packages/entry-host/src/peers/word-codec.ts
@@ -68,6 +68,11 @@
   {earliest, latest}: Looked,
 ): void => {
   const server = servers.get(serverRun);
+  const perSecond = rate?.requestsPerSecond ?? 0;
+  if (!Number.isFinite(perSecond) || perSecond < 0) {
+    logger.warn('a word on a server is refused', {server: serverRun});
+    return;
+  }
   const word = rate && {
     requestsPerSecond: rate.requestsPerSecond,
     after: before(earliest, rate.sentAgeMs),
