--- a/packages/dispatch/src/servers/request-meter.ts
+++ b/packages/dispatch/src/servers/request-meter.ts
@@ -75,6 +75,7 @@
     return {granted: false, nextMs, retryAfterMs: nextMs + waitingMs};
   }
 
+  /** What it would let go now; nothing is taken. */
   room(at: Instant): MeterRoom {
     this.refill(at);
     return {free: this.level >= 1, msPerRequest: 1_000 / this.perSecond};
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -431,6 +431,7 @@
     }
   }
 
+  /** Checks one server, if its limit allows. */
   private async checkServer(server: Server, path: string): Promise<void> {
     const {logger, clock} = this.context;
     const permit = await this.permits.acquire(server, LAST_PRIORITY);
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -155,6 +155,7 @@
     return waits.length === 0 ? undefined : Math.min(...waits);
   }
 
+  /** Chooses a server regardless of limits. */
   private async choose(selection: SelectionRequest): Promise<Selection> {
     const {request, route, service, remainingMs} = selection;
     const {servers, clock} = this.context;
