Expect only versions above the first of a server, as before

Callers' view: none was seen. The change of the choice's result to carry a permit turned 'above the first' into 'not the first', so that a version of 0, what a peer's message holds where none was set, would have been expected of a server.

Found in reading the whole change once more.

--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -480,7 +480,7 @@
 ): Selection => ({
   type: 'server',
   server,
-  version: version === FIRST_VERSION ? undefined : version,
+  version: (version ?? 0) > FIRST_VERSION ? version : undefined,
   reason,
   permitted: false,
 });
