--- a/packages/dispatch/src/configuration/configuration.ts
+++ b/packages/dispatch/src/configuration/configuration.ts
@@ -41,6 +41,8 @@
   sticky: z.boolean(),
   /** An interrupted stream may go on at another server. */
   resumable: z.boolean(),
+  /** Needs no key although the configuration names tenants. */
+  open: z.boolean().optional(),
 });
 export type Route = z.infer<typeof routeSchema>;
 
@@ -74,6 +76,30 @@
 });
 export type Service = z.infer<typeof serviceSchema>;
 
+/** What a tenant may use over all hosts together. */
+export const tenantQuotaSchema = z.object({
+  /** What rate and burst are counted in. */
+  unit: z.enum(['requests', 'tokens']),
+  perSecond: z.number().positive(),
+  /** May be used at once after a quiet time. */
+  burst: z.number().nonnegative(),
+  /** Tokens of a request that does not say how many it uses. */
+  plainTokens: z.number().nonnegative(),
+});
+export type TenantQuota = z.infer<typeof tenantQuotaSchema>;
+
+/** A customer of the operator, known by its keys. */
+export const tenantSchema = z.object({
+  name: z.string().min(1),
+  /** SHA-256 of each key, base64url: keys themselves are kept nowhere. */
+  keyDigests: z.array(z.string().length(43)),
+  /** Rank that goes before the rank of the route; 0 is first. */
+  priority: z.number().int().nonnegative().optional(),
+  /** Absent where it may use any amount. */
+  quota: tenantQuotaSchema.optional(),
+});
+export type Tenant = z.infer<typeof tenantSchema>;
+
 /** Bounds on what a caller may send, and how slowly. */
 export const callerLimitsSchema = z.object({
   maximumHeaderBytes: z.number().int().positive(),
@@ -89,6 +115,8 @@
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
   limits: callerLimitsSchema,
+  /** Requests need a tenant's key, but on open routes; absent: none does. */
+  tenants: z.array(tenantSchema).optional(),
 });
 export type ServingConfiguration = z.infer<typeof servingConfigurationSchema>;
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,3 +3,4 @@
 export * from './fleet/index.js';
 export * from './requests/index.js';
 export * from './servers/index.js';
+export * from './tenants/index.js';
--- /dev/null
+++ b/packages/dispatch/src/tenants/index.ts
@@ -0,0 +1,1 @@
+export * from './key-digest.js';
--- a/packages/entry-host/src/ports.ts
+++ b/packages/entry-host/src/ports.ts
@@ -93,6 +93,15 @@
 export interface HeaderLoad {
   readonly running: number;
   readonly waiting: number;
+  /** How long work takes there now against the usual, 1 as usual; if told. */
+  readonly slowness?: number | undefined;
+}
+
+/** Tokens that a caller says its request takes. */
+export interface TokenUsage {
+  readonly promptTokens: number;
+  /** At the most. */
+  readonly outputTokens: number;
 }
 
 /** Names of the headers that callers and servers use. */
@@ -112,6 +121,11 @@
   readonly priority: string;
   readonly lastEventId: string;
   readonly serverLoad: string;
+  /** A tenant's key; not for servers. */
+  readonly key: string;
+  /** Name of the tenant, for servers. */
+  readonly tenant: string;
+  readonly tokenUsage: string;
   /** Set by entry hosts only; those of callers are dropped. */
   readonly reserved: readonly string[];
 }
@@ -127,6 +141,8 @@
     status: number,
     header: (name: string) => string | undefined,
   ): ServerNotice;
+  /** Undefined where the value can't be read. */
+  readTokenUsage(value: string): TokenUsage | undefined;
   /** Names of a prompt's parts that other requests share. */
   readSharedParts(value: string): readonly string[];
 }
--- a/packages/entry-host/src/settings-reload.ts
+++ b/packages/entry-host/src/settings-reload.ts
@@ -8,6 +8,8 @@
   'orderLeaseMs',
   'newsBounds',
   'retryBudget',
+  'keyRevocationMs',
+  'quotaTolerance',
 ] as const satisfies readonly (keyof EntryHostSettings)[];
 
 /** What became of a settings file that was read again. */
@@ -43,6 +45,8 @@
     orderLeaseMs,
     newsBounds,
     retryBudget,
+    keyRevocationMs,
+    quotaTolerance,
   } = next;
   return {
     settings: {
@@ -53,6 +57,8 @@
       orderLeaseMs,
       newsBounds,
       retryBudget,
+      keyRevocationMs,
+      quotaTolerance,
     },
     applied: changed.filter((name) => live.includes(name)),
     needRestart: changed.filter((name) => !live.includes(name)),
--- a/packages/entry-host/src/settings-schema.ts
+++ b/packages/entry-host/src/settings-schema.ts
@@ -53,6 +53,21 @@
     extra: z.number().nonnegative(),
     windowS: z.number().positive(),
   }),
+  /**
+   * Time in which all hosts, in touch or not, refuse a key that was taken away,
+   * milliseconds; a host that can't know takes no requests with keys.
+   */
+  keyRevocationMs: z.number().positive().optional(),
+  /** How exactly quotas of tenants are kept, in any window. */
+  quotaTolerance: z
+    .object({
+      windowS: z.number().positive().default(8),
+      /** Share of a quota that may be used beyond it. */
+      share: z.number().nonnegative().default(0.1),
+      /** What may be used besides, in the quota's unit. */
+      extra: z.number().nonnegative().default(0),
+    })
+    .default({windowS: 8, share: 0.1, extra: 0}),
   /** The machine; larger ones do more of the work for other hosts. */
   machine: z
     .object({
@@ -60,6 +75,8 @@
       coreShare: z.number().positive().default(1),
       cores: z.number().positive().default(1),
       linkMbps: z.number().positive().default(1_000),
+      /** Memory that the process may use, megabytes. */
+      memoryMb: z.number().positive().optional(),
     })
     .default({coreShare: 1, cores: 1, linkMbps: 1_000}),
   logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
--- a/packages/entry-host/src/test/front/caller-request_test.ts
+++ b/packages/entry-host/src/test/front/caller-request_test.ts
@@ -21,6 +21,9 @@
   priority: 'X-Priority',
   lastEventId: 'Last-Event-Id',
   serverLoad: 'X-Load',
+  key: 'X-Key',
+  tenant: 'X-Tenant',
+  tokenUsage: 'X-Tokens',
   reserved: ['X-Hold'],
 };
 
--- a/packages/entry-host/src/test/orders/claim-keeper_test.ts
+++ b/packages/entry-host/src/test/orders/claim-keeper_test.ts
@@ -48,6 +48,7 @@
         adapterVersionMs: 5_000,
       },
       retryBudget: {ratio: 0.2, extra: 10, windowS: 10},
+      quotaTolerance: {windowS: 8, share: 0.1, extra: 0},
       machine: {coreShare: 1, cores: 1, linkMbps: 1_000},
       logLevel: 'error',
     },
