Hash short texts without WebAssembly

Callers' view: none; hosts agree on the same places as before.

Cause: rendezvous hashes came from a WebAssembly library, whose loading is asynchronous: each module that hashes waited for it at start, and the entry host's bundle could not be a script.

Change: XXH32 in a few lines. The 64-bit digest of configuration parts stays with the library, in a module of its own that an entry host doesn't load.

--- a/packages/core/src/configuration/head.ts
+++ b/packages/core/src/configuration/head.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 
-import {contentDigest, hashFraction} from '../lib/hash.js';
+import {contentDigest} from '../lib/content-digest.js';
+import {hashFraction} from '../lib/hash.js';
 import {compareText} from '../lib/compare-text.js';
 import type {AdapterId} from '../identifiers.js';
 import {type AdapterEntry, adapterEntrySchema} from './adapter-entry.js';
