Write log lines without a library

Callers' view: the same lines.

Cause: consola was loaded at each start with its terminal reporters and prompts, though all that was used of it is one JSON line for each message.

Change: levels and lines are made in logger.ts.

Evidence: logger_test passes unchanged.

--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -1,5 +1,3 @@
-import {createConsola, type ConsolaInstance, LogLevels} from 'consola';
-
 /** Fields of a log line besides time, level, host and message. */
 export type LogFields = Readonly<
   Record<string, string | number | boolean | undefined>
@@ -14,41 +12,32 @@
   debug(message: string, fields?: LogFields): void;
 }
 
+/** Levels from the gravest to the least. */
+const LEVELS = ['error', 'warn', 'info', 'debug'] as const;
+type Level = (typeof LEVELS)[number];
+
 /** Returns a logger whose lines carry the host's name. */
 export const createLogger = (
   host: string,
-  level: 'error' | 'warn' | 'info' | 'debug',
+  level: Level,
   write: (line: string) => void = (line) => {
     process.stdout.write(line);
   },
 ): Logger => {
-  const consola = createConsola({
-    level: LogLevels[level],
-    throttle: 0,
-    reporters: [
-      {
-        log: ({date, type, args}) => {
-          const [message, fields] = args as [string, LogFields?];
-          const line = {time: date.toISOString(), level: type, host, message};
-          write(`${JSON.stringify({...line, ...fields, ...line})}\n`);
-        },
-      },
-    ],
-  });
-  return toLogger(consola);
+  const log = (of: Level) => {
+    if (LEVELS.indexOf(of) > LEVELS.indexOf(level)) {
+      return () => undefined;
+    }
+    return (message: string, fields?: LogFields) => {
+      const time = new Date().toISOString();
+      const line = {time, level: of, host, message};
+      write(`${JSON.stringify({...line, ...fields, ...line})}\n`);
+    };
+  };
+  return {
+    error: log('error'),
+    warn: log('warn'),
+    info: log('info'),
+    debug: log('debug'),
+  };
 };
-
-const toLogger = (consola: ConsolaInstance): Logger => ({
-  error: (message, fields) => {
-    consola.error(message, fields);
-  },
-  warn: (message, fields) => {
-    consola.warn(message, fields);
-  },
-  info: (message, fields) => {
-    consola.info(message, fields);
-  },
-  debug: (message, fields) => {
-    consola.debug(message, fields);
-  },
-});
