--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -1,8 +1,11 @@
 import {randomBytes} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
-import {createServer, type Server as HttpServer} from 'node:http';
+import {
+  createServer,
+  type RequestListener,
+  type Server as HttpServer,
+} from 'node:http';
 
-import {getRequestListener} from '@hono/node-server';
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   type Clock,
@@ -28,11 +31,11 @@
   type StoreKind,
   StoreViews,
 } from '@basilworks/dispatch';
-import {Hono} from 'hono';
 import {ok, type Result} from 'neverthrow';
 
 import type {EntryHostContext} from './context.js';
 import {BoundedLogger} from './lib/bounded-logger.js';
+import {plainRoutes} from './lib/plain-routes.js';
 import {FrontListener, ServerSelector} from './front/index.js';
 import {EntryHostMetrics} from './metrics.js';
 import {AdapterBroker, ClaimKeeper} from './orders/index.js';
@@ -449,48 +452,52 @@
     logger.info('server checked', {server: server.entry.id, status});
   }
 
-  private readinessRoutes(): Hono {
-    const app = new Hono();
-    app.get(this.context.platform.host.readyPath, (call) =>
-      call.body(null, this.ready ? 200 : 503),
-    );
-    return app;
+  private readinessRoutes(): RequestListener {
+    return plainRoutes({
+      [this.context.platform.host.readyPath]: () => ({
+        status: this.ready ? 200 : 503,
+      }),
+    });
   }
 
-  private directoryRoutes(): Hono {
+  private directoryRoutes(): RequestListener {
     const {platform, membership, random} = this.context;
     const {host} = platform;
-    const app = new Hono();
-    app.get(host.addressPath, (call) => {
-      const addresses = addressAnswer(
-        membership.live(),
-        call.req.query(host.zoneParameter),
-        membership.self(),
-        random,
-      );
-      return call.json(
-        host.addressAnswer(
-          addresses,
-          Math.min(ADDRESS_LIFETIME_S, this.settings.addressLifetimeS),
-        ),
-      );
+    return plainRoutes({
+      [host.addressPath]: (query) => {
+        const addresses = addressAnswer(
+          membership.live(),
+          query.get(host.zoneParameter) ?? undefined,
+          membership.self(),
+          random,
+        );
+        const lifetimeS = Math.min(
+          ADDRESS_LIFETIME_S,
+          this.settings.addressLifetimeS,
+        );
+        return {
+          status: 200,
+          contentType: 'application/json',
+          body: JSON.stringify(host.addressAnswer(addresses, lifetimeS)),
+        };
+      },
     });
-    return app;
   }
 
-  private metricsRoutes(): Hono {
+  private metricsRoutes(): RequestListener {
     const {registry} = this.context.metrics;
-    const app = new Hono();
-    app.get('/metrics', async (call) => call.text(await registry.metrics()));
-    return app;
+    return plainRoutes({
+      '/metrics': async () => ({
+        status: 200,
+        contentType: 'text/plain;charset=UTF-8',
+        body: await registry.metrics(),
+      }),
+    });
   }
 
-  private serve(address: string, app: Hono): void {
+  private serve(address: string, routes: RequestListener): void {
     const [host, port] = splitAddress(address);
-    const listener = getRequestListener(app.fetch);
-    const server = createServer((request, response) => {
-      void listener(request, response);
-    });
+    const server = createServer(routes);
     server.on('error', (error) => {
       this.context.logger.error('a listener failed', {
         address,
--- /dev/null
+++ b/packages/entry-host/src/test/lib/plain-routes_test.ts
@@ -0,0 +1,38 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import test from 'ava';
+
+import {plainRoutes} from '../../lib/plain-routes.js';
+
+test('plain routes answer their paths, and 404 elsewhere', async (t) => {
+  const server = createServer(
+    plainRoutes({
+      '/ready': () => ({status: 503}),
+      '/broken': () => Promise.reject(new Error('broken')),
+      '/zone': async (query) =>
+        Promise.resolve({
+          status: 200,
+          contentType: 'application/json',
+          body: JSON.stringify({zone: query.get('zone')}),
+        }),
+    }),
+  );
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  const ask = async (path: string, method = 'GET') => {
+    const answer = await fetch(`http://127.0.0.1:${port}${path}`, {method});
+    return [answer.status, await answer.text()];
+  };
+  t.deepEqual(await ask('/ready'), [503, '']);
+  t.deepEqual(await ask('/zone?zone=a%20b'), [200, '{"zone":"a b"}']);
+  t.deepEqual(await ask('/zone', 'HEAD'), [200, '']);
+  t.is((await ask('/zone', 'POST'))[0], 404);
+  t.is((await ask('/constructor'))[0], 404);
+  t.is((await ask('/other'))[0], 404);
+  t.is((await ask('/broken'))[0], 500);
+  server.close();
+  server.closeAllConnections();
+});
