Call the store with the runtime's HTTP client

Callers' view: none.

It parses answers with WebAssembly, which is compiled at the first call of each start.

Change: StoreClient on node:http, with the same times to connect and to keep a connection, and the same proof that a call did not leave this host.

--- /dev/null
+++ b/packages/entry-host/src/store/store-client.ts
@@ -0,0 +1,139 @@
+import {Agent, type IncomingMessage, request as startRequest} from 'node:http';
+
+import type {TimerService} from '@basilworks/daemon';
+import {err, ok, type Result, ResultAsync} from 'neverthrow';
+
+import {StoreError} from '../ports.js';
+
+/** Longest time to connect to the store, milliseconds. */
+const CONNECT_TIMEOUT_MS = 600;
+
+/** Idle connections to the store are closed after this, milliseconds. */
+const KEEP_ALIVE_MS = 4_000;
+
+/** Idle time before the system probes a connection, milliseconds. */
+const PROBE_MS = 60_000;
+
+/** A call over HTTP. */
+export interface StoreCall {
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  readonly path: string;
+  /** Sent as JSON. */
+  readonly body?: object | undefined;
+  /** Milliseconds until the call is given up. */
+  readonly timeoutMs: number;
+}
+
+/** A whole answer over HTTP. */
+export interface StoreAnswer {
+  readonly status: number;
+  readonly text: string;
+}
+
+/**
+ * Calls to the metadata store over kept connections. A call fails as `refused`
+ * only where it is proved that no byte of it left this host.
+ */
+export class StoreClient {
+  private readonly agent = new Agent({
+    keepAlive: true,
+    keepAliveMsecs: PROBE_MS,
+    timeout: KEEP_ALIVE_MS,
+    scheduling: 'lifo',
+  });
+  private readonly host: string;
+  private readonly port: string;
+  private serial = 0;
+
+  constructor(
+    private readonly address: string,
+    private readonly timers: TimerService,
+  ) {
+    [this.host = '', this.port = ''] = address.split(':');
+  }
+
+  /** Runs a call and collects its answer. */
+  run({
+    method,
+    path,
+    body,
+    timeoutMs,
+  }: StoreCall): ResultAsync<StoreAnswer, StoreError> {
+    const {agent, host, port, timers} = this;
+    const timer = `store-call/${(this.serial += 1)}`;
+    const text = body === undefined ? '' : JSON.stringify(body);
+    const request = startRequest({
+      agent,
+      host,
+      port,
+      method,
+      path,
+      headers: {
+        host: this.address,
+        ...(body === undefined
+          ? {}
+          : {
+              'content-type': 'application/json',
+              'content-length': Buffer.byteLength(text),
+            }),
+      },
+    });
+    return new ResultAsync(
+      new Promise<Result<StoreAnswer, StoreError>>((resolve) => {
+        let sent = false;
+        const settle = (result: Result<StoreAnswer, StoreError>) => {
+          timers.cancel(timer);
+          timers.cancel(`${timer}/connect`);
+          resolve(result);
+        };
+        const fail = (detail: string) => {
+          settle(err(new StoreError(sent ? 'missing' : 'refused', detail)));
+          request.destroy();
+        };
+        const connected = () => {
+          sent = true;
+          timers.cancel(`${timer}/connect`);
+        };
+        timers.after(timer, timeoutMs, () => {
+          fail('timeout');
+        });
+        request.on('socket', (socket) => {
+          if (!socket.connecting) {
+            connected();
+            return;
+          }
+          socket.once('connect', connected);
+          timers.after(`${timer}/connect`, CONNECT_TIMEOUT_MS, () => {
+            fail('connect timeout');
+          });
+        });
+        request.on('error', ({message}) => {
+          fail(message);
+        });
+        request.on('response', (response) => {
+          collect(response, fail, (answer) => {
+            settle(ok({status: response.statusCode ?? 0, text: answer}));
+          });
+        });
+        request.end(text);
+      }),
+    );
+  }
+}
+
+const collect = (
+  response: IncomingMessage,
+  onFailure: (detail: string) => void,
+  onEnd: (text: string) => void,
+): void => {
+  const chunks: Buffer[] = [];
+  response.on('data', (chunk: Buffer) => {
+    chunks.push(chunk);
+  });
+  response.on('error', ({message}) => {
+    onFailure(message);
+  });
+  response.on('end', () => {
+    onEnd(Buffer.concat(chunks).toString());
+  });
+};
--- /dev/null
+++ b/packages/entry-host/src/test/store/store-client_test.ts
@@ -0,0 +1,70 @@
+import {createServer, type RequestListener} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import {TimerService} from '@basilworks/daemon';
+import test, {type ExecutionContext} from 'ava';
+
+import {type StoreCall, StoreClient} from '../../index.js';
+
+const CALL: StoreCall = {method: 'GET', path: '/x', timeoutMs: 20_000};
+
+/** A store that answers every call in one way. */
+const serve = async (t: ExecutionContext, answer: RequestListener) => {
+  const server = createServer(answer);
+  let connections = 0;
+  server.on('connection', () => {
+    connections += 1;
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const {port} = server.address() as AddressInfo;
+  const client = new StoreClient(`127.0.0.1:${port}`, new TimerService());
+  return {client, server, connections: () => connections};
+};
+
+const failureOf = async (client: StoreClient, call: Partial<StoreCall> = {}) =>
+  (await client.run({...CALL, ...call}))._unsafeUnwrapErr().failure;
+
+test('calls bring whole answers over one kept connection', async (t) => {
+  const {client, connections} = await serve(t, (request, response) => {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => {
+      const body = Buffer.concat(chunks).toString();
+      response.writeHead(409).write(`${request.method} ${request.url} `);
+      response.end(body);
+    });
+  });
+  const put: StoreCall = {...CALL, method: 'PUT', body: {name: 'é'}};
+  for (const call of [put, CALL, {...CALL, method: 'DELETE'}] as const) {
+    const {status, text} = (await client.run(call))._unsafeUnwrap();
+    t.is(status, 409);
+    const sent = call.body === undefined ? '' : JSON.stringify(call.body);
+    t.is(text, `${call.method} /x ${sent}`);
+  }
+  t.is(connections(), 1);
+});
+
+test('a call without an answer may have reached the store', async (t) => {
+  const cut = await serve(t, (request) => request.socket.destroy());
+  t.is(await failureOf(cut.client), 'missing');
+  const half = await serve(t, (_request, response) => {
+    response.writeHead(200, {'content-length': 9}).write('half', () => {
+      response.destroy();
+    });
+  });
+  t.is(await failureOf(half.client), 'missing');
+  const silent = await serve(t, () => undefined);
+  t.is(await failureOf(silent.client, {timeoutMs: 300}), 'missing');
+});
+
+test('a call that was never connected did not reach the store', async (t) => {
+  // Nothing listens on this port.
+  const client = new StoreClient('127.0.0.1:1', new TimerService());
+  t.is(await failureOf(client), 'refused');
+});
