--- a/eslint.config.js
+++ b/eslint.config.js
@@ -48,5 +48,16 @@
       globals: {process: 'readonly', console: 'readonly', URL: 'readonly'},
     },
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: {
+        __dirname: 'readonly',
+        process: 'readonly',
+        setTimeout: 'readonly',
+      },
+    },
+  },
   prettier,
 );
