Leave an absent bound of revocations out of reloaded settings

For operators: settings that are read again without `keyRevocationMs` no longer hold it as undefined, and the bound ends with its line in the file.

Cause: the setting is optional and was copied whether it was there or not.

Change: it is dropped from the running settings and copied where it is given.

--- a/packages/entry-host/src/settings-reload.ts
+++ b/packages/entry-host/src/settings-reload.ts
@@ -48,17 +48,20 @@
     keyRevocationMs,
     quotaTolerance,
   } = next;
+  // Absent in the file that was read again, it binds no more.
+  const kept = {...current};
+  delete kept.keyRevocationMs;
   return {
     settings: {
-      ...current,
+      ...kept,
       seeds,
       addressLifetimeS,
       stopGraceS,
       orderLeaseMs,
       newsBounds,
       retryBudget,
-      keyRevocationMs,
       quotaTolerance,
+      ...(keyRevocationMs === undefined ? {} : {keyRevocationMs}),
     },
     applied: changed.filter((name) => live.includes(name)),
     needRestart: changed.filter((name) => !live.includes(name)),
