Serve requests of tenants under their names, by their keys

Callers' view: where the configuration names tenants, a request needs a tenant's key but on open routes. Without a proper one it gets 401; at a host that can't know whether keys were taken away it gets 503 with Retry-After. Servers get the tenant's name and neither the key nor a name that the caller set. A tenant's rank goes before its route's in admission, permits, prepares and at the servers.

Cause: no host read a key, so that a deployment with tenants served anyone.

Change: a ring of digests for each configuration, refused whole where tenants can't be told apart; what is found for a request in one table; the age of the confirmation of the configuration in use, at the request and again in the turn of its first byte, there by the keys of that turn. A view that this host could not use confirms nothing of the one in use. An unknown key is 401 only while the configuration is confirmed within `newsBounds.configurationMs`: beyond it the key may be new. Configurations are read by the revocation's bound where that is shorter. A configuration without tenants passes requests as before.

Tests: rows of the table, a host whose view grows old by either clock, a wall clock that steps back, a freeze between choice and first byte, a key taken away there, a newer configuration that can't be used; no log line or send has the key. Names of headers in three tests come from one file now.

--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -19,6 +19,7 @@
   FleetLoad,
   hostCapacity,
   type HostStatus,
+  KeyRing,
   Membership,
   ResidencyCache,
   RouteTable,
@@ -303,8 +304,9 @@
   /** Handlers of newer views; see `VIEW_HANDLERS`. */
   useConfiguration(): void {
     const {views, logger} = this.context;
-    const value = views.get('configuration')?.snapshot.items[0]?.value;
-    if (value === undefined) {
+    const snapshot = views.get('configuration')?.snapshot;
+    const value = snapshot?.items[0]?.value;
+    if (snapshot === undefined || value === undefined) {
       return;
     }
     const parsed = servingConfigurationSchema.safeParse(value);
@@ -313,14 +315,23 @@
       logger.error('a configuration is malformed', {problem});
       return;
     }
-    if (parsed.data.version < (this.routes?.configuration.version ?? 0)) {
+    const {version, tenants} = parsed.data;
+    if (version < this.routeVersion) {
+      // Keys wait for a newer one, as this host does not go by the newest.
+      logger.error('a configuration is older than the one in use', {version});
+      return;
+    }
+    const ring = tenants === undefined ? ok(undefined) : KeyRing.of(tenants);
+    if (ring.isErr()) {
+      const problem = ring.error.message;
+      logger.error('a configuration is ambiguous', {version, problem});
       return;
     }
     this.routes = new RouteTable(parsed.data);
-    this.front.use(this.routes);
+    this.front.use(this.routes, ring.value, snapshot.at);
     this.broker.review();
     logger.info('configuration in use', {
-      version: parsed.data.version,
+      version,
       routes: parsed.data.routes.length,
       ageMs: Math.round(views.ageMs('configuration', this.context.clock.now())),
     });
--- a/packages/entry-host/src/front/caller-request.ts
+++ b/packages/entry-host/src/front/caller-request.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 
 import type {Instant} from '@basilworks/core';
+import type {Caller} from '@basilworks/dispatch';
 
 import type {HeaderNames} from '../ports.js';
 import {headerValue} from '../upstream/index.js';
@@ -94,14 +95,19 @@
   readonly priority: number;
   /** Last event that the caller has of a stream that goes on. */
   readonly resumeAfter: string | undefined;
+  /** Absent where the configuration names no tenants. */
+  readonly caller?: Caller;
 }
 
+const UNNAMED: Caller = {type: 'unnamed'};
+
 /** Writes the head of a request to a server. */
 export const writeRequestHead = (
   request: CallerRequest,
   names: HeaderNames,
   details: SendDetails,
 ): string => {
+  const {caller = UNNAMED} = details;
   const dropped = new Set(
     [
       ...names.reserved,
@@ -111,6 +117,7 @@
       names.priority,
       'content-length',
       ...(details.resumeAfter === undefined ? [] : [names.lastEventId]),
+      ...(caller.type === 'unnamed' ? [] : [names.key, names.tenant]),
     ].map((name) => name.toLowerCase()),
   );
   const lines = [`${request.method} ${request.target} HTTP/1.1`];
@@ -129,6 +136,9 @@
   if (details.resumeAfter !== undefined) {
     lines.push(`${names.lastEventId}: ${details.resumeAfter}`);
   }
+  if (caller.type === 'tenant') {
+    lines.push(`${names.tenant}: ${caller.tenant.name}`);
+  }
   const hasBody = request.body.length > 0;
   if (hasBody || !['GET', 'HEAD', 'DELETE'].includes(request.method)) {
     lines.push(`Content-Length: ${request.body.length}`);
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -8,14 +8,26 @@
 import type {Duplex} from 'node:stream';
 
 import {ListenError} from '@basilworks/daemon';
-import type {CallerLimits, RetryBudget, RouteTable} from '@basilworks/dispatch';
-import {chooseTarget, RetryBudget as Budget} from '@basilworks/dispatch';
+import {
+  type Caller,
+  type CallerLimits,
+  chooseTarget,
+  IDENTITY_REFUSALS,
+  type IdentityRefusal,
+  type KeyRing,
+  retryAfterMs,
+  RetryBudget,
+  type Route,
+  type RouteTable,
+  type Service,
+} from '@basilworks/dispatch';
 import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
 import type {UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
-import {readCallerRequest} from './caller-request.js';
+import {CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
+import {type CallerRequest, readCallerRequest} from './caller-request.js';
 import {RequestRun} from './request-run.js';
 import type {ServerSelector} from './server-selection.js';
 
@@ -45,6 +57,7 @@
   private readonly budgets = new Map<string, RetryBudget>();
   /** Connections that have had a request. */
   private readonly used = new WeakSet<Socket>();
+  private readonly gate: CallerGate;
   private routes: RouteTable | undefined;
   private limits = FIRST_LIMITS;
   private inProgress = 0;
@@ -55,6 +68,7 @@
     private readonly pools: UpstreamPools,
     private readonly selector: ServerSelector,
   ) {
+    this.gate = new CallerGate(context);
     this.server = createServer(
       {
         maxHeaderSize: PARSER_HEAD_BYTES,
@@ -78,9 +92,13 @@
     return this.inProgress;
   }
 
-  /** Takes a newer configuration into use. */
-  use(routes: RouteTable): void {
+  /**
+   * Takes a newer configuration into use, of a revision of the store; `ring`
+   * holds the keys of its tenants, if it has any.
+   */
+  use(routes: RouteTable, ring: KeyRing | undefined, revision: number): void {
     this.routes = routes;
+    this.gate.use(ring, revision);
     this.limits = routes.configuration.limits;
     this.applyLimits();
   }
@@ -179,6 +197,12 @@
       refuse(404, 'no route');
       return;
     }
+    const caller = this.gate.identify(rawHeaders, route);
+    if (caller.type === 'refused') {
+      this.refuseCaller(message, answer, route, caller.reason);
+      return;
+    }
+    this.admitCaller(caller);
     const service = this.routes.service(
       chooseTarget(route, this.context.random()) ?? '',
     );
@@ -186,11 +210,21 @@
       refuse(503, 'the route has no service');
       return;
     }
-    const {context, pools, selector} = this;
+    await this.serve(request, ranked(route, caller), service, caller, answer);
+  }
+
+  private serve(
+    request: CallerRequest,
+    route: Route,
+    service: Service,
+    caller: Caller,
+    answer: CallerAnswer,
+  ): Promise<void> {
+    const {context, pools, selector, gate} = this;
     const budget = this.budgetOf(service.name);
-    const parts = {context, pools, selector, budget};
-    const run = new RequestRun(parts, request, route, service, answer);
-    await run.run();
+    const parts = {context, pools, selector, budget, gate};
+    const run = new RequestRun(parts, request, route, service, answer, caller);
+    return run.run();
   }
 
   /**
@@ -218,16 +252,39 @@
     if (known !== undefined) {
       return known;
     }
-    const budget = new Budget(() => this.context.settings.retryBudget);
+    const budget = new RetryBudget(() => this.context.settings.retryBudget);
     this.budgets.set(service, budget);
     return budget;
   }
 
+  private admitCaller(caller: Caller): void {
+    if (caller.type === 'tenant') {
+      const {name: tenant} = caller.tenant;
+      this.context.metrics.tenantRequests.inc({tenant, outcome: 'admitted'});
+    }
+  }
+
+  private refuseCaller(
+    message: IncomingMessage,
+    answer: CallerAnswer,
+    {timeoutMs}: Route,
+    reason: IdentityRefusal,
+  ): void {
+    const {metrics, random} = this.context;
+    metrics.tenantRequests.inc({tenant: 'none', outcome: reason});
+    const {status, detail} = IDENTITY_REFUSALS[reason];
+    const waitMs = retryAfterMs(UNCONFIRMED_RETRY_MS, timeoutMs, random);
+    const headers =
+      status === 503 ? ['Retry-After', (waitMs / 1_000).toFixed(2)] : [];
+    this.reject(message, answer, status, detail, headers);
+  }
+
   private reject(
     message: IncomingMessage,
     answer: CallerAnswer,
     status: number,
     reason: string,
+    rawHeaders: readonly string[] = [],
   ): void {
     const {logger, metrics} = this.context;
     const outcome = 'rejected';
@@ -238,8 +295,9 @@
       requestHost: message.headers.host,
       target: message.url,
       configuration: this.routes?.configuration.version,
+      configurationAgeMs: Math.round(this.gate.confirmedAgeMs()),
     });
-    answer.send(status, [], Buffer.alloc(0));
+    answer.send(status, rawHeaders, Buffer.alloc(0));
   }
 
   private rejectBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
@@ -256,6 +314,13 @@
   }
 }
 
+/** The route with the rank of its caller's tenant, if that has one. */
+const ranked = (route: Route, caller: Caller): Route => {
+  const priority =
+    caller.type === 'tenant' ? caller.tenant.priority : undefined;
+  return priority === undefined ? route : {...route, priority};
+};
+
 /** Resolves once the loop has polled for input again. */
 const nextPoll = (): Promise<void> =>
   new Promise((resolve) => {
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -1,5 +1,6 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
+  type Caller,
   mayRepeat,
   nextStep,
   retryAfterMs,
@@ -13,6 +14,7 @@
 import type {EntryHostContext} from '../context.js';
 import type {ResponseHead, UpstreamPools} from '../upstream/index.js';
 import type {CallerAnswer} from './caller-answer.js';
+import {type CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
 import {type CallerRequest, endToEndHeaders} from './caller-request.js';
 import {EventSplitter} from './event-splitter.js';
 import {type SendResult, ServerSend} from './server-send.js';
@@ -24,6 +26,7 @@
   readonly pools: UpstreamPools;
   readonly selector: ServerSelector;
   readonly budget: RetryBudget;
+  readonly gate: Pick<CallerGate, 'mayStillSend'>;
 }
 
 /** Statuses that promise that a request has not run and never will. */
@@ -35,6 +38,13 @@
 /** A caller that takes no bytes for this long has left, milliseconds. */
 const STALLED_CALLER_MS = 10_000;
 
+/** Ends requests whose keys may have been taken away by now. */
+const UNCONFIRMED = {
+  type: 'none',
+  reason: 'the key is not known to be valid any more',
+  retryAfterMs: UNCONFIRMED_RETRY_MS,
+} as const;
+
 /** Tells the timers of runs apart. */
 let serial = 0;
 
@@ -66,6 +76,7 @@
     private readonly route: Route,
     private readonly service: Service,
     private readonly answer: CallerAnswer,
+    private readonly caller: Caller,
   ) {}
 
   /** Resolves when the caller has its final answer, or has left. */
@@ -84,6 +95,10 @@
       this.timedOut();
     });
     while (!this.over) {
+      if (!this.mayServe()) {
+        this.endWithout(UNCONFIRMED);
+        break;
+      }
       const selection = await this.select();
       if (this.isOver()) {
         break;
@@ -106,6 +121,10 @@
     return this.over;
   }
 
+  private mayServe(): boolean {
+    return this.parts.gate.mayStillSend(this.caller);
+  }
+
   private select(): Promise<Selection> {
     const {clock} = this.parts.context;
     const elapsed = elapsedMs(this.request.arrivedAt, clock.now());
@@ -151,6 +170,7 @@
           this.takeData(chunk);
         },
       },
+      () => this.mayServe(),
     );
     this.send = send;
     this.parts.selector.begin(this.request, server);
@@ -163,6 +183,7 @@
         context.platform.forwarding.lowestPriority,
       ),
       resumeAfter: this.lastEventId,
+      caller: this.caller,
     });
     this.send = undefined;
     this.parts.selector.ended(this.request, server);
@@ -396,6 +417,8 @@
     logger[level]('request ended', {
       requestId: this.request.id,
       route: name,
+      tenant:
+        this.caller.type === 'tenant' ? this.caller.tenant.name : undefined,
       model: this.request.model,
       outcome: this.outcome,
       status,
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -92,6 +92,8 @@
     /** It may go although the server names a limit. */
     private readonly permitted: boolean,
     private readonly observer: SendObserver,
+    /** Whether the caller may still be served; asked at the first byte. */
+    private readonly mayServe: () => boolean = () => true,
   ) {
     const {views, clock} = context;
     this.chosenAt = clock.now();
@@ -184,7 +186,7 @@
     const at = clock.now();
     const {requestsPerSecond} = this.server.notices;
     const limited = requestsPerSecond !== undefined && !this.permitted;
-    if (limited || !servers.isOpen(this.server, at)) {
+    if (limited || !servers.isOpen(this.server, at) || !this.mayServe()) {
       return false;
     }
     const {service} = this.server.entry;
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -16,6 +16,12 @@
     ['route', 'outcome'],
   );
 
+  readonly tenantRequests = this.counter(
+    'basilworks_tenant_requests_total',
+    'Requests by tenant, none where it is not known, admitted or refused.',
+    ['tenant', 'outcome'],
+  );
+
   readonly sends = this.counter(
     'basilworks_sends_total',
     'Sends to servers by service and how they ended.',
--- a/packages/entry-host/src/store/reading-plans.ts
+++ b/packages/entry-host/src/store/reading-plans.ts
@@ -71,13 +71,23 @@
   records: 1,
 };
 
+/** What of the settings decides how kinds are read. */
+type PlanSettings = Pick<EntryHostSettings, 'newsBounds'> &
+  Partial<Pick<EntryHostSettings, 'keyRevocationMs'>>;
+
+/** Share of the time to a key's revocation; the rest is its margin. */
+const REVOCATION_SHARE = 0.8;
+
 /** Time in which each kind has to be known everywhere, milliseconds. */
 const boundsOf = ({
   newsBounds,
-}: Pick<EntryHostSettings, 'newsBounds'>): Readonly<
-  Record<StoreKind, number>
-> => ({
-  configuration: newsBounds.configurationMs,
+  keyRevocationMs,
+}: PlanSettings): Readonly<Record<StoreKind, number>> => ({
+  configuration: Math.min(
+    newsBounds.configurationMs,
+    // Keys are taken only while it is confirmed more closely than this.
+    (keyRevocationMs ?? Infinity) * REVOCATION_SHARE,
+  ),
   // An older view would pass for an outage of the store.
   servers: Math.min(newsBounds.leavingServerMs, OUTAGE_GAP_MS),
   'adapter-versions': newsBounds.adapterVersionMs,
@@ -90,7 +100,7 @@
  */
 export const readingPlan = (
   kind: StoreKind,
-  settings: Pick<EntryHostSettings, 'newsBounds'>,
+  settings: PlanSettings,
 ): ReadingPlan => {
   const ownReadAgeMs = Math.max(
     RELAY_MS + SHORTEST_CYCLE_MS,
--- a/packages/entry-host/src/test/front/caller-request_test.ts
+++ b/packages/entry-host/src/test/front/caller-request_test.ts
@@ -7,23 +7,11 @@
   writeRequestHead,
 } from '../../front/index.js';
 import type {HeaderNames} from '../../ports.js';
+import {HEADER_NAMES} from './header-names.js';
 
 const NAMES: HeaderNames = {
-  requestId: 'X-Id',
-  deadlineMs: 'X-Deadline',
-  model: 'X-Model',
-  promptParts: 'X-Parts',
-  signature: 'X-Signature',
-  notRun: 'X-Not-Run',
+  ...HEADER_NAMES,
   expectServer: 'X-Expect-Server',
-  serverId: 'X-Server',
-  expectVersion: 'X-Expect-Version',
-  priority: 'X-Priority',
-  lastEventId: 'Last-Event-Id',
-  serverLoad: 'X-Load',
-  key: 'X-Key',
-  tenant: 'X-Tenant',
-  tokenUsage: 'X-Tokens',
   reserved: ['X-Hold'],
 };
 
--- /dev/null
+++ b/packages/entry-host/src/test/front/keyed-requests_test.ts
@@ -0,0 +1,236 @@
+import {request as httpRequest} from 'node:http';
+
+import type {LogFields} from '@basilworks/daemon';
+import {
+  digestKey,
+  KeyRing,
+  RouteTable,
+  ServerTable,
+  StoreViews,
+} from '@basilworks/dispatch';
+import test from 'ava';
+
+import type {EntryHostContext} from '../../context.js';
+import {FrontListener, type ServerSelector} from '../../front/index.js';
+import {
+  type ExchangeObserver,
+  UpstreamError,
+  type UpstreamPools,
+} from '../../upstream/index.js';
+import {HEADER_NAMES} from './header-names.js';
+import {serverEntry, ViewFleet} from '../views/view-fleet.js';
+
+const KEY = 'in-no-log-and-no-send';
+
+const route = (name: string, open: boolean) => ({
+  name,
+  host: 'h',
+  pathPrefix: `/${name}/`,
+  kind: 'idempotent' as const,
+  targets: [{service: 'plain', weight: 1}],
+  timeoutMs: 2_000,
+  latencyTargetMs: 500,
+  priority: 5,
+  maximumAttempts: 2,
+  sticky: false,
+  resumable: false,
+  open,
+});
+
+const CONFIGURATION = {
+  version: 3,
+  routes: [route('keyed', false), route('open', true)],
+  services: [{name: 'plain', healthPath: '/', maximumConnections: 10}],
+  limits: {
+    maximumHeaderBytes: 9_000,
+    maximumBodyBytes: 9_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 3_000,
+  },
+};
+
+const ringOf = (...keys: readonly string[]) => {
+  const keyDigests = keys.map(digestKey);
+  return KeyRing.of([{name: 'acme', priority: 1, keyDigests}])._unsafeUnwrap();
+};
+
+/** A front whose sends are kept, on clocks that the test sets. */
+const startFront = async (
+  ring: KeyRing | undefined,
+  /** Runs between the choice of a server and the first byte. */
+  beforeFirstByte: (world: {
+    at: {monotonicMs: number; wallMs: number};
+  }) => void = () => undefined,
+) => {
+  const fleet = new ViewFleet(1);
+  const {context: parts} = fleet.startHost('h0');
+  const world = {at: {monotonicMs: 9_000, wallMs: 9_000}};
+  const lines: string[] = [];
+  const log = (message: string, fields?: LogFields) => {
+    lines.push(`${message} ${JSON.stringify(fields)}`);
+  };
+  const views = new StoreViews();
+  const confirm = (revision = 1) => {
+    const snapshot = {kind: 'configuration', at: revision, items: []} as const;
+    views.offer(snapshot, world.at, world.at);
+  };
+  views.offer({kind: 'servers', at: 1, items: []}, world.at, world.at);
+  const servers = new ServerTable();
+  servers.update([{entry: serverEntry('s'), revision: 1}], undefined, world.at);
+  const context = {
+    ...parts,
+    settings: {...parts.settings, keyRevocationMs: 5_000},
+    clock: {now: () => world.at},
+    logger: {debug: log, info: log, warn: log, error: log},
+    views,
+    servers,
+    platform: {
+      forwarding: {
+        headers: HEADER_NAMES,
+        lowestPriority: 9,
+        readNotice: () => ({leaving: false}),
+        readLoad: () => undefined,
+      },
+    },
+  } as unknown as EntryHostContext;
+  const sends: string[] = [];
+  const pools = {
+    of: () => ({
+      start: (
+        {head}: {head: string},
+        _maximum: number,
+        observer: ExchangeObserver,
+      ) => {
+        setImmediate(() => {
+          beforeFirstByte(world);
+          if (observer.mayWrite?.() === false) {
+            observer.failed(new UpstreamError(false, 'withheld', 'withheld'));
+            return;
+          }
+          sends.push(head);
+          const rawHeaders = ['X-Signature', 's'];
+          observer.head({status: 200, rawHeaders, endsWithConnection: false});
+          observer.end();
+        });
+        return {pause: () => 0, resume: () => 0, cancel: () => 0};
+      },
+    }),
+  } as unknown as UpstreamPools;
+  const ignore = () => undefined;
+  const select = () =>
+    Promise.resolve({type: 'server', server: servers.byId('s')});
+  const selector = {select, begin: ignore, ended: ignore, refuted: ignore};
+  const front = new FrontListener(
+    context,
+    pools,
+    selector as unknown as ServerSelector,
+  );
+  const use = (keys: KeyRing | undefined, revision = 1) => {
+    front.use(new RouteTable(CONFIGURATION), keys, revision);
+  };
+  confirm();
+  use(ring);
+  const port = (await front.listen('127.0.0.1', 0))._unsafeUnwrap();
+  const ask = (path: string, headers: Record<string, string | string[]> = {}) =>
+    new Promise<{status: number; retryAfter: string | undefined}>(
+      (resolve, reject) => {
+        const sent = httpRequest(
+          {port, path, headers: {Host: 'h', 'X-Id': 'r', ...headers}},
+          (response) => {
+            const {statusCode: status = 0, headers: answered} = response;
+            response.resume();
+            resolve({status, retryAfter: answered['retry-after']});
+          },
+        );
+        sent.on('error', reject);
+        sent.end();
+      },
+    );
+  const close = () => {
+    front.close();
+    fleet.close();
+  };
+  return {world, lines, sends, confirm, use, ask, close};
+};
+
+test('a keyed request goes on under the name of its tenant only', async (t) => {
+  const front = await startFront(ringOf(KEY));
+  t.teardown(front.close);
+  const headers = {'x-key': KEY, 'x-tenant': 'another'};
+  t.is((await front.ask('/keyed/', headers)).status, 200);
+  t.is((await front.ask('/open/', headers)).status, 200);
+  const [keyed = '', open = ''] = front.sends;
+  t.deepEqual(keyed.match(/x-tenant: .*/gi), ['X-Tenant: acme']);
+  t.true(keyed.includes('X-Priority: 1\r\n'));
+  t.false(/x-tenant/i.test(open));
+  t.true(open.includes('X-Priority: 5\r\n'));
+  t.false([...front.sends, ...front.lines].some((text) => text.includes(KEY)));
+});
+
+test('without tenants the headers are the callers’ own', async (t) => {
+  const front = await startFront(undefined);
+  t.teardown(front.close);
+  front.world.at = {monotonicMs: 99_000, wallMs: 99_000};
+  const headers = {'x-key': 'k', 'x-tenant': 'mine'};
+  t.is((await front.ask('/keyed/', headers)).status, 200);
+  t.regex(front.sends[0] ?? '', /x-key: k\r\nx-tenant: mine\r\n/);
+});
+
+test('requests without a proper key are refused with 401', async (t) => {
+  const front = await startFront(ringOf(KEY));
+  t.teardown(front.close);
+  const odd = [{}, {'x-key': `${KEY}x`}, {'x-key': ''}, {'x-key': [KEY, KEY]}];
+  for (const headers of odd) {
+    t.is((await front.ask('/keyed/', headers)).status, 401);
+  }
+  t.deepEqual(front.sends, []);
+  t.false(front.lines.some((line) => line.includes(KEY)));
+});
+
+// A host that was cut off went on with keys that had been taken away.
+for (const [clock, later] of Object.entries({
+  'both clocks go on': {monotonicMs: 13_900, wallMs: 13_900},
+  'the wall clock steps back': {monotonicMs: 13_900, wallMs: 1_000},
+  'the monotonic clock stops': {monotonicMs: 9_100, wallMs: 13_900},
+})) {
+  test(`an old configuration takes no keys: ${clock}`, async (t) => {
+    const front = await startFront(ringOf(KEY));
+    t.teardown(front.close);
+    front.world.at = later;
+    const refused = await front.ask('/keyed/', {'x-key': KEY});
+    t.is(refused.status, 503);
+    t.truthy(refused.retryAfter);
+    t.is((await front.ask('/open/')).status, 200);
+    front.confirm();
+    t.is((await front.ask('/keyed/', {'x-key': KEY})).status, 200);
+    t.is(front.sends.length, 2);
+  });
+}
+
+test('a request that a freeze holds back is not sent', async (t) => {
+  const front = await startFront(ringOf(KEY), (world) => {
+    world.at = {monotonicMs: 14_100, wallMs: 14_100};
+  });
+  t.teardown(front.close);
+  t.is((await front.ask('/keyed/', {'x-key': KEY})).status, 503);
+  t.deepEqual(front.sends, []);
+});
+
+test('a key that is taken away before the first byte is not sent', async (t) => {
+  const front = await startFront(ringOf(KEY), () => {
+    front.confirm(2);
+    front.use(ringOf('other'), 2);
+  });
+  t.teardown(front.close);
+  t.is((await front.ask('/keyed/', {'x-key': KEY})).status, 503);
+  t.deepEqual(front.sends, []);
+});
+
+test('a newer one that cannot be used confirms nothing', async (t) => {
+  const front = await startFront(ringOf(KEY));
+  t.teardown(front.close);
+  t.is((await front.ask('/keyed/', {'x-key': KEY})).status, 200);
+  front.world.at = {monotonicMs: 14_000, wallMs: 14_000};
+  front.confirm(2);
+  t.is((await front.ask('/keyed/', {'x-key': KEY})).status, 503);
+});
--- a/packages/entry-host/src/test/front/server-send_test.ts
+++ b/packages/entry-host/src/test/front/server-send_test.ts
@@ -9,6 +9,7 @@
   UpstreamError,
   type UpstreamPools,
 } from '../../upstream/index.js';
+import {HEADER_NAMES} from './header-names.js';
 import {serverEntry, ViewFleet} from '../views/view-fleet.js';
 
 const entry = serverEntry('s');
@@ -25,20 +26,6 @@
   arrivedAt: {monotonicMs: 0, wallMs: 0},
 };
 
-const HEADERS = {
-  requestId: 'X-Id',
-  deadlineMs: 'X-Deadline',
-  expectServer: 'X-Expect',
-  expectVersion: 'X-Version',
-  priority: 'X-Priority',
-  lastEventId: 'Last-Event-Id',
-  notRun: 'X-Not-Run',
-  signature: 'X-Signature',
-  serverId: 'X-Server',
-  serverLoad: 'X-Load',
-  reserved: [],
-};
-
 /** A send whose connection is not open yet. */
 const begin = (permitted = false) => {
   const fleet = new ViewFleet(1);
@@ -52,7 +39,7 @@
     servers,
     platform: {
       forwarding: {
-        headers: HEADERS,
+        headers: HEADER_NAMES,
         readNotice: () => ({leaving: false}),
         readLoad: () => undefined,
       },
