Decide fair shares of a service that is short

Callers' view: none yet; nothing calls the module.

Cause: a tenant that asks many times its usual, within its quota or without one, takes all places of a service. Without a decision, others were served in proportion to what they ask.

Going by what is asked rather than by what was given, late figures lead to no swings. A host that hears of no others refuses nobody.

Evidence: a trial world of one service with 60 places, 8 tenants, 6 hosts in two groups that exchange once a second, seeds 1 to 5, 30 s each (fair-shares_test, logged).

--- a/packages/dispatch/src/servers/index.ts
+++ b/packages/dispatch/src/servers/index.ts
@@ -2,6 +2,7 @@
 export * from './choose-server.js';
 export * from './crowding.js';
 export * from './fleet-load.js';
+export * from './group-sums.js';
 export * from './issuer-news.js';
 export * from './request-meter.js';
 export * from './server-demand.js';
--- /dev/null
+++ b/packages/dispatch/src/test/tenants/fair-share-world.ts
@@ -0,0 +1,125 @@
+import {FairShares} from '../../index.js';
+
+/** Places of the one service; it serves a token in each place a ms. */
+const PLACES = 60;
+const MEAN_TOKENS = 600;
+const HOSTS = 6;
+const STEP_MS = 5;
+const EXCHANGE_MS = 1_000;
+
+/** Requests that would wait longer are refused, as admission does it. */
+const LONGEST_WAIT_MS = 2_500;
+
+/** Load of each tenant at rest, as a share of what the service can do. */
+const SHARES = [0.25, 0.2, 0.1, 0.07, 0.05, 0.03, 0.02, 0.02];
+
+export interface WorldOptions {
+  readonly random: () => number;
+  readonly fair: boolean;
+  /** How many times its usual the first tenant asks at a time. */
+  readonly factor: (ms: number) => number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** What the tenants got between two times. */
+export interface WorldResult {
+  readonly asked: readonly number[];
+  readonly served: readonly number[];
+  /** Mean wait for a place, milliseconds. */
+  readonly waitMs: readonly number[];
+}
+
+/** Tenants, hosts and one service under virtual time. */
+export const runWorld = (options: WorldOptions): WorldResult => {
+  const {random, fair, factor, fromMs, untilMs} = options;
+  let nowMs = 0;
+  let toldOccupancy = 0;
+  const at = () => ({monotonicMs: nowMs, wallMs: nowMs});
+  const hosts = Array.from(
+    {length: HOSTS},
+    () => new FairShares(() => toldOccupancy, random),
+  );
+  const zeros = () => SHARES.map(() => 0);
+  const [asked, served, waited] = [zeros(), zeros(), zeros()];
+  const running: Request[] = [];
+  const waiting: Request[] = [];
+  const arrive = (tenant: number) => {
+    const tokens = Math.ceil(MEAN_TOKENS * (0.5 + random()));
+    const host = hosts[Math.floor(random() * HOSTS)];
+    const counts = nowMs >= fromMs;
+    asked[tenant] = (asked[tenant] ?? 0) + (counts ? tokens : 0);
+    const verdict = host?.arrived('s', `t${tenant}`, tokens, at());
+    const waitMs = (waiting.length * MEAN_TOKENS) / PLACES;
+    if ((!fair || verdict?.taken === true) && waitMs < LONGEST_WAIT_MS) {
+      waiting.push({tenant, tokens, host, counts, endMs: 0, sinceMs: nowMs});
+    }
+  };
+  for (; nowMs < untilMs; nowMs += STEP_MS) {
+    for (const [tenant, share] of SHARES.entries()) {
+      const mean =
+        (share * PLACES * STEP_MS * (tenant === 0 ? factor(nowMs) : 1)) /
+        MEAN_TOKENS;
+      const count = Math.floor(mean) + (random() < mean % 1 ? 1 : 0);
+      for (let index = 0; index < count; index += 1) {
+        arrive(tenant);
+      }
+    }
+    for (let index = running.length - 1; index >= 0; index -= 1) {
+      const request = running[index];
+      if (request !== undefined && request.endMs <= nowMs) {
+        running.splice(index, 1);
+        const {tenant, tokens, host, counts} = request;
+        host?.served('s', `t${tenant}`, tokens, at());
+        served[tenant] = (served[tenant] ?? 0) + (counts ? tokens : 0);
+      }
+    }
+    while (running.length < PLACES && waiting.length > 0) {
+      const request = waiting.shift();
+      if (request !== undefined) {
+        const {tenant, tokens, counts, sinceMs} = request;
+        const waitMs = counts ? (nowMs - sinceMs) * tokens : 0;
+        waited[tenant] = (waited[tenant] ?? 0) + waitMs;
+        running.push({...request, endMs: nowMs + tokens});
+      }
+    }
+    if (nowMs % EXCHANGE_MS === 0) {
+      toldOccupancy = (running.length + waiting.length) / PLACES;
+      exchange(hosts, at());
+    }
+  }
+  const waitMs = waited.map((sum, index) => sum / (served[index] ?? 1));
+  return {asked, served, waitMs};
+};
+
+interface Request {
+  readonly tenant: number;
+  readonly tokens: number;
+  readonly host: FairShares | undefined;
+  readonly counts: boolean;
+  readonly endMs: number;
+  readonly sinceMs: number;
+}
+
+/** Two groups sum up, and all hosts learn both sums. */
+const exchange = (
+  hosts: readonly FairShares[],
+  at: {monotonicMs: number; wallMs: number},
+): void => {
+  const half = hosts.length / 2;
+  for (const group of [hosts.slice(0, half), hosts.slice(half)]) {
+    const [leader] = group;
+    for (const [index, host] of group.entries()) {
+      leader?.takeTold(`h${index}`, host.toTell(at), at);
+    }
+    const name = leader === hosts[0] ? 'g0' : 'g1';
+    leader?.sumUp(name, at);
+    for (const use of leader?.known(at) ?? []) {
+      for (const host of hosts) {
+        if (host !== leader && use.group === name) {
+          host.takeGroup(use, at);
+        }
+      }
+    }
+  }
+};
--- /dev/null
+++ b/packages/dispatch/src/test/tenants/fair-shares_test.ts
@@ -0,0 +1,113 @@
+import {hashFraction} from '@basilworks/core';
+import fc from 'fast-check';
+import test from 'ava';
+
+import {FairShares, fairLevel} from '../../index.js';
+import {runWorld} from './fair-share-world.js';
+
+const HOT_FROM_MS = 10_000;
+const HOT_PERIOD_MS = 4_000;
+const SEEDS = [1, 2, 3, 4, 5];
+
+/** Draws the same numbers for the same seed. */
+const drawsOf = (seed: number) => {
+  let index = 0;
+  return () => hashFraction(`${seed}/${(index += 1)}`);
+};
+
+const run = (seed: number, fair: boolean, factor: (ms: number) => number) =>
+  runWorld({
+    random: drawsOf(seed),
+    fair,
+    factor: (ms) => (ms < HOT_FROM_MS ? 1 : factor(ms)),
+    fromMs: HOT_FROM_MS,
+    untilMs: 40_000,
+  });
+
+const total = (amounts: readonly number[]) =>
+  amounts.reduce((sum, amount) => sum + amount, 0);
+
+/** Share of what the other tenants asked that was served, of the least. */
+const leastShare = ({asked, served}: ReturnType<typeof run>) =>
+  Math.min(
+    ...asked.slice(1).map((amount, index) => (served[index + 1] ?? 0) / amount),
+  );
+
+const LOADS = {
+  'twice its usual': () => 2,
+  'five times its usual': () => 5,
+  'twenty times its usual': () => 20,
+  'twenty times, on and off': (ms: number) =>
+    ms % (2 * HOT_PERIOD_MS) < HOT_PERIOD_MS ? 20 : 1,
+};
+
+for (const [name, factor] of Object.entries(LOADS)) {
+  for (const seed of SEEDS) {
+    test(`a tenant asks ${name}, seed ${seed}`, (t) => {
+      const [off, on] = [run(seed, false, factor), run(seed, true, factor)];
+      const [offWaitMs, onWaitMs] = [off, on].map(({waitMs}) =>
+        Math.max(...waitMs.slice(1).filter((wait) => !Number.isNaN(wait))),
+      );
+      const offTotal = total(off.served);
+      const onTotal = total(on.served);
+      t.log(
+        `off: least share ${leastShare(off).toFixed(2)}, longest mean wait ${(offWaitMs ?? 0).toFixed(0)} ms, served ${offTotal}`,
+      );
+      t.log(
+        `on: least share ${leastShare(on).toFixed(2)}, longest mean wait ${(onWaitMs ?? 0).toFixed(0)} ms, served ${onTotal}`,
+      );
+      t.true(leastShare(on) > 0.8);
+      t.true((onWaitMs ?? Infinity) < 2_000);
+      // What the others leave goes to the tenant that asks for more.
+      t.true(onTotal > 0.95 * offTotal);
+    });
+  }
+}
+
+test('nobody is refused while a service has room', (t) => {
+  const {asked, served} = run(1, true, () => 0.5);
+  const without = run(1, false, () => 0.5);
+  t.deepEqual(asked, without.asked);
+  t.deepEqual(served, without.served);
+});
+
+test('a level fills the capacity, and nobody below an equal part is cut', (t) => {
+  const amounts = fc.array(fc.double({min: 0, max: 1e6, noNaN: true}), {
+    minLength: 1,
+  });
+  const capacities = fc.double({min: 0, max: 1e7, noNaN: true});
+  fc.assert(
+    fc.property(amounts, capacities, (asked, capacity) => {
+      const level = fairLevel(asked, capacity);
+      const given = total(asked.map((amount) => Math.min(amount, level)));
+      t.true(given <= capacity * (1 + 1e-9) + 1e-9);
+      t.true(level >= (capacity / asked.length) * (1 - 1e-9));
+      if (level === Infinity) {
+        t.is(given, total(asked));
+      } else {
+        t.true(given >= capacity * (1 - 1e-9) - 1e-9);
+      }
+    }),
+  );
+});
+
+test('a host that hears of no others refuses nobody', (t) => {
+  const shares = new FairShares(
+    () => 2,
+    () => 1,
+  );
+  const at = {monotonicMs: 0, wallMs: 0};
+  for (let index = 0; index < 100; index += 1) {
+    t.true(shares.arrived('s', 'a', 1_000, at).taken);
+  }
+  shares.takeGroup(
+    {group: 'g', service: 's', tenant: 'a', offered: 500, served: 10},
+    at,
+  );
+  const heard = {monotonicMs: 200, wallMs: 200};
+  t.false(shares.arrived('s', 'a', 1, heard).taken);
+  t.true(shares.arrived('s', 'b', 1, heard).taken);
+  t.true(shares.arrived('s', undefined, 1, heard).taken);
+  const old = {monotonicMs: 5_000, wallMs: 5_000};
+  t.true(shares.arrived('s', 'a', 1, old).taken);
+});
