Keep requests off servers that fail them, by what all hosts saw

Callers' view: of the requests that a faulty server would have failed, fewer are sent to it; its health check is not believed against what requests show.

Cause: each host went by its own evidence, and for servers of adapters by none at all. With 70 hosts, each sends one of 45 servers a request every few seconds.

Change: hosts tell decaying counts with the exchanges they make anyway, the reader of a group judges and answers with the servers to avoid. Only for services whose servers tell how slow they are; others are chosen as before.

Tests of orders, peers and permits (11), front (16), views and upstream (52) pass. One run of all tests of both packages, at a load of 20, ended with 3 failures whose names were not kept; run by folders none failed.

--- a/packages/dispatch/src/servers/choose-server.ts
+++ b/packages/dispatch/src/servers/choose-server.ts
@@ -13,6 +13,8 @@
   readonly silenceLimitMs: number;
   /** Share of the places of all servers that are taken, where it is known. */
   readonly fleetOccupancy?: number | undefined;
+  /** Whether requests are kept off a server, by its key. */
+  readonly avoids?: ((server: string) => boolean) | undefined;
   /** Breaks ties, 0 to 1. */
   readonly random: () => number;
 }
@@ -25,9 +27,10 @@
 
 /** Whether requests should be kept off a server if others can take them. */
 export const isDoubtful = (
-  {evidence}: Server,
-  {at, silenceLimitMs}: ChoiceContext,
+  {evidence, key}: Server,
+  {at, silenceLimitMs, avoids}: ChoiceContext,
 ): boolean =>
+  avoids?.(key) === true ||
   evidence.paused(at) ||
   evidence.needsCheck() ||
   evidence.silentMs(at) > silenceLimitMs;
--- a/packages/dispatch/src/servers/index.ts
+++ b/packages/dispatch/src/servers/index.ts
@@ -1,6 +1,8 @@
 export * from './admission.js';
 export * from './choose-server.js';
 export * from './crowding.js';
+export * from './failure-judge.js';
+export * from './failure-tallies.js';
 export * from './fleet-load.js';
 export * from './group-sums.js';
 export * from './issuer-news.js';
@@ -9,4 +11,5 @@
 export * from './server-entry.js';
 export * from './server-evidence.js';
 export * from './server-notices.js';
+export * from './server-suspects.js';
 export * from './server-table.js';
--- a/packages/entry-host/src/context.ts
+++ b/packages/entry-host/src/context.ts
@@ -1,7 +1,9 @@
 import type {Clock, Logger, TimerService} from '@basilworks/daemon';
 import type {
+  FailureTallies,
   FleetLoad,
   Membership,
+  ServerSuspects,
   ServerTable,
   StoreViews,
 } from '@basilworks/dispatch';
@@ -22,6 +24,9 @@
   readonly views: StoreViews;
   readonly servers: ServerTable;
   readonly fleetLoad: FleetLoad;
+  /** What became of this host's requests at the servers. */
+  readonly tallies: FailureTallies;
+  readonly suspects: ServerSuspects;
   /** Aborted when the process ends. */
   readonly signal: AbortSignal;
   /** Returns 0 to 1. */
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -417,10 +417,11 @@
     tried: ReadonlySet<string>,
     service: string,
   ): ChoiceContext {
-    const {clock, settings, random, fleetLoad} = this.context;
+    const {clock, settings, random, fleetLoad, suspects} = this.context;
     const at = clock.now();
     return {
       at,
+      avoids: (server) => suspects.avoids(server, at, random),
       fleetOccupancy: fleetLoad.occupancy(service, at),
       zone: settings.zone,
       tried,
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -49,6 +49,16 @@
 /** Share of a server's connections that one host may use, split evenly. */
 const CONNECTION_SHARE = 0.85;
 
+/** A request that was given up without any answer after this failed, ms. */
+const UNANSWERED_MS = 1_500;
+
+/** Verdicts that tell whether a server fails what it takes. */
+const FAILED: Readonly<Partial<Record<AttemptVerdict, boolean>>> = {
+  served: false,
+  failed: true,
+  unreachable: true,
+};
+
 /** Most pauses of a server's stream; callers that take nothing are cut. */
 export interface SendControl {
   pause(): void;
@@ -120,7 +130,10 @@
     return new Promise((resolve) => {
       evidence.sent(sentAt);
       this.done = (result) => {
-        evidence.ended(this.verdict(result), !this.headSeen, clock.now());
+        const verdict = this.verdict(result);
+        const at = clock.now();
+        evidence.ended(verdict, !this.headSeen, at);
+        this.count(verdict, elapsedMs(sentAt, at), at);
         resolve(result);
       };
       const handle = this.pools.of(this.server).start(
@@ -283,6 +296,17 @@
     return 'failed';
   }
 
+  /** Counts the attempt for what all hosts see of the server. */
+  private count(verdict: AttemptVerdict, forMs: number, at: Instant): void {
+    const {entry, key} = this.server;
+    const unanswered = !this.headSeen && forMs > UNANSWERED_MS;
+    const failed =
+      verdict === 'cancelled' ? unanswered || undefined : FAILED[verdict];
+    if (failed !== undefined) {
+      this.context.tallies.count(entry.service, key, failed, at);
+    }
+  }
+
   /** Whether another server answers at this address. */
   private answersForAnother(): boolean {
     const {serverId} = this.context.platform.forwarding.headers;
@@ -296,6 +320,11 @@
       head.rawHeaders,
       forwarding.headers.serverLoad.toLowerCase(),
     );
-    return text === undefined ? undefined : forwarding.readLoad(text);
+    const load = text === undefined ? undefined : forwarding.readLoad(text);
+    if (load?.slowness !== undefined) {
+      // It shares its machine with others, and may suffer from them.
+      this.context.tallies.watch(this.server.entry.service);
+    }
+    return load;
   }
 }
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -58,6 +58,12 @@
     ['service', 'outcome'],
   );
 
+  readonly suspicions = this.counter(
+    'basilworks_servers_avoided_total',
+    'Servers that requests were kept off for failing them, by service.',
+    ['service'],
+  );
+
   readonly storeCalls = this.counter(
     'basilworks_store_calls_total',
     'Calls to the metadata store by operation and how they ended.',
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -1,6 +1,7 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   before,
+  FailureJudge,
   type HostEntry,
   hostRecordSchema,
   type HostStatus,
@@ -12,6 +13,13 @@
 import type {EntryHostContext} from '../context.js';
 import {decodeHost, encodeHost} from './host-codec.js';
 import type {PeerLink} from './peer-link.js';
+import {
+  decodeSuspects,
+  decodeTallies,
+  encodeSuspects,
+  encodeTallies,
+  takeSuspicion,
+} from './tally-codec.js';
 import {
   encodeViews,
   knownRevisions,
@@ -91,6 +99,7 @@
   private readonly links = new Map<string, OpenLink>();
   private readonly texts = new SnapshotTexts();
   private readonly pending = new Set<string>();
+  private readonly judge = new FailureJudge();
   private turn = 0;
   private readersAskedAt: Instant | undefined;
   private refusalLoggedAt: number | undefined;
@@ -137,6 +146,9 @@
     for (const word of request.words) {
       takeWord(this.context, word, lookedBefore(at));
     }
+    if (sender !== undefined && request.tallies.length > 0) {
+      this.judge.take(sender.host, decodeTallies(request.tallies), at);
+    }
     return {
       responder: encodeHost(membership.self()),
       views: wantsViews ? encodeViews(views, known, this.texts, at) : [],
@@ -147,6 +159,9 @@
         .known(at)
         .map(({ageMs, ...load}) => ({...load, ageMs: Math.ceil(ageMs)})),
       words: encodeWords(this.context),
+      suspects: wantsViews
+        ? encodeSuspects(this.context.suspects.list(at))
+        : [],
     };
   }
 
@@ -197,6 +212,19 @@
       const at = clock.now();
       fleetLoad.takeIssued(settings.host, this.sources.issuedLoads(), at);
       fleetLoad.sumUp(membership.group().name, at);
+      this.judgeServers(at);
+    }
+  }
+
+  /** Finds the servers that fail requests of this host's group, as a reader. */
+  private judgeServers(at: Instant): void {
+    const {settings, servers, tallies} = this.context;
+    this.judge.take(settings.host, tallies.tell(at), at);
+    const judged = servers
+      .all()
+      .map(({key, entry}) => ({key, service: entry.service}));
+    for (const suspicion of this.judge.judge(judged, at)) {
+      takeSuspicion(this.context, suspicion, settings.host, at);
     }
   }
 
@@ -287,7 +315,7 @@
     host,
     wantsViews,
   }: Target): Promise<void> {
-    const {membership, views, clock, fleetLoad} = this.context;
+    const {membership, views, clock, fleetLoad, tallies} = this.context;
     if (this.pending.has(address)) {
       return;
     }
@@ -310,6 +338,7 @@
             .map((load) => ({...load, group: '', ageMs: 0}))
         : [],
       words: encodeWords(this.context),
+      tallies: wantsViews ? encodeTallies(tallies.tell(askedAt)) : [],
     });
     this.pending.delete(address);
     const at = clock.now();
@@ -330,6 +359,9 @@
     for (const word of response.words) {
       takeWord(this.context, word, lookedSince(askedAt, at));
     }
+    for (const suspicion of decodeSuspects(response.suspects)) {
+      takeSuspicion(this.context, suspicion, host, at);
+    }
     for (const kind of takeViews(views, response.views, askedAt, at)) {
       this.onNewer(kind);
     }
--- a/packages/entry-host/src/test/orders/claim-keeper_test.ts
+++ b/packages/entry-host/src/test/orders/claim-keeper_test.ts
@@ -1,8 +1,10 @@
 import {TimerService} from '@basilworks/daemon';
 import {
+  FailureTallies,
   FleetLoad,
   type HostEntry,
   Membership,
+  ServerSuspects,
   ServerTable,
   StoreViews,
 } from '@basilworks/dispatch';
@@ -67,6 +69,8 @@
     views: new StoreViews(),
     servers: new ServerTable(),
     fleetLoad: new FleetLoad(),
+    tallies: new FailureTallies(),
+    suspects: new ServerSuspects(),
     signal: new AbortController().signal,
     random: () => 0.5,
   };
--- a/packages/entry-host/src/test/views/view-fleet.ts
+++ b/packages/entry-host/src/test/views/view-fleet.ts
@@ -1,11 +1,13 @@
 import {setMaxListeners} from 'node:events';
 
 import {
+  FailureTallies,
   FleetLoad,
   type HostStatus,
   Membership,
   type RouteTable,
   type ServerEntry,
+  ServerSuspects,
   ServerTable,
   STORE_KINDS,
   StoreViews,
@@ -107,6 +109,8 @@
       views,
       servers: new ServerTable(),
       fleetLoad: new FleetLoad(),
+      tallies: new FailureTallies(),
+      suspects: new ServerSuspects(),
       signal: this.abort.signal,
       random: () => 0.5,
     };
