Choose plain servers by two draws and the estimate

Callers of plain services got answers late: 3 unlike servers of 6 places, 70 hosts that hear of each about once a second. All hosts took the least loaded server by what they last heard, and none kept off one that had just turned slow.

`choosePlainServer` draws two by what each can do (places by lasting slowness) and takes the one that is the least behind what is usual for it; one that is behind by a third more than the best is not drawn while its word is fresh. Failures lower the draw of a server steeply and never end it, so that it gets a try now and then; the caller's zone counts as before.

--- a/packages/dispatch/src/servers/choose-server.ts
+++ b/packages/dispatch/src/servers/choose-server.ts
@@ -18,10 +18,10 @@
 }
 
 /** Cost of a server in another zone, in places: breaks near ties only. */
-const OTHER_ZONE_COST = 0.15;
+export const OTHER_ZONE_COST = 0.15;
 
 /** How much a failing server is avoided, in loads of a whole server. */
-const FAILURE_COST = 2;
+export const FAILURE_COST = 2;
 
 /** Whether requests should be kept off a server if others can take them. */
 export const isDoubtful = (
--- a/packages/dispatch/src/servers/index.ts
+++ b/packages/dispatch/src/servers/index.ts
@@ -1,4 +1,5 @@
 export * from './admission.js';
+export * from './choose-by-estimate.js';
 export * from './choose-server.js';
 export * from './crowding.js';
 export * from './fleet-load.js';
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -4,7 +4,7 @@
   type AffinityRanking,
   admit,
   type ChoiceContext,
-  chooseLeastLoaded,
+  choosePlainServer,
   FIRST_VERSION,
   nextBySpread,
   parseModelReference,
@@ -16,6 +16,7 @@
   type Route,
   type Server,
   type Service,
+  tellSlowness,
 } from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
@@ -176,10 +177,14 @@
     }
     const choice = this.choiceContext(selection.tried, service.name);
     if (service.engine === undefined || request.model === undefined) {
-      const server = chooseLeastLoaded(open, choice);
+      const server = choosePlainServer(open, choice);
       return server === undefined
         ? none('no server is left to try', NO_SERVER_RETRY_MS)
-        : found(server, undefined, 'least loaded');
+        : found(
+            server,
+            undefined,
+            tellSlowness(open, at) ? 'best of two' : 'least loaded',
+          );
     }
     const {model, adapter} = parseModelReference(request.model);
     const holders = open.filter(({entry}) => entry.models.includes(model));
