Rank servers for adapters by their lasting speed

Callers of a stream wait longer where their adapter falls to a slow engine: 42 engines that differ by 2.2 times for good got equal shares of the adapters, so that the slowest were the busiest and counted as crowded.

Hosts tell the issuer of a server's orders how slow they find it when they ask for an adapter, and rank by the issuer's answer: no host alone hears enough of a server, and all must come to the same ranking. Rendezvous is weighted by it, and crowding, the spread and the sum over the fleet go by places divided by it. Two optional fields of the messages between hosts carry it.

A server that is slow just now is passed over where the adapter is promised or spread elsewhere.

Whether the adapter places of faster servers become scarce was not measured.

--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -9,5 +9,6 @@
 export {
   chooseByRendezvous,
   rankByRendezvous,
+  rankByWeightedRendezvous,
   type WeightedCandidate,
 } from './rendezvous.js';
--- a/packages/core/src/membership/rendezvous.ts
+++ b/packages/core/src/membership/rendezvous.ts
@@ -7,6 +7,9 @@
   readonly weight: number;
 }
 
+const scoreOf = (key: string, {name, weight}: WeightedCandidate): number =>
+  -weight / Math.log(hashFraction(`${key}\n${name}`));
+
 /**
  * Returns the candidate with the highest score for the key. Candidates get
  * keys in proportion to their weights, and a candidate that comes or goes moves
@@ -18,16 +21,33 @@
 ): string | undefined => {
   let best: string | undefined;
   let bestScore = 0;
-  for (const {name, weight} of candidates) {
-    const score = -weight / Math.log(hashFraction(`${key}\n${name}`));
+  for (const candidate of candidates) {
+    const score = scoreOf(key, candidate);
     if (score > bestScore) {
       bestScore = score;
-      best = name;
+      best = candidate.name;
     }
   }
   return best;
 };
 
+/**
+ * Returns the names ordered by their scores for the key, highest first; each
+ * comes first for a share of the keys in proportion to its weight. Where all
+ * weights are equal, the order is that without weights.
+ */
+export const rankByWeightedRendezvous = (
+  key: string,
+  candidates: readonly WeightedCandidate[],
+): readonly string[] =>
+  candidates
+    .map((candidate) => ({
+      name: candidate.name,
+      score: scoreOf(key, candidate),
+    }))
+    .sort((first, second) => second.score - first.score)
+    .map(({name}) => name);
+
 /** Returns the names ordered by their scores for the key, highest first. */
 export const rankByRendezvous = (
   key: string,
--- a/packages/dispatch/src/adapters/places-events.ts
+++ b/packages/dispatch/src/adapters/places-events.ts
@@ -69,6 +69,8 @@
   readonly inFlight: number;
   /** The host takes a crowded server, as it found no other. */
   readonly takesCrowded: boolean;
+  /** How slow the host found the server as a rule; if the server tells. */
+  readonly slowness?: number | undefined;
 }
 
 /** The answer to a host that wants an adapter. */
@@ -77,6 +79,8 @@
   readonly requests?: number | undefined;
   /** Servers over which the adapter should be spread; if known. */
   readonly spread?: number | undefined;
+  /** How slow the server is for good, as all hosts go by; if known. */
+  readonly slowness?: number | undefined;
 };
 
 /** Whether the adapter is resident for the request. */
--- a/packages/dispatch/src/servers/choose-server.ts
+++ b/packages/dispatch/src/servers/choose-server.ts
@@ -1,4 +1,4 @@
-import {type Instant, rankByRendezvous} from '@basilworks/core';
+import {type Instant, rankByWeightedRendezvous} from '@basilworks/core';
 
 import {crowdedFrom} from './crowding.js';
 import type {Server} from './server-table.js';
@@ -42,9 +42,13 @@
   return sound.length > 0 ? sound : fresh;
 };
 
-/** Share of a server's places that are taken, 1 when it is full. */
+/** Places that a server is worth, as a slower one does less with each. */
+export const worthOf = ({entry, evidence}: Server): number =>
+  entry.slots / evidence.speed.agreed;
+
+/** Share of what a server can do that is taken, 1 when it is full. */
 export const occupancy = (server: Server, at: Instant): number =>
-  server.evidence.load(at) / server.entry.slots;
+  server.evidence.load(at) / worthOf(server);
 
 /**
  * Returns the server with the least expected wait: free places first, then
@@ -117,12 +121,20 @@
   return Math.max(SLOW_FLOOR_MS, median * SLOW_SHARE);
 };
 
+/** Slowness against the usual of a server from which it counts as slow now. */
+const SLOW_NOW_FROM = 1.5;
+
+const isSlowNow = ({evidence: {speed}}: Server, at: Instant): boolean =>
+  (speed.now(at) ?? 0) > (speed.asRule(at) ?? 1) * SLOW_NOW_FROM;
+
 /** Where requests for one key should go. */
 export interface AffinityRanking {
   /** The servers that are worth a try, by a stable ranking for each key. */
   readonly byAffinity: readonly Server[];
   /** Those that are not crowded, by the same ranking. */
   readonly roomy: readonly Server[];
+  /** Those that are roomy and not slower than usual just now. */
+  readonly swift: readonly Server[];
   /** All in the order in which they should be tried: the crowded ones last. */
   readonly toTry: readonly Server[];
 }
@@ -135,7 +147,11 @@
 ): AffinityRanking => {
   const usable = usableServers(servers, context);
   const byId = new Map(usable.map((server) => [server.entry.id, server]));
-  const byAffinity = rankByRendezvous(key, [...byId.keys()]).flatMap(
+  const weighted = usable.map(({entry, evidence}) => ({
+    name: entry.id,
+    weight: 1 / evidence.speed.agreed,
+  }));
+  const byAffinity = rankByWeightedRendezvous(key, weighted).flatMap(
     (id) => byId.get(id) ?? [],
   );
   const {at, fleetOccupancy} = context;
@@ -143,5 +159,6 @@
   const crowded = byAffinity
     .filter((server) => !roomy.includes(server))
     .sort((first, second) => occupancy(first, at) - occupancy(second, at));
-  return {byAffinity, roomy, toTry: [...roomy, ...crowded]};
+  const swift = roomy.filter((server) => !isSlowNow(server, at));
+  return {byAffinity, roomy, swift, toTry: [...roomy, ...crowded]};
 };
--- a/packages/dispatch/src/servers/index.ts
+++ b/packages/dispatch/src/servers/index.ts
@@ -4,6 +4,7 @@
 export * from './crowding.js';
 export * from './fleet-load.js';
 export * from './issuer-news.js';
+export * from './lasting-slowness.js';
 export * from './request-meter.js';
 export * from './server-demand.js';
 export * from './server-entry.js';
--- a/packages/dispatch/src/servers/server-evidence.ts
+++ b/packages/dispatch/src/servers/server-evidence.ts
@@ -129,8 +129,12 @@
     }
   }
 
-  /** The issuer of its orders says how many requests all hosts have there. */
-  told(requests: number, at: Instant): void {
+  /**
+   * The issuer of its orders says how many requests all hosts have there, and
+   * how slow they find it for good.
+   */
+  told(requests: number, at: Instant, slowness?: number): void {
+    this.speed.agreed = slowness ?? this.speed.agreed;
     this.takeReport({running: requests, waiting: 0}, at);
   }
 
--- a/packages/dispatch/src/servers/server-speed.ts
+++ b/packages/dispatch/src/servers/server-speed.ts
@@ -60,6 +60,9 @@
 
 /** How fast one run of a server works, where the server tells its slowness. */
 export class ServerSpeed {
+  /** How slow it is for good, as all hosts go by; 1 where nobody said. */
+  agreed = 1;
+
   private latest: {slowness: number; at: Instant} | undefined;
   private meanSlowness = 1;
   private sums = NO_WORK;
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -16,6 +16,7 @@
   type Route,
   type Server,
   type Service,
+  ServiceEstimates,
   tellSlowness,
 } from '@basilworks/dispatch';
 
@@ -251,7 +252,9 @@
     let version = this.versions.get(name);
     const key = `${name.model}/${name.adapter}`;
     const ranking = rankByAffinity(key, holders, choice);
-    const promised = this.promised(name, version, ranking.roomy);
+    const promised =
+      this.promised(name, version, ranking.swift) ??
+      this.promised(name, version, ranking.roomy);
     if (promised !== undefined) {
       return promised;
     }
@@ -410,6 +413,7 @@
       onTimeWithinMs: Math.max(0, untilLateMs - FIRST_PIECE_MS),
       priority: route.priority,
       uses: this.residency.takeUses(name, server.key),
+      slowness: this.lastingSlowness(server),
       inFlight: server.evidence.inFlight,
       takesCrowded: false,
       among: 1,
@@ -418,6 +422,17 @@
 
   private serial = 0;
 
+  /** What this host tells issuers; undefined where it has not heard lately. */
+  private lastingSlowness(server: Server): number | undefined {
+    const {servers, clock} = this.context;
+    const at = clock.now();
+    return server.evidence.speed.isKnown(at)
+      ? new ServiceEstimates(servers.open(server.entry.service, at), at).of(
+          server,
+        ).lastingSlowness
+      : undefined;
+  }
+
   private choiceContext(
     tried: ReadonlySet<string>,
     service: string,
@@ -444,13 +459,16 @@
 
 /** The servers that share an adapter's requests and are worth asking. */
 const spreadOver = (
-  {byAffinity, roomy}: AffinityRanking,
+  {byAffinity, roomy, swift}: AffinityRanking,
   able: readonly Server[],
   servers: number,
-): readonly Server[] =>
-  byAffinity
+): readonly Server[] => {
+  const sharing = byAffinity
     .slice(0, servers)
     .filter((server) => roomy.includes(server) && able.includes(server));
+  const fast = sharing.filter((server) => swift.includes(server));
+  return fast.length > 0 ? fast : sharing;
+};
 
 /** Refusals that tell nothing of the server itself. */
 const UNHEARD: ReadonlySet<Refusal['reason']> = new Set([
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -112,7 +112,8 @@
     const granted = answer.outcome === 'resident' ? 1 : 0;
     this.ownRequests.note(server.key, request.inFlight + granted);
     if (answer.requests !== undefined) {
-      server.evidence.told(answer.requests, this.context.clock.now());
+      const {requests, slowness} = answer;
+      server.evidence.told(requests, this.context.clock.now(), slowness);
     }
     return answer;
   }
@@ -183,17 +184,13 @@
   issuedLoads(): readonly ServiceLoad[] {
     const loads = new Map<string, ServiceLoad>();
     for (const [key, issuer] of this.issuers) {
-      const {service, slots} = this.context.servers.get(key)?.entry ?? {};
-      if (
-        service !== undefined &&
-        slots !== undefined &&
-        this.claimStates.get(key) === 'issuing'
-      ) {
+      const {service} = this.context.servers.get(key)?.entry ?? {};
+      if (service !== undefined && this.claimStates.get(key) === 'issuing') {
         const known = loads.get(service);
         loads.set(service, {
           service,
           requests: (known?.requests ?? 0) + issuer.requests(),
-          slots: (known?.slots ?? 0) + slots,
+          slots: (known?.slots ?? 0) + Math.ceil(issuer.worth()),
         });
       }
     }
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -3,6 +3,7 @@
   type AdapterName,
   type AdapterPlaces,
   crowdedFrom,
+  LastingSlowness,
   type Order,
   type OrderEnd,
   type PlacesEffect,
@@ -39,6 +40,7 @@
   private readonly answers = new Map<string, (answer: PrepareAnswer) => void>();
   private readonly demand = new ServerDemand();
   private readonly adapterDemand = new AdapterDemand();
+  private readonly slowness: LastingSlowness;
   private closed = false;
 
   constructor(
@@ -48,7 +50,9 @@
     private readonly permits: SendPermits,
     private readonly server: Server,
     private readonly places: AdapterPlaces,
-  ) {}
+  ) {
+    this.slowness = new LastingSlowness(server.evidence.speed.agreed);
+  }
 
   post(event: PlacesEvent): void {
     const effects = this.places.reduce(event, this.context.clock.now());
@@ -68,7 +72,10 @@
     signal: AbortSignal,
   ): Promise<PrepareAnswer> {
     const {timers, clock} = this.context;
-    const {among, uses} = request;
+    const {among, uses, slowness} = request;
+    if (slowness !== undefined) {
+      this.slowness.told(slowness);
+    }
     this.told(request.host, request.inFlight);
     this.adapterDemand.count(request, among * (1 + uses), clock.now());
     return new Promise((resolve) => {
@@ -92,6 +99,7 @@
           ...answer,
           requests: this.requests(),
           spread: this.spreadOf(request),
+          slowness: this.slowness.agreed(),
         });
       };
       const refusal = this.refusal(request);
@@ -209,7 +217,7 @@
 
   /** Why the server is not worth a load, whatever its places hold. */
   private refusal(request: PrepareRequest): PrepareAnswer | undefined {
-    const {notices, entry} = this.server;
+    const {notices} = this.server;
     if (notices.leaving) {
       return refused('server-gone', 0);
     }
@@ -226,12 +234,17 @@
     ) {
       return refused('held-back', CALLS_OF_A_LOAD * room.msPerRequest);
     }
-    const occupancy = this.requests() / entry.slots;
+    const occupancy = this.requests() / this.worth();
     return !request.takesCrowded && this.isCrowded(occupancy)
       ? refused('crowded', occupancy * FULL_SERVER_WAIT_MS)
       : undefined;
   }
 
+  /** Places that the server is worth, as a slower one does less with each. */
+  worth(): number {
+    return this.server.entry.slots / (this.slowness.agreed() ?? 1);
+  }
+
   /** Whether the server is much fuller than the others of its service. */
   private isCrowded(occupancy: number): boolean {
     return occupancy >= (this.crowdedFrom() ?? Infinity);
@@ -254,7 +267,7 @@
           name,
           {
             requests: this.requests(),
-            crowdedFrom: limit * this.server.entry.slots,
+            crowdedFrom: limit * this.worth(),
           },
           this.context.clock.now(),
         );
--- a/packages/entry-host/src/peers/answer-codec.ts
+++ b/packages/entry-host/src/peers/answer-codec.ts
@@ -17,10 +17,18 @@
   answer,
   requests,
   spread,
+  slowness,
 }: fleet.PrepareAdapterResponse): PrepareAnswer => {
   if (answer?.$case === 'resident') {
     const {version, validMs} = answer.value;
-    return {outcome: 'resident', version, validMs, requests, spread};
+    return {
+      outcome: 'resident',
+      version,
+      validMs,
+      requests,
+      spread,
+      slowness,
+    };
   }
   const reason = PREPARE_REFUSALS.find(
     (known): known is PrepareRefusal => known === answer?.value.reason,
@@ -33,6 +41,7 @@
         retryAfterMs: answer.value.retryAfterMs,
         requests,
         spread,
+        slowness,
       };
 };
 
@@ -40,13 +49,13 @@
 export const encodeAnswer = (
   answer: PrepareAnswer,
 ): fleet.PrepareAdapterResponse => {
-  const {requests, spread} = answer;
+  const {requests, spread, slowness} = answer;
   if (answer.outcome === 'resident') {
     const {version, validMs} = answer;
     const value = {version, validMs: Math.floor(validMs)};
-    return {answer: {$case: 'resident', value}, requests, spread};
+    return {answer: {$case: 'resident', value}, requests, spread, slowness};
   }
   const {reason, retryAfterMs} = answer;
   const value = {reason, retryAfterMs: Math.ceil(retryAfterMs)};
-  return {answer: {$case: 'refused', value}, requests, spread};
+  return {answer: {$case: 'refused', value}, requests, spread, slowness};
 };
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -105,7 +105,7 @@
     late: (answer: PrepareAnswer) => void,
   ): Promise<PrepareAnswer> {
     const {requestId, model, adapter, version, priority, uses} = request;
-    const {inFlight, takesCrowded, among} = request;
+    const {inFlight, takesCrowded, among, slowness} = request;
     const maximumWaitMs = Math.ceil(request.maximumWaitMs);
     const onTimeWithinMs = Math.max(0, Math.floor(request.onTimeWithinMs));
     const about = {fromHost, serverRun, requestId, model, adapter, version};
@@ -121,6 +121,7 @@
           inFlight,
           takesCrowded,
           among,
+          slowness,
         },
       },
       maximumWaitMs + PREPARE_SLACK_MS,
