Keep only connections to servers on which the next answer can be read

Callers' view: a request that is sent on a kept connection is no longer left without an answer because of a slow caller or a long body before it.

Cause: a connection is paused while its caller reads slowly. Where the answer ended with the very bytes that paused it, it went back to the pool paused, and the next request on it was never answered. A server may also answer before it has read a body; what was unread stayed in memory, and the next request waited behind it.

Change: a connection is resumed as its exchange ends, and kept only if the body has left this host.

--- a/packages/entry-host/src/test/upstream/connection_test.ts
+++ b/packages/entry-host/src/test/upstream/connection_test.ts
@@ -5,6 +5,7 @@
 import test from 'ava';
 
 import {
+  type ExchangeHandle,
   UpstreamError,
   UpstreamPool,
   type UpstreamRequest,
@@ -50,6 +51,7 @@
   pool: UpstreamPool,
   id: string,
   options: Partial<UpstreamRequest> = {},
+  onData: (handle: ExchangeHandle) => void = () => undefined,
 ): Promise<Ended | UpstreamError> =>
   new Promise((resolve) => {
     let status = 0;
@@ -69,6 +71,9 @@
         },
         data: (chunk) => {
           body += chunk.toString();
+          if (!(handle instanceof UpstreamError)) {
+            onData(handle);
+          }
         },
         end: () => {
           resolve({status, body});
@@ -99,6 +104,38 @@
   server.close();
 });
 
+// The last bytes of an answer came while its caller was slow, and the next
+// request on the connection was never answered.
+test('a connection that was held back is read for the next request', async (t) => {
+  const {server, pool, opened} = await serve((request) =>
+    answerTo(idOf(request)),
+  );
+  await ask(pool, 'one', {}, (handle) => {
+    handle.pause();
+  });
+  t.like(await ask(pool, 'two'), {body: 'two'});
+  t.is(opened(), 1);
+  pool.close();
+  server.close();
+});
+
+test('a connection whose server has not read a body is not kept', async (t) => {
+  const sockets: Socket[] = [];
+  const {server, pool, opened} = await serve((request, socket) => {
+    sockets.push(socket.pause());
+    return answerTo(idOf(request));
+  });
+  const body = Buffer.alloc(16 * 1_048_576);
+  t.like(await ask(pool, 'one', {body}), {body: 'one'});
+  t.like(await ask(pool, 'two'), {body: 'two'});
+  t.is(opened(), 2);
+  for (const socket of sockets) {
+    socket.destroy();
+  }
+  pool.close();
+  server.close();
+});
+
 test('passes over a late second answer to an earlier request', async (t) => {
   const {server, pool} = await serve((request) => {
     const id = idOf(request);
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -218,6 +218,8 @@
 
   private finish(exchange: Exchange, extraBytes: boolean): void {
     this.exchange = undefined;
+    // Its last bytes may have come while the caller was slow.
+    this.socket.resume();
     const {requestId} = exchange.request;
     if (requestId !== undefined) {
       this.earlier.add(requestId);
@@ -233,8 +235,14 @@
     if (timeout !== undefined) {
       this.idleMs = Math.max(0, Number(timeout) * 1_000 - IDLE_MARGIN_MS);
     }
+    // A server that answers before it has read a body may never read it.
+    const bodyTaken = this.socket.writableLength === 0;
     this.reusable =
-      !closing && !extraBytes && exchange.endedByLength && this.idleMs > 0;
+      !closing &&
+      !extraBytes &&
+      bodyTaken &&
+      exchange.endedByLength &&
+      this.idleMs > 0;
     if (this.reusable) {
       this.socket.setTimeout(this.idleMs);
     }
