Bound what a host holds for all its callers together

Callers' view: a caller that reads slowly keeps its answer as long as there is room; one that takes nothing is cut and never sees an answer that looks whole; a body that finds no room is refused with 503 and Retry-After before it is read, and the connection goes on.

Cause: each connection was bounded for itself and their sum was not: hundreds of slow callers are the memory of a small machine. Answers that were written in one piece, and those whose server had ended, were bounded by nothing at all. A caller that reads less than its answer in ten seconds was cut though it read, and a server was left unread until it cut its answer off.

Change: a budget over all connections, a quarter of machine.memoryMb (512 MB are assumed where it is absent), decides who is cut, read on or refused.

The 400 ms that a pool gives a new connection are on virtual time in the test of unread bodies: on a busy machine it failed once more beside all other tests.

--- /dev/null
+++ b/packages/dispatch/src/test/requests/held-bytes_test.ts
@@ -0,0 +1,172 @@
+import test from 'ava';
+import fc from 'fast-check';
+
+import {
+  type CutReason,
+  HeldBytes,
+  type Holder,
+  type Holding,
+} from '../../requests/index.js';
+
+const LIMIT = 1_000_000;
+
+const at = (ms: number) => ({monotonicMs: ms, wallMs: 0});
+
+/** A caller whose figures a test sets. */
+class Caller implements Holder {
+  holding: Holding = {
+    requestBytes: 0,
+    answerBytes: 0,
+    pendingBytes: 0,
+    movedBytes: 0,
+    paused: false,
+  };
+  readOns = 0;
+  cutFor: CutReason | undefined;
+  private readonly share;
+
+  constructor(budget: HeldBytes, atMs = 0) {
+    this.share = budget.open(this, at(atMs));
+  }
+
+  holds(change: Partial<Holding>, atMs = 0): this {
+    this.holding = {...this.holding, ...change};
+    this.share.refresh(at(atMs));
+    return this;
+  }
+
+  measure(): Holding {
+    return this.holding;
+  }
+
+  readOn(): void {
+    this.readOns += 1;
+  }
+
+  cut(reason: CutReason): void {
+    this.cutFor = reason;
+  }
+}
+
+const budgetOf = (limit = LIMIT) => new HeldBytes(() => limit);
+
+test('cuts the caller that holds most and has taken nothing for longest', (t) => {
+  const budget = budgetOf();
+  const [moving, idle, small] = [0, 0, 0].map(() => new Caller(budget));
+  moving?.holds({pendingBytes: 400_000, movedBytes: 1}, 0);
+  idle?.holds({pendingBytes: 400_000, movedBytes: 1}, 0);
+  small?.holds({pendingBytes: 100_000, movedBytes: 1}, 0);
+  moving?.holds({movedBytes: 2}, 1_500);
+  const last = new Caller(budget).holds({pendingBytes: 200_000}, 1_600);
+  t.is(idle?.cutFor, 'memory');
+  t.deepEqual(
+    [moving, small, last].map((caller) => caller?.cutFor),
+    [undefined, undefined, undefined],
+  );
+  t.is(budget.bytes, 700_000);
+});
+
+test('requests that wait to be answered are not cut', (t) => {
+  const budget = budgetOf();
+  const waiting = new Caller(budget).holds({requestBytes: 900_000});
+  const slow = new Caller(budget).holds({pendingBytes: 200_000});
+  t.is(waiting.cutFor, undefined);
+  t.is(slow.cutFor, 'memory');
+});
+
+test('bodies are refused where there is no room for them', (t) => {
+  const budget = budgetOf();
+  t.true(budget.hasRoomFor(750_000, at(0)));
+  new Caller(budget).holds({requestBytes: 700_000});
+  t.true(budget.hasRoomFor(50_000, at(0)));
+  t.false(budget.hasRoomFor(50_001, at(0)));
+  t.true(budget.hasRoomFor(0, at(0)), 'a request without a body');
+});
+
+test('callers that stand still make room, those that move do not', (t) => {
+  const budget = budgetOf();
+  const idle = new Caller(budget).holds({pendingBytes: 400_000, movedBytes: 1});
+  const moving = new Caller(budget).holds({
+    pendingBytes: 400_000,
+    movedBytes: 1,
+  });
+  t.false(budget.hasRoomFor(100_000, at(100)), 'nobody stands still yet');
+  moving.holds({movedBytes: 2}, 1_900);
+  t.true(budget.hasRoomFor(100_000, at(2_000)));
+  t.is(idle.cutFor, 'memory');
+  t.is(moving.cutFor, undefined);
+});
+
+/** Reviews every half second until a moment. */
+const reviewUntil = (budget: HeldBytes, fromMs: number, toMs: number) => {
+  for (let ms = fromMs; ms <= toMs; ms += 500) {
+    budget.review(at(ms));
+  }
+};
+
+test('a caller that takes nothing is cut, one that takes little is not', (t) => {
+  const budget = budgetOf();
+  const gone = new Caller(budget).holds({pendingBytes: 10, movedBytes: 1});
+  const slow = new Caller(budget).holds({pendingBytes: 10, movedBytes: 1});
+  const waiting = new Caller(budget).holds({requestBytes: 10});
+  reviewUntil(budget, 0, 9_500);
+  t.is(gone.cutFor, undefined);
+  slow.holds({movedBytes: 2}, 9_600);
+  reviewUntil(budget, 10_000, 19_500);
+  t.is(gone.cutFor, 'takes nothing');
+  t.is(slow.cutFor, undefined);
+  reviewUntil(budget, 20_000, 60_000);
+  t.is(waiting.cutFor, undefined);
+});
+
+test('a host that stood still cuts nobody for it', (t) => {
+  const budget = budgetOf();
+  const caller = new Caller(budget).holds({pendingBytes: 10, movedBytes: 1});
+  budget.review(at(0));
+  reviewUntil(budget, 30_000, 39_500);
+  t.is(caller.cutFor, undefined);
+  reviewUntil(budget, 40_000, 40_500);
+  t.is(caller.cutFor, 'takes nothing');
+});
+
+test('a server that is held back is read on before it cuts its answer', (t) => {
+  const budget = budgetOf();
+  const caller = new Caller(budget).holds({pendingBytes: 10, paused: true});
+  reviewUntil(budget, 0, 3_000);
+  t.is(caller.readOns, 3);
+  caller.holds({paused: false}, 3_000);
+  reviewUntil(budget, 3_500, 6_000);
+  t.is(caller.readOns, 3);
+});
+
+test('drawn callers never hold more than the budget', (t) => {
+  const seed = Number(process.env.SEED ?? Date.now() % 1_000_000);
+  t.log(`seed ${seed}`);
+  const step = fc.record({
+    caller: fc.nat(9),
+    pendingBytes: fc.nat(300_000),
+    movedBytes: fc.nat(3),
+    paused: fc.boolean(),
+    passMs: fc.nat(3_000),
+  });
+  const holds = fc.property(fc.array(step, {maxLength: 60}), (steps) => {
+    const budget = budgetOf();
+    const callers = Array.from({length: 10}, () => new Caller(budget));
+    let ms = 0;
+    for (const {caller, passMs, ...holding} of steps) {
+      ms += passMs;
+      callers[caller]?.holds(holding, ms);
+      budget.review(at(ms));
+      const held = callers
+        .filter(({cutFor}) => cutFor === undefined)
+        .reduce((sum, {holding: {pendingBytes}}) => sum + pendingBytes, 0);
+      if (held > LIMIT || budget.bytes > LIMIT || budget.bytes < held) {
+        return false;
+      }
+    }
+    return true;
+  });
+  t.notThrows(() => {
+    fc.assert(holds, {seed, numRuns: 300});
+  });
+});
--- a/packages/entry-host/src/front/caller-answer.ts
+++ b/packages/entry-host/src/front/caller-answer.ts
@@ -1,9 +1,24 @@
 import type {ServerResponse} from 'node:http';
 
+/**
+ * Pieces in which an answer goes to a slow caller, bytes: each that is taken
+ * shows that the caller still reads.
+ */
+const PIECE_BYTES = 16_384;
+
+/** Largest answer that is handed over at once, bytes: a read of a socket. */
+const WHOLE_BYTES = 65_536;
+
 /** The answer to a caller, written as it arrives. */
 export class CallerAnswer {
   private finished = false;
   private unframed = false;
+  private ending = false;
+  private writtenBytes = 0;
+  /** Bytes behind those that the connection has not taken yet. */
+  private readonly queue: Buffer[] = [];
+  private queuedBytes = 0;
+  private drained: () => void = () => undefined;
 
   constructor(
     private readonly response: ServerResponse,
@@ -11,6 +26,19 @@
     private readonly closing: () => boolean,
   ) {
     response.sendDate = false;
+    response.on('drain', () => {
+      this.writeQueue();
+    });
+  }
+
+  /** Bytes that wait for the caller to take them. */
+  get pendingBytes(): number {
+    return this.queuedBytes + this.response.writableLength;
+  }
+
+  /** Bytes that the caller's connection has taken, framing aside. */
+  get takenBytes(): number {
+    return this.writtenBytes - this.pendingBytes;
   }
 
   /** A part of it has gone out. */
@@ -27,8 +55,14 @@
     });
   }
 
+  /** The caller has taken all that was written. */
   onDrain(callback: () => void): void {
-    this.response.on('drain', callback);
+    this.drained = callback;
+  }
+
+  /** The connection is done with the answer, however it ended. */
+  onClosed(callback: () => void): void {
+    this.response.once('close', callback);
   }
 
   /**
@@ -47,12 +81,21 @@
 
   /** Returns false when the caller takes bytes slower than they arrive. */
   write(chunk: Buffer): boolean {
-    return this.response.write(chunk);
+    this.writtenBytes += chunk.length;
+    if (this.queue.length === 0 && !this.response.writableNeedDrain) {
+      return this.response.write(chunk);
+    }
+    this.queue.push(chunk);
+    this.queuedBytes += chunk.length;
+    return false;
   }
 
   end(): void {
     this.finished = true;
-    this.response.end();
+    this.ending = true;
+    if (this.queue.length === 0) {
+      this.response.end();
+    }
   }
 
   /** Writes an answer at once; see `begin` for `endsWithConnection`. */
@@ -66,12 +109,21 @@
     const length = ['Content-Length', `${body.length}`];
     const framing = endsWithConnection ? [] : length;
     this.writeHead(status, [...rawHeaders, ...framing], endsWithConnection);
-    this.response.end(body);
+    if (body.length <= WHOLE_BYTES) {
+      this.writtenBytes += body.length;
+      this.response.end(body);
+      return;
+    }
+    this.write(body.subarray(0, PIECE_BYTES));
+    this.write(body.subarray(PIECE_BYTES));
+    this.end();
   }
 
   /** Cuts an answer that can't be completed, so that it never looks whole. */
   abort(): void {
     this.finished = true;
+    this.queue.length = 0;
+    this.queuedBytes = 0;
     if (this.unframed) {
       this.response.socket?.resetAndDestroy();
     } else {
@@ -79,6 +131,31 @@
     }
   }
 
+  /** Hands on what waits, piece by piece as the caller takes them. */
+  private writeQueue(): void {
+    const {queue, response} = this;
+    while (!response.writableNeedDrain) {
+      const next = queue.shift();
+      if (next === undefined) {
+        break;
+      }
+      if (next.length > PIECE_BYTES) {
+        queue.unshift(next.subarray(PIECE_BYTES));
+      }
+      const piece = next.subarray(0, PIECE_BYTES);
+      this.queuedBytes -= piece.length;
+      response.write(piece);
+    }
+    if (queue.length > 0 || response.writableNeedDrain) {
+      return;
+    }
+    if (this.ending) {
+      response.end();
+    } else {
+      this.drained();
+    }
+  }
+
   private writeHead(
     status: number,
     rawHeaders: readonly string[],
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -9,13 +9,21 @@
 
 import {ListenError} from '@basilworks/daemon';
 import type {CallerLimits, RetryBudget, RouteTable} from '@basilworks/dispatch';
-import {chooseTarget, RetryBudget as Budget} from '@basilworks/dispatch';
+import {
+  chooseTarget,
+  HELD_REVIEW_PERIOD_MS,
+  HeldBytes,
+  heldBytesLimit,
+  retryAfterMs,
+  RetryBudget as Budget,
+} from '@basilworks/dispatch';
 import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
 import type {UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
-import {readCallerRequest} from './caller-request.js';
+import {CallerHold} from './caller-hold.js';
+import {type CallerRequest, readCallerRequest} from './caller-request.js';
 import {RequestRun} from './request-run.js';
 import type {ServerSelector} from './server-selection.js';
 
@@ -45,6 +53,7 @@
   private readonly budgets = new Map<string, RetryBudget>();
   /** Connections that have had a request. */
   private readonly used = new WeakSet<Socket>();
+  private readonly held: HeldBytes;
   private routes: RouteTable | undefined;
   private limits = FIRST_LIMITS;
   private inProgress = 0;
@@ -71,6 +80,15 @@
       this.rejectBytes(error, socket);
     });
     this.applyLimits();
+    const {clock, timers, signal, metrics} = context;
+    this.held = new HeldBytes(() =>
+      heldBytesLimit(context.settings.machine.memoryMb),
+    );
+    const review = () => {
+      this.held.review(clock.now());
+      metrics.heldBytes.set(this.held.bytes);
+    };
+    timers.every('held-bytes', HELD_REVIEW_PERIOD_MS, review, {signal});
   }
 
   /** Requests that have no final answer yet. */
@@ -147,7 +165,20 @@
       refuse(431, 'the head is too large');
       return;
     }
-    const body = await readBody(message, this.limits.maximumBodyBytes);
+    const head = readCallerRequest(
+      message,
+      NOTHING,
+      arrivedAt,
+      platform.forwarding.headers,
+    );
+    const hold = new CallerHold(this.context, this.held, answer);
+    hold.requestId = head.id;
+    const {maximumBodyBytes} = this.limits;
+    if (!hold.admits(Math.min(expectedBytes(message), maximumBodyBytes))) {
+      this.turnAway(head, answer, 'no memory for its body');
+      return;
+    }
+    const body = await readBody(message, maximumBodyBytes, hold);
     if (body === 'too-large') {
       refuse(413, 'the body is too large');
       return;
@@ -156,12 +187,7 @@
       answer.abort();
       return;
     }
-    const request = readCallerRequest(
-      message,
-      body,
-      arrivedAt,
-      platform.forwarding.headers,
-    );
+    const request = {...head, body};
     if (await this.hasLeft(message.socket, request.id)) {
       answer.abort();
       return;
@@ -189,7 +215,7 @@
     const {context, pools, selector} = this;
     const budget = this.budgetOf(service.name);
     const parts = {context, pools, selector, budget};
-    const run = new RequestRun(parts, request, route, service, answer);
+    const run = new RequestRun(parts, request, route, service, answer, hold);
     await run.run();
   }
 
@@ -242,6 +268,20 @@
     answer.send(status, [], Buffer.alloc(0));
   }
 
+  /** Refuses a request before its body is read; it may come back. */
+  private turnAway(
+    {id, callerWaitMs}: CallerRequest,
+    answer: CallerAnswer,
+    reason: string,
+  ): void {
+    const {logger, metrics, random} = this.context;
+    metrics.refusals.inc({reason});
+    logger.info('request turned away', {requestId: id, reason});
+    const waitMs = retryAfterMs(0, callerWaitMs ?? Infinity, random);
+    const headers = ['Retry-After', (waitMs / 1_000).toFixed(2)];
+    answer.send(503, headers, NOTHING);
+  }
+
   private rejectBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
     const code = error.code ?? '';
     this.context.logger.info('connection rejected', {code});
@@ -264,10 +304,22 @@
     });
   });
 
+const NOTHING = Buffer.alloc(0);
+
+/** Body that is expected where its length isn't told, bytes: one read. */
+const UNTOLD_BYTES = 65_536;
+
+/** How long a body will be, as far as its head tells, bytes. */
+const expectedBytes = ({headers}: IncomingMessage): number =>
+  headers['transfer-encoding'] === undefined
+    ? Number(headers['content-length'] ?? 0)
+    : UNTOLD_BYTES;
+
 /** Reads a body up to a limit. */
 const readBody = (
   message: IncomingMessage,
   maximumBytes: number,
+  hold: CallerHold,
 ): Promise<Buffer | 'too-large' | 'cut'> =>
   new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -281,8 +333,10 @@
         return;
       }
       chunks.push(chunk);
+      hold.received(chunk.length);
     });
     message.on('end', () => {
+      hold.receivedWhole();
       resolve(Buffer.concat(chunks));
     });
     message.on('close', () => {
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -13,6 +13,7 @@
 import type {EntryHostContext} from '../context.js';
 import type {ResponseHead, UpstreamPools} from '../upstream/index.js';
 import type {CallerAnswer} from './caller-answer.js';
+import type {CallerHold} from './caller-hold.js';
 import {type CallerRequest, endToEndHeaders} from './caller-request.js';
 import {EventSplitter} from './event-splitter.js';
 import {type SendResult, ServerSend} from './server-send.js';
@@ -32,9 +33,6 @@
 /** Largest plain answer that is held until it is whole, bytes. */
 const MAXIMUM_HELD_BYTES = 262_144;
 
-/** A caller that takes no bytes for this long has left, milliseconds. */
-const STALLED_CALLER_MS = 10_000;
-
 /** Tells the timers of runs apart. */
 let serial = 0;
 
@@ -66,6 +64,7 @@
     private readonly route: Route,
     private readonly service: Service,
     private readonly answer: CallerAnswer,
+    private readonly hold: CallerHold,
   ) {}
 
   /** Resolves when the caller has its final answer, or has left. */
@@ -76,9 +75,11 @@
       this.abandoned = true;
       this.giveUp('abandoned by its caller');
     });
+    this.hold.onCut((reason) => {
+      this.giveUp(`cut: ${reason}`);
+    });
     this.answer.onDrain(() => {
-      timers.cancel(`${this.timer}/stalled`);
-      this.send?.resume();
+      this.hold.release();
     });
     timers.after(this.timer, this.remainingMs(), () => {
       this.timedOut();
@@ -99,7 +100,7 @@
       this.take(result, selection.server);
     }
     timers.cancel(this.timer);
-    timers.cancel(`${this.timer}/stalled`);
+    this.hold.finished();
   }
 
   private isOver(): boolean {
@@ -165,6 +166,7 @@
       resumeAfter: this.lastEventId,
     });
     this.send = undefined;
+    this.hold.sourceEnded();
     this.parts.selector.ended(this.request, server);
     const end = result.type === 'no-answer' ? result.end : result.type;
     context.metrics.sends.inc({service: this.service.name, end});
@@ -250,7 +252,7 @@
       return;
     }
     if (this.route.kind !== 'stream') {
-      this.hold(chunk);
+      this.keep(chunk);
     } else if (mayRepeat(this.route)) {
       for (const {id, bytes} of this.splitter.feed(chunk)) {
         this.lastEventId = id ?? this.lastEventId;
@@ -262,32 +264,29 @@
   }
 
   private writeOn(chunk: Buffer): void {
-    if (this.answer.write(chunk)) {
-      return;
+    if (!this.answer.write(chunk) && this.send !== undefined) {
+      this.hold.holdBack(this.send);
     }
-    this.send?.pause();
-    const {timers} = this.parts.context;
-    timers.after(`${this.timer}/stalled`, STALLED_CALLER_MS, () => {
-      this.giveUp('the caller takes no bytes');
-      this.answer.abort();
-    });
   }
 
   /** Keeps a plain answer until it is whole, so that it can be repeated. */
-  private hold(chunk: Buffer): void {
+  private keep(chunk: Buffer): void {
     if (this.heldHead === undefined) {
       this.writeOn(chunk);
       return;
     }
     this.held.push(chunk);
     this.heldBytes += chunk.length;
-    if (this.heldBytes > MAXIMUM_HELD_BYTES) {
-      const head = this.heldHead;
-      this.heldHead = undefined;
-      this.begin(head);
-      this.writeOn(Buffer.concat(this.held));
-      this.held.length = 0;
+    if (this.heldBytes <= MAXIMUM_HELD_BYTES && this.hold.keepsWhole) {
+      this.hold.keeps(this.heldBytes);
+      return;
     }
+    const head = this.heldHead;
+    this.heldHead = undefined;
+    this.begin(head);
+    this.writeOn(Buffer.concat(this.held));
+    this.held.length = 0;
+    this.hold.keeps(0);
   }
 
   private complete(): void {
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -64,6 +64,24 @@
     ['service'],
   );
 
+  readonly cutCallers = this.counter(
+    'basilworks_cut_callers_total',
+    'Callers whose connections this host has cut, by reason.',
+    ['reason'],
+  );
+
+  readonly refusals = this.counter(
+    'basilworks_refusals_total',
+    'Requests refused before they were read, by reason.',
+    ['reason'],
+  );
+
+  readonly heldBytes = new Gauge({
+    name: 'basilworks_held_bytes',
+    help: 'Bytes held for callers, as last reviewed.',
+    registers: [this.registry],
+  });
+
   readonly answerSeconds = new Histogram({
     name: 'basilworks_answer_seconds',
     help: 'Time to the head of an answer by route, seconds.',
--- a/packages/entry-host/src/test/front/server-send_test.ts
+++ b/packages/entry-host/src/test/front/server-send_test.ts
@@ -2,7 +2,6 @@
 import test from 'ava';
 
 import type {EntryHostContext} from '../../context.js';
-import type {CallerRequest} from '../../front/caller-request.js';
 import {ServerSend} from '../../front/server-send.js';
 import {
   type ExchangeObserver,
@@ -10,35 +9,10 @@
   type UpstreamPools,
 } from '../../upstream/index.js';
 import {serverEntry, ViewFleet} from '../views/view-fleet.js';
+import {HEADERS, REQUEST} from './request-parts.js';
 
 const entry = serverEntry('s');
 
-const request: CallerRequest = {
-  id: 'r',
-  method: 'GET',
-  target: '/',
-  host: 'h',
-  rawHeaders: [],
-  body: Buffer.alloc(0),
-  model: undefined,
-  callerWaitMs: undefined,
-  arrivedAt: {monotonicMs: 0, wallMs: 0},
-};
-
-const HEADERS = {
-  requestId: 'X-Id',
-  deadlineMs: 'X-Deadline',
-  expectServer: 'X-Expect',
-  expectVersion: 'X-Version',
-  priority: 'X-Priority',
-  lastEventId: 'Last-Event-Id',
-  notRun: 'X-Not-Run',
-  signature: 'X-Signature',
-  serverId: 'X-Server',
-  serverLoad: 'X-Load',
-  reserved: [],
-};
-
 /** A send whose connection is not open yet. */
 const begin = (permitted = false) => {
   const fleet = new ViewFleet(1);
@@ -78,7 +52,7 @@
   } as unknown as UpstreamPools;
   const ignore = {head: () => undefined, data: () => undefined};
   const send = new ServerSend(context, pools, server, 10, permitted, ignore);
-  const result = send.run(request, {
+  const result = send.run(REQUEST, {
     server: 's',
     remainingMs: 1_000,
     version: undefined,
--- a/packages/entry-host/src/test/upstream/connection_test.ts
+++ b/packages/entry-host/src/test/upstream/connection_test.ts
@@ -11,6 +11,8 @@
   type UpstreamRequest,
 } from '../../upstream/index.js';
 
+import {VirtualTime, VirtualTimers} from '../views/virtual-time.js';
+
 const ID_HEADER = 'x-id';
 
 interface Ended {
@@ -21,6 +23,7 @@
 /** A server that answers each request with what `script` returns. */
 const serve = async (
   script: (request: string, socket: Socket) => string | undefined,
+  timers = new TimerService(),
 ): Promise<{server: Server; pool: UpstreamPool; opened: () => number}> => {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
@@ -39,7 +42,7 @@
   const pool = new UpstreamPool(
     {host: '127.0.0.1', port},
     ID_HEADER,
-    new TimerService(),
+    timers,
     () => {
       opened += 1;
     },
@@ -121,10 +124,14 @@
 
 test('a connection whose server has not read a body is not kept', async (t) => {
   const sockets: Socket[] = [];
-  const {server, pool, opened} = await serve((request, socket) => {
-    sockets.push(socket.pause());
-    return answerTo(idOf(request));
-  });
+  const ignore = () => undefined;
+  const {server, pool, opened} = await serve(
+    (request, socket) => {
+      sockets.push(socket.pause());
+      return answerTo(idOf(request));
+    },
+    new VirtualTimers(new VirtualTime(), ignore),
+  );
   const body = Buffer.alloc(16 * 1_048_576);
   t.like(await ask(pool, 'one', {body}), {body: 'one'});
   t.like(await ask(pool, 'two'), {body: 'two'});
