--- a/packages/entry-host/src/test/front/front-listener_test.ts
+++ b/packages/entry-host/src/test/front/front-listener_test.ts
@@ -5,7 +5,7 @@
 import type {EntryHostContext} from '../../context.js';
 import {FrontListener} from '../../front/index.js';
 import {ViewFleet} from '../views/view-fleet.js';
-import {HEADERS} from './request-parts.js';
+import {HEADER_NAMES} from './header-names.js';
 
 /** A listener without configuration, on a machine with little memory. */
 const listen = async (memoryMb: number) => {
@@ -15,7 +15,7 @@
     {
       ...context,
       settings: {...context.settings, machine: {memoryMb}},
-      platform: {forwarding: {headers: HEADERS}},
+      platform: {forwarding: {headers: HEADER_NAMES}},
     } as unknown as EntryHostContext,
     undefined as never,
     undefined as never,
--- a/packages/entry-host/src/test/front/server-send_test.ts
+++ b/packages/entry-host/src/test/front/server-send_test.ts
@@ -8,8 +8,9 @@
   UpstreamError,
   type UpstreamPools,
 } from '../../upstream/index.js';
+import {HEADER_NAMES} from './header-names.js';
 import {serverEntry, ViewFleet} from '../views/view-fleet.js';
-import {HEADERS, REQUEST} from './request-parts.js';
+import {REQUEST} from './request-parts.js';
 
 const entry = serverEntry('s');
 
@@ -26,7 +27,7 @@
     servers,
     platform: {
       forwarding: {
-        headers: HEADERS,
+        headers: HEADER_NAMES,
         readNotice: () => ({leaving: false}),
         readLoad: () => undefined,
       },
--- a/packages/entry-host/src/test/front/slow-callers_test.ts
+++ b/packages/entry-host/src/test/front/slow-callers_test.ts
@@ -21,7 +21,8 @@
   type UpstreamPools,
 } from '../../upstream/index.js';
 import {serverEntry, ViewFleet} from '../views/view-fleet.js';
-import {HEADERS, REQUEST} from './request-parts.js';
+import {HEADER_NAMES} from './header-names.js';
+import {REQUEST} from './request-parts.js';
 
 /** Reads of a server's answer. */
 const READ_BYTES = 65_536;
@@ -140,7 +141,7 @@
     const entry = serverEntry('s');
     servers.update([{entry, revision: 1}], undefined, parts.clock.now());
     const forwarding = {
-      headers: HEADERS,
+      headers: HEADER_NAMES,
       lowestPriority: 0,
       readNotice: () => ({leaving: false}),
       readLoad: () => undefined,
@@ -178,6 +179,7 @@
         deposit: () => undefined,
         withdraw: () => false,
       } as unknown as RunParts['budget'],
+      gate: {mayStillSend: () => true},
     };
   }
 
@@ -213,6 +215,7 @@
         service,
         answer,
         hold,
+        {type: 'unnamed'},
       );
       started(run.run());
     });
