Merge the bound on what a host holds for all its callers

Callers' view: slow callers keep their answers while there is room; one that takes nothing is cut in time; kept connections to servers are read to their end.

--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -14,6 +14,7 @@
 import type {EntryHostContext} from '../context.js';
 import type {ResponseHead, UpstreamPools} from '../upstream/index.js';
 import type {CallerAnswer} from './caller-answer.js';
+import type {CallerHold} from './caller-hold.js';
 import {type CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
 import {type CallerRequest, endToEndHeaders} from './caller-request.js';
 import {EventSplitter} from './event-splitter.js';
@@ -35,9 +36,6 @@
 /** Largest plain answer that is held until it is whole, bytes. */
 const MAXIMUM_HELD_BYTES = 262_144;
 
-/** A caller that takes no bytes for this long has left, milliseconds. */
-const STALLED_CALLER_MS = 10_000;
-
 /** Ends requests whose keys may have been taken away by now. */
 const UNCONFIRMED = {
   type: 'none',
@@ -76,6 +74,7 @@
     private readonly route: Route,
     private readonly service: Service,
     private readonly answer: CallerAnswer,
+    private readonly hold: CallerHold,
     private readonly caller: Caller,
   ) {}
 
@@ -87,9 +86,11 @@
       this.abandoned = true;
       this.giveUp('abandoned by its caller');
     });
+    this.hold.onCut((reason) => {
+      this.giveUp(`cut: ${reason}`);
+    });
     this.answer.onDrain(() => {
-      timers.cancel(`${this.timer}/stalled`);
-      this.send?.resume();
+      this.hold.release();
     });
     timers.after(this.timer, this.remainingMs(), () => {
       this.timedOut();
@@ -114,7 +115,7 @@
       this.take(result, selection.server);
     }
     timers.cancel(this.timer);
-    timers.cancel(`${this.timer}/stalled`);
+    this.hold.finished();
   }
 
   private isOver(): boolean {
@@ -186,6 +187,7 @@
       caller: this.caller,
     });
     this.send = undefined;
+    this.hold.sourceEnded();
     this.parts.selector.ended(this.request, server);
     const end = result.type === 'no-answer' ? result.end : result.type;
     context.metrics.sends.inc({service: this.service.name, end});
@@ -271,7 +273,7 @@
       return;
     }
     if (this.route.kind !== 'stream') {
-      this.hold(chunk);
+      this.keep(chunk);
     } else if (mayRepeat(this.route)) {
       for (const {id, bytes} of this.splitter.feed(chunk)) {
         this.lastEventId = id ?? this.lastEventId;
@@ -283,32 +285,29 @@
   }
 
   private writeOn(chunk: Buffer): void {
-    if (this.answer.write(chunk)) {
-      return;
+    if (!this.answer.write(chunk) && this.send !== undefined) {
+      this.hold.holdBack(this.send);
     }
-    this.send?.pause();
-    const {timers} = this.parts.context;
-    timers.after(`${this.timer}/stalled`, STALLED_CALLER_MS, () => {
-      this.giveUp('the caller takes no bytes');
-      this.answer.abort();
-    });
   }
 
   /** Keeps a plain answer until it is whole, so that it can be repeated. */
-  private hold(chunk: Buffer): void {
+  private keep(chunk: Buffer): void {
     if (this.heldHead === undefined) {
       this.writeOn(chunk);
       return;
     }
     this.held.push(chunk);
     this.heldBytes += chunk.length;
-    if (this.heldBytes > MAXIMUM_HELD_BYTES) {
-      const head = this.heldHead;
-      this.heldHead = undefined;
-      this.begin(head);
-      this.writeOn(Buffer.concat(this.held));
-      this.held.length = 0;
+    if (this.heldBytes <= MAXIMUM_HELD_BYTES && this.hold.keepsWhole) {
+      this.hold.keeps(this.heldBytes);
+      return;
     }
+    const head = this.heldHead;
+    this.heldHead = undefined;
+    this.begin(head);
+    this.writeOn(Buffer.concat(this.held));
+    this.held.length = 0;
+    this.hold.keeps(0);
   }
 
   private complete(): void {
--- a/packages/entry-host/src/test/upstream/connection_test.ts
+++ b/packages/entry-host/src/test/upstream/connection_test.ts
@@ -5,11 +5,14 @@
 import test from 'ava';
 
 import {
+  type ExchangeHandle,
   UpstreamError,
   UpstreamPool,
   type UpstreamRequest,
 } from '../../upstream/index.js';
 
+import {VirtualTime, VirtualTimers} from '../views/virtual-time.js';
+
 const ID_HEADER = 'x-id';
 
 interface Ended {
@@ -20,6 +23,7 @@
 /** A server that answers each request with what `script` returns. */
 const serve = async (
   script: (request: string, socket: Socket) => string | undefined,
+  timers = new TimerService(),
 ): Promise<{server: Server; pool: UpstreamPool; opened: () => number}> => {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
@@ -38,7 +42,7 @@
   const pool = new UpstreamPool(
     {host: '127.0.0.1', port},
     ID_HEADER,
-    new TimerService(),
+    timers,
     () => {
       opened += 1;
     },
@@ -50,6 +54,7 @@
   pool: UpstreamPool,
   id: string,
   options: Partial<UpstreamRequest> = {},
+  onData: (handle: ExchangeHandle) => void = () => undefined,
 ): Promise<Ended | UpstreamError> =>
   new Promise((resolve) => {
     let status = 0;
@@ -69,6 +74,9 @@
         },
         data: (chunk) => {
           body += chunk.toString();
+          if (!(handle instanceof UpstreamError)) {
+            onData(handle);
+          }
         },
         end: () => {
           resolve({status, body});
@@ -99,6 +107,42 @@
   server.close();
 });
 
+// The last bytes of an answer came while its caller was slow, and the next
+// request on the connection was never answered.
+test('a connection that was held back is read for the next request', async (t) => {
+  const {server, pool, opened} = await serve((request) =>
+    answerTo(idOf(request)),
+  );
+  await ask(pool, 'one', {}, (handle) => {
+    handle.pause();
+  });
+  t.like(await ask(pool, 'two'), {body: 'two'});
+  t.is(opened(), 1);
+  pool.close();
+  server.close();
+});
+
+test('a connection whose server has not read a body is not kept', async (t) => {
+  const sockets: Socket[] = [];
+  const ignore = () => undefined;
+  const {server, pool, opened} = await serve(
+    (request, socket) => {
+      sockets.push(socket.pause());
+      return answerTo(idOf(request));
+    },
+    new VirtualTimers(new VirtualTime(), ignore),
+  );
+  const body = Buffer.alloc(16 * 1_048_576);
+  t.like(await ask(pool, 'one', {body}), {body: 'one'});
+  t.like(await ask(pool, 'two'), {body: 'two'});
+  t.is(opened(), 2);
+  for (const socket of sockets) {
+    socket.destroy();
+  }
+  pool.close();
+  server.close();
+});
+
 test('passes over a late second answer to an earlier request', async (t) => {
   const {server, pool} = await serve((request) => {
     const id = idOf(request);
