Keep fair shares of services that are short

Nothing changes without tenants in the configuration.

Cause: the decision stood without figures of the fleet.

The front asks for the verdict once the service is known, before anything else is spent on a request, and counts what servers ran once it ended. Requests that a host stops at the first byte count as unconfirmed with their tenant.

--- a/packages/dispatch/src/requests/retry-after.ts
+++ b/packages/dispatch/src/requests/retry-after.ts
@@ -24,3 +24,11 @@
     Math.min(wanted, remainingMs * USABLE_SHARE * (1 - 0.2 * random())),
   );
 };
+
+/** The same as a header's value, seconds. */
+export const retryAfterS = (
+  expectedWaitMs: number,
+  remainingMs: number,
+  random: () => number,
+): string =>
+  (retryAfterMs(expectedWaitMs, remainingMs, random) / 1_000).toFixed(2);
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -16,6 +16,7 @@
   AdapterVersions,
   adapterVersionRecordSchema,
   addressAnswer,
+  FairShares,
   FleetLoad,
   hostCapacity,
   type HostStatus,
@@ -34,7 +35,7 @@
 
 import type {EntryHostContext} from './context.js';
 import {BoundedLogger} from './lib/bounded-logger.js';
-import {FrontListener, ServerSelector} from './front/index.js';
+import {FrontListener, ServerSelector, TenantShares} from './front/index.js';
 import {EntryHostMetrics} from './metrics.js';
 import {AdapterBroker, ClaimKeeper} from './orders/index.js';
 import {SendPermits} from './permits/index.js';
@@ -150,6 +151,11 @@
       VIEW_HANDLERS[kind](this);
     };
     const names = platform.forwarding.headers;
+    const {fleetLoad, random} = this.context;
+    const fairShares = new FairShares(
+      (service, at) => fleetLoad.occupancy(service, at),
+      random,
+    );
     this.pools = new UpstreamPools(
       names.requestId.toLowerCase(),
       timers,
@@ -169,6 +175,7 @@
       {
         awaitedHosts: () => this.claims.awaitedHosts(),
         issuedLoads: () => this.broker.issuedLoads(),
+        fairShares,
       },
     );
     this.claims = new ClaimKeeper(
@@ -204,7 +211,8 @@
         this.tellIssuers();
       },
     );
-    this.front = new FrontListener(this.context, this.pools, selector);
+    const shares = new TenantShares(this.context, fairShares);
+    this.front = new FrontListener(this.context, this.pools, selector, shares);
   }
 
   /** Whether this host can serve callers. */
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -15,7 +15,7 @@
   IDENTITY_REFUSALS,
   type IdentityRefusal,
   type KeyRing,
-  retryAfterMs,
+  retryAfterS,
   RetryBudget,
   type Route,
   type RouteTable,
@@ -30,6 +30,7 @@
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
 import {RequestRun} from './request-run.js';
 import type {ServerSelector} from './server-selection.js';
+import type {TenantShares} from './tenant-shares.js';
 
 /** Largest head that is parsed at all, bytes; the configured limit is less. */
 const PARSER_HEAD_BYTES = 65_536;
@@ -67,6 +68,7 @@
     private readonly context: EntryHostContext,
     private readonly pools: UpstreamPools,
     private readonly selector: ServerSelector,
+    private readonly shares: TenantShares,
   ) {
     this.gate = new CallerGate(context);
     this.server = createServer(
@@ -199,10 +201,9 @@
     }
     const caller = this.gate.identify(rawHeaders, route);
     if (caller.type === 'refused') {
-      this.refuseCaller(message, answer, route, caller.reason);
+      this.refuseCaller(message, answer, caller.reason);
       return;
     }
-    this.admitCaller(caller);
     const service = this.routes.service(
       chooseTarget(route, this.context.random()) ?? '',
     );
@@ -210,10 +211,17 @@
       refuse(503, 'the route has no service');
       return;
     }
+    const verdict = this.shares.arrived(request, caller, service.name);
+    this.count(caller, verdict.taken ? 'admitted' : 'over-share');
+    if (!verdict.taken) {
+      const reason = 'beyond its fair share of a service that is short';
+      this.reject(message, answer, 503, reason, verdict.retryAfterMs);
+      return;
+    }
     await this.serve(request, ranked(route, caller), service, caller, answer);
   }
 
-  private serve(
+  private async serve(
     request: CallerRequest,
     route: Route,
     service: Service,
@@ -224,7 +232,10 @@
     const budget = this.budgetOf(service.name);
     const parts = {context, pools, selector, budget, gate};
     const run = new RequestRun(parts, request, route, service, answer, caller);
-    return run.run();
+    await run.run();
+    if (run.ran) {
+      this.shares.ran(request, caller, service.name);
+    }
   }
 
   /**
@@ -257,26 +268,23 @@
     return budget;
   }
 
-  private admitCaller(caller: Caller): void {
+  private count(caller: Caller, outcome: string): void {
     if (caller.type === 'tenant') {
       const {name: tenant} = caller.tenant;
-      this.context.metrics.tenantRequests.inc({tenant, outcome: 'admitted'});
+      this.context.metrics.tenantRequests.inc({tenant, outcome});
     }
   }
 
   private refuseCaller(
     message: IncomingMessage,
     answer: CallerAnswer,
-    {timeoutMs}: Route,
     reason: IdentityRefusal,
   ): void {
-    const {metrics, random} = this.context;
+    const {metrics} = this.context;
     metrics.tenantRequests.inc({tenant: 'none', outcome: reason});
     const {status, detail} = IDENTITY_REFUSALS[reason];
-    const waitMs = retryAfterMs(UNCONFIRMED_RETRY_MS, timeoutMs, random);
-    const headers =
-      status === 503 ? ['Retry-After', (waitMs / 1_000).toFixed(2)] : [];
-    this.reject(message, answer, status, detail, headers);
+    const waitMs = status === 503 ? UNCONFIRMED_RETRY_MS : undefined;
+    this.reject(message, answer, status, detail, waitMs);
   }
 
   private reject(
@@ -284,9 +292,10 @@
     answer: CallerAnswer,
     status: number,
     reason: string,
-    rawHeaders: readonly string[] = [],
+    /** When the caller should come back, milliseconds. */
+    waitMs?: number,
   ): void {
-    const {logger, metrics} = this.context;
+    const {logger, metrics, random} = this.context;
     const outcome = 'rejected';
     metrics.requests.inc({route: 'none', outcome});
     logger.info('request rejected', {
@@ -297,7 +306,11 @@
       configuration: this.routes?.configuration.version,
       configurationAgeMs: Math.round(this.gate.confirmedAgeMs()),
     });
-    answer.send(status, rawHeaders, Buffer.alloc(0));
+    const headers =
+      waitMs === undefined
+        ? []
+        : ['Retry-After', retryAfterS(waitMs, Infinity, random)];
+    answer.send(status, headers, Buffer.alloc(0));
   }
 
   private rejectBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
--- a/packages/entry-host/src/front/index.ts
+++ b/packages/entry-host/src/front/index.ts
@@ -6,3 +6,4 @@
 export * from './request-run.js';
 export * from './server-selection.js';
 export * from './server-send.js';
+export * from './tenant-shares.js';
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -3,7 +3,7 @@
   type Caller,
   mayRepeat,
   nextStep,
-  retryAfterMs,
+  retryAfterS,
   type RetryBudget,
   type Route,
   type SendEnd,
@@ -79,6 +79,11 @@
     private readonly caller: Caller,
   ) {}
 
+  /** Whether a server has run it, or may have. */
+  get ran(): boolean {
+    return this.outcome === 'answered' || this.runs > 0;
+  }
+
   /** Resolves when the caller has its final answer, or has left. */
   async run(): Promise<void> {
     const {timers, clock} = this.parts.context;
@@ -96,6 +101,7 @@
     });
     while (!this.over) {
       if (!this.mayServe()) {
+        this.countUnconfirmed();
         this.endWithout(UNCONFIRMED);
         break;
       }
@@ -121,6 +127,14 @@
     return this.over;
   }
 
+  private countUnconfirmed(): void {
+    if (this.caller.type === 'tenant') {
+      const {name: tenant} = this.caller.tenant;
+      const {tenantRequests} = this.parts.context.metrics;
+      tenantRequests.inc({tenant, outcome: 'unconfirmed'});
+    }
+  }
+
   private mayServe(): boolean {
     return this.parts.gate.mayStillSend(this.caller);
   }
@@ -357,11 +371,10 @@
 
   private refuse(reason: string, expectedWaitMs: number): void {
     const {random} = this.parts.context;
-    const waitMs = retryAfterMs(expectedWaitMs, this.remainingMs(), random);
     this.finish('refused', 503, reason);
     this.answer.send(
       503,
-      ['Retry-After', (waitMs / 1_000).toFixed(2)],
+      ['Retry-After', retryAfterS(expectedWaitMs, this.remainingMs(), random)],
       Buffer.alloc(0),
     );
   }
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -1,6 +1,7 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   before,
+  type FairShares,
   type HostEntry,
   hostRecordSchema,
   type HostStatus,
@@ -65,6 +66,8 @@
   awaitedHosts(): readonly string[];
   /** Load of the servers whose orders this host issues. */
   issuedLoads(): readonly ServiceLoad[];
+  /** What tenants use of services, where there are tenants. */
+  readonly fairShares?: FairShares;
 }
 
 const NO_SOURCES: ExchangeSources = {
@@ -134,6 +137,9 @@
     if (sender !== undefined && request.loads.length > 0) {
       fleetLoad.takeIssued(sender.host, request.loads, at);
     }
+    if (sender !== undefined && request.uses.length > 0) {
+      this.sources.fairShares?.takeTold(sender.host, request.uses, at);
+    }
     for (const word of request.words) {
       takeWord(this.context, word, lookedBefore(at));
     }
@@ -146,6 +152,10 @@
       loads: fleetLoad
         .known(at)
         .map(({ageMs, ...load}) => ({...load, ageMs: Math.ceil(ageMs)})),
+      uses: (this.sources.fairShares?.known(at) ?? []).map((use) => ({
+        ...use,
+        ageMs: Math.ceil(use.ageMs),
+      })),
       words: encodeWords(this.context),
     };
   }
@@ -190,13 +200,16 @@
     }
   }
 
-  /** Sums up the load of the servers of this host's group, as a reader. */
+  /** Sums up loads of servers and uses of the group, as a reader. */
   private sumUpLoad(): void {
     const {membership, fleetLoad, settings, clock} = this.context;
     if (membership.isReader(READERS_ASKED)) {
       const at = clock.now();
       fleetLoad.takeIssued(settings.host, this.sources.issuedLoads(), at);
       fleetLoad.sumUp(membership.group().name, at);
+      const {fairShares} = this.sources;
+      fairShares?.takeTold(settings.host, fairShares.toTell(at), at);
+      fairShares?.sumUp(membership.group().name, at);
     }
   }
 
@@ -309,6 +322,13 @@
             .issuedLoads()
             .map((load) => ({...load, group: '', ageMs: 0}))
         : [],
+      uses: wantsViews
+        ? (this.sources.fairShares?.toTell(askedAt) ?? []).map((use) => ({
+            ...use,
+            group: '',
+            ageMs: 0,
+          }))
+        : [],
       words: encodeWords(this.context),
     });
     this.pending.delete(address);
@@ -327,6 +347,9 @@
     for (const {ageMs, ...load} of response.loads) {
       fleetLoad.takeGroup(load, before(askedAt, ageMs));
     }
+    for (const {ageMs, ...use} of response.uses) {
+      this.sources.fairShares?.takeGroup(use, before(askedAt, ageMs));
+    }
     for (const word of response.words) {
       takeWord(this.context, word, lookedSince(askedAt, at));
     }
--- a/packages/entry-host/src/test/front/keyed-requests_test.ts
+++ b/packages/entry-host/src/test/front/keyed-requests_test.ts
@@ -3,6 +3,7 @@
 import type {LogFields} from '@basilworks/daemon';
 import {
   digestKey,
+  FairShares,
   KeyRing,
   RouteTable,
   ServerTable,
@@ -11,7 +12,11 @@
 import test from 'ava';
 
 import type {EntryHostContext} from '../../context.js';
-import {FrontListener, type ServerSelector} from '../../front/index.js';
+import {
+  FrontListener,
+  type ServerSelector,
+  TenantShares,
+} from '../../front/index.js';
 import {
   type ExchangeObserver,
   UpstreamError,
@@ -90,6 +95,7 @@
         lowestPriority: 9,
         readNotice: () => ({leaving: false}),
         readLoad: () => undefined,
+        readTokenUsage: () => ({promptTokens: 90, outputTokens: 10}),
       },
     },
   } as unknown as EntryHostContext;
@@ -120,10 +126,15 @@
   const select = () =>
     Promise.resolve({type: 'server', server: servers.byId('s')});
   const selector = {select, begin: ignore, ended: ignore, refuted: ignore};
+  const shares = new FairShares(
+    () => 2,
+    () => 1,
+  );
   const front = new FrontListener(
     context,
     pools,
     selector as unknown as ServerSelector,
+    new TenantShares(context, shares),
   );
   const use = (keys: KeyRing | undefined, revision = 1) => {
     front.use(new RouteTable(CONFIGURATION), keys, revision);
@@ -150,7 +161,7 @@
     front.close();
     fleet.close();
   };
-  return {world, lines, sends, confirm, use, ask, close};
+  return {world, lines, sends, shares, confirm, use, ask, close};
 };
 
 test('a keyed request goes on under the name of its tenant only', async (t) => {
@@ -234,3 +245,21 @@
   front.confirm(2);
   t.is((await front.ask('/keyed/', {'x-key': KEY})).status, 503);
 });
+
+test('a tenant beyond its share of a short service is told to wait', async (t) => {
+  const front = await startFront(ringOf(KEY));
+  t.teardown(front.close);
+  const {at} = front.world;
+  t.is((await front.ask('/keyed/', {'x-key': KEY})).status, 200);
+  const [use] = front.shares.toTell(at);
+  t.deepEqual(use, {service: 'plain', tenant: 'acme', offered: 50, served: 50});
+  for (const tenant of ['acme', 'other']) {
+    const figures = {service: 'plain', offered: 500, served: 200};
+    front.shares.takeGroup({group: 'g', tenant, ...figures}, at);
+  }
+  front.world.at = {monotonicMs: 9_200, wallMs: 9_200};
+  const refused = await front.ask('/keyed/', {'x-key': KEY});
+  t.is(refused.status, 503);
+  t.truthy(refused.retryAfter);
+  t.is((await front.ask('/open/')).status, 200);
+});
