--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -20,6 +20,7 @@
   adapterVersionRecordSchema,
   addressAnswer,
   FailureTallies,
+  FairShares,
   FleetLoad,
   hostCapacity,
   type HostStatus,
@@ -39,7 +40,7 @@
 import type {EntryHostContext} from './context.js';
 import {BoundedLogger} from './lib/bounded-logger.js';
 import {plainRoutes} from './lib/plain-routes.js';
-import {FrontListener, ServerSelector} from './front/index.js';
+import {FrontListener, ServerSelector, TenantShares} from './front/index.js';
 import {EntryHostMetrics} from './metrics.js';
 import {AdapterBroker, ClaimKeeper} from './orders/index.js';
 import {SendPermits} from './permits/index.js';
@@ -157,6 +158,11 @@
       VIEW_HANDLERS[kind](this);
     };
     const names = platform.forwarding.headers;
+    const {fleetLoad, random} = this.context;
+    const fairShares = new FairShares(
+      (service, at) => fleetLoad.occupancy(service, at),
+      random,
+    );
     this.pools = new UpstreamPools(
       names.requestId.toLowerCase(),
       timers,
@@ -176,6 +182,7 @@
       {
         awaitedHosts: () => this.claims.awaitedHosts(),
         issuedLoads: () => this.broker.issuedLoads(),
+        fairShares,
       },
     );
     this.claims = new ClaimKeeper(
@@ -211,7 +218,8 @@
         this.tellIssuers();
       },
     );
-    this.front = new FrontListener(this.context, this.pools, selector);
+    const shares = new TenantShares(this.context, fairShares);
+    this.front = new FrontListener(this.context, this.pools, selector, shares);
   }
 
   /** Whether this host can serve callers. */
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -18,7 +18,7 @@
   IDENTITY_REFUSALS,
   type IdentityRefusal,
   type KeyRing,
-  retryAfterMs,
+  retryAfterS,
   RetryBudget,
   type Route,
   type RouteTable,
@@ -34,6 +34,7 @@
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
 import {RequestRun} from './request-run.js';
 import type {ServerSelector} from './server-selection.js';
+import type {TenantShares} from './tenant-shares.js';
 
 /** Largest head that is parsed at all, bytes; the configured limit is less. */
 const PARSER_HEAD_BYTES = 65_536;
@@ -72,6 +73,7 @@
     private readonly context: EntryHostContext,
     private readonly pools: UpstreamPools,
     private readonly selector: ServerSelector,
+    private readonly shares: TenantShares,
   ) {
     this.gate = new CallerGate(context);
     this.server = createServer(
@@ -221,10 +223,9 @@
     }
     const caller = this.gate.identify(rawHeaders, route);
     if (caller.type === 'refused') {
-      this.refuseCaller(message, answer, route, caller.reason);
+      this.refuseCaller(message, answer, caller.reason);
       return;
     }
-    this.admitCaller(caller);
     const service = this.routes.service(
       chooseTarget(route, this.context.random()) ?? '',
     );
@@ -232,6 +233,13 @@
       refuse(503, 'the route has no service');
       return;
     }
+    const verdict = this.shares.arrived(request, caller, service.name);
+    this.count(caller, verdict.taken ? 'admitted' : 'over-share');
+    if (!verdict.taken) {
+      const reason = 'beyond its fair share of a service that is short';
+      this.reject(message, answer, 503, reason, verdict.retryAfterMs);
+      return;
+    }
     await this.serve(
       request,
       ranked(route, caller),
@@ -242,7 +250,7 @@
     );
   }
 
-  private serve(
+  private async serve(
     request: CallerRequest,
     route: Route,
     service: Service,
@@ -262,7 +270,10 @@
       hold,
       caller,
     );
-    return run.run();
+    await run.run();
+    if (run.ran) {
+      this.shares.ran(request, caller, service.name);
+    }
   }
 
   /**
@@ -295,26 +306,23 @@
     return budget;
   }
 
-  private admitCaller(caller: Caller): void {
+  private count(caller: Caller, outcome: string): void {
     if (caller.type === 'tenant') {
       const {name: tenant} = caller.tenant;
-      this.context.metrics.tenantRequests.inc({tenant, outcome: 'admitted'});
+      this.context.metrics.tenantRequests.inc({tenant, outcome});
     }
   }
 
   private refuseCaller(
     message: IncomingMessage,
     answer: CallerAnswer,
-    {timeoutMs}: Route,
     reason: IdentityRefusal,
   ): void {
-    const {metrics, random} = this.context;
+    const {metrics} = this.context;
     metrics.tenantRequests.inc({tenant: 'none', outcome: reason});
     const {status, detail} = IDENTITY_REFUSALS[reason];
-    const waitMs = retryAfterMs(UNCONFIRMED_RETRY_MS, timeoutMs, random);
-    const headers =
-      status === 503 ? ['Retry-After', (waitMs / 1_000).toFixed(2)] : [];
-    this.reject(message, answer, status, detail, headers);
+    const waitMs = status === 503 ? UNCONFIRMED_RETRY_MS : undefined;
+    this.reject(message, answer, status, detail, waitMs);
   }
 
   private reject(
@@ -322,9 +330,10 @@
     answer: CallerAnswer,
     status: number,
     reason: string,
-    rawHeaders: readonly string[] = [],
+    /** When the caller should come back, milliseconds. */
+    waitMs?: number,
   ): void {
-    const {logger, metrics} = this.context;
+    const {logger, metrics, random} = this.context;
     const outcome = 'rejected';
     metrics.requests.inc({route: 'none', outcome});
     logger.info('request rejected', {
@@ -335,7 +344,11 @@
       configuration: this.routes?.configuration.version,
       configurationAgeMs: Math.round(this.gate.confirmedAgeMs()),
     });
-    answer.send(status, rawHeaders, Buffer.alloc(0));
+    const headers =
+      waitMs === undefined
+        ? []
+        : ['Retry-After', retryAfterS(waitMs, Infinity, random)];
+    answer.send(status, headers, Buffer.alloc(0));
   }
 
   /** Refuses a request before its body is read; it may come back. */
@@ -347,9 +360,8 @@
     const {logger, metrics, random} = this.context;
     metrics.refusals.inc({reason});
     logger.info('request turned away', {requestId: id, reason});
-    const waitMs = retryAfterMs(0, callerWaitMs ?? Infinity, random);
-    const headers = ['Retry-After', (waitMs / 1_000).toFixed(2)];
-    answer.send(503, headers, NOTHING);
+    const waitS = retryAfterS(0, callerWaitMs ?? Infinity, random);
+    answer.send(503, ['Retry-After', waitS], NOTHING);
   }
 
   private rejectBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
