Decide what tenants may use over all hosts together

Callers' view: none yet; nothing calls it.

Cause: a tenant's quota counts the tokens of its requests over all hosts, and each host sees a part of them. A meter that answers every request would be asked hundreds of times a second, and doubled or lost answers would count twice.

Change: `QuotaMeter` keeps one bucket a tenant and an account for each run of a host; `QuotaAccount` is the host's side. All counts are absolute, and a host that changes its meter goes on with the same counts. Bucket and unspent allowances together stay below a capacity, so that any window has at most the rate, the capacity and one overdraft; `quotaBounds` divides the tolerance. What may be given back counts as unspent, so that a refund can't exceed what the meter reckons with. A request that is larger than the overdraft has part of the refill saved up for it. A token figure that can't be read counts as plain; one beyond 2^40 is refused.

--- a/packages/dispatch/src/tenants/index.ts
+++ b/packages/dispatch/src/tenants/index.ts
@@ -1,1 +1,5 @@
 export * from './key-digest.js';
+export * from './quota-account.js';
+export * from './quota-bounds.js';
+export * from './quota-meter.js';
+export * from './token-cost.js';
