Walk the states in which tokens are granted

Callers' view: none.

Cause: answers come late, doubled and from two meters at once. Drawn schedules seldom meet the short orders in which that spends a token twice.

Change: a test plays each order of asks, answers, copies and spending of two holders, a meter and its follower.

An account that adds up what answers grant is found out in both spaces.

--- /dev/null
+++ b/packages/dispatch/src/test/tenants/grant-protocol_test.ts
@@ -0,0 +1,216 @@
+import test from 'ava';
+
+import {
+  QuotaAccount,
+  type QuotaAnswer,
+  type QuotaAsk,
+  quotaBounds,
+  QuotaMeter,
+} from '../../index.js';
+
+/** Next to no refill, so that all that is spent was in the buckets at first. */
+const BOUNDS = quotaBounds(
+  {unit: 'requests', perSecond: 0.001, burst: 2, plainTokens: 1},
+  {windowS: 100, share: 0, extra: 4},
+);
+
+/** How far a space reaches; it is walked whole within that. */
+interface Limits {
+  readonly asks: number;
+  readonly copies: number;
+  readonly steps: number;
+}
+
+const SPACES: readonly Limits[] = [
+  {asks: 2, copies: 1, steps: 1},
+  {asks: 3, copies: 1, steps: 0},
+];
+
+const STEP_MS = 1_100;
+
+/** Asks for nothing. */
+const WATCH: QuotaAsk = {
+  serial: 1,
+  allowance: 0,
+  spent: 0,
+  lapsed: 0,
+  wish: 0,
+  needs: [],
+  refused: 0,
+};
+
+type MeterName = 'meter' | 'follower';
+type Message = {readonly askedMs: number; readonly holder: number} & (
+  | {readonly to: MeterName; readonly ask: QuotaAsk}
+  | {readonly to: 'holder'; readonly answer: QuotaAnswer}
+);
+
+/** Two holders, a meter, its follower, and the messages between them. */
+class World {
+  nowMs = 0;
+  spent = 0;
+  asks = 0;
+  copies = 0;
+  steps = 0;
+  readonly messages: Message[] = [];
+  private readonly meters: Readonly<Record<MeterName, QuotaMeter>> = {
+    meter: new QuotaMeter(BOUNDS, this.at(-1e7)),
+    follower: new QuotaMeter(BOUNDS, this.at(0)),
+  };
+
+  constructor(
+    private readonly holders: readonly QuotaAccount[],
+    private readonly limits: Limits,
+  ) {}
+
+  /** What left the buckets. */
+  get granted(): number {
+    return Object.values(this.meters).reduce(
+      (sum, meter, index) => sum + (index === 0 ? 2 : 0) - levelOf(meter, this),
+      0,
+    );
+  }
+
+  at(ms = this.nowMs) {
+    return {monotonicMs: ms, wallMs: ms};
+  }
+
+  /** All that may happen next. */
+  actions(): readonly string[] {
+    return [
+      ...[0, 1].flatMap((holder) =>
+        this.asks < this.limits.asks
+          ? [`ask ${holder} meter`, `ask ${holder} follower`]
+          : [],
+      ),
+      ...[0, 1]
+        .filter((holder) => this.holder(holder).available(this.at()) >= 1)
+        .map((holder) => `spend ${holder}`),
+      ...this.messages.flatMap((_message, index) => [
+        `deliver ${index}`,
+        ...(this.copies < this.limits.copies ? [`double ${index}`] : []),
+      ]),
+      ...(this.steps < this.limits.steps ? ['wait'] : []),
+    ];
+  }
+
+  act(action: string): void {
+    const [verb = '', which, to] = action.split(' ');
+    const index = Number(which);
+    if (verb === 'ask') {
+      this.asks += 1;
+      const ask = this.holder(index).ask([1], this.at());
+      const askedMs = this.nowMs;
+      this.messages.push({askedMs, holder: index, to: to as MeterName, ask});
+    } else if (verb === 'spend') {
+      this.holder(index).take(1, this.at());
+      this.spent += 1;
+    } else if (verb === 'wait') {
+      this.steps += 1;
+      this.nowMs += STEP_MS;
+    } else {
+      this.copies += verb === 'double' ? 1 : 0;
+      const [message] =
+        verb === 'double'
+          ? [this.messages[index]]
+          : this.messages.splice(index, 1);
+      if (message !== undefined) {
+        this.deliver(message);
+      }
+    }
+  }
+
+  key(): string {
+    return JSON.stringify(this, (_name, value: unknown) =>
+      value instanceof Set || value instanceof Map ? [...value] : value,
+    );
+  }
+
+  private deliver(message: Message): void {
+    const {askedMs, holder} = message;
+    if (message.to === 'holder') {
+      const askedAt = this.at(askedMs);
+      this.holder(holder).answered(message.answer, askedAt, this.at());
+    } else {
+      const meter = this.meters[message.to];
+      const answer = meter.answer(`${holder}`, message.ask, this.at());
+      this.messages.push({askedMs, holder, to: 'holder', answer});
+    }
+  }
+
+  private holder(index: number): QuotaAccount {
+    const holder = this.holders[index];
+    if (holder === undefined) {
+      throw new Error('no such holder');
+    }
+    return holder;
+  }
+}
+
+const levelOf = (meter: QuotaMeter, world: World): number =>
+  meter.answer('watcher', WATCH, world.at()).balance;
+
+/** Walks all that can happen; returns how many states, and the first fault. */
+const walk = (limits: Limits, holder: () => QuotaAccount) => {
+  const play = (path: readonly string[]) => {
+    const world = new World([holder(), holder()], limits);
+    for (const action of path) {
+      world.act(action);
+    }
+    return world;
+  };
+  const seen = new Set<string>();
+  const open: (readonly string[])[] = [[]];
+  for (let path = open.pop(); path !== undefined; path = open.pop()) {
+    const world = play(path);
+    const key = world.key();
+    if (seen.has(key)) {
+      continue;
+    }
+    seen.add(key);
+    // What refills in the time is far less than one request.
+    if (world.spent > world.granted + 0.5) {
+      return {states: seen.size, fault: path.join(', ')};
+    }
+    for (const action of world.actions()) {
+      open.push([...path, action]);
+    }
+  }
+  return {states: seen.size, fault: undefined};
+};
+
+/** Adds each answer's rise to what it holds, as if it came once. */
+class AddingAccount extends QuotaAccount {
+  private added = 0;
+  private asked = 0;
+
+  override ask(needs: readonly number[], at: ReturnType<World['at']>) {
+    const ask = super.ask(needs, at);
+    this.asked = ask.allowance;
+    return ask;
+  }
+
+  override answered(
+    answer: QuotaAnswer,
+    askedAt: ReturnType<World['at']>,
+    at: ReturnType<World['at']>,
+  ): void {
+    this.added += answer.allowance - this.asked;
+    super.answered({...answer, allowance: this.added}, askedAt, at);
+  }
+}
+
+for (const limits of SPACES) {
+  const {asks, steps} = limits;
+  test(`${asks} asks, ${steps} waits: no order spends what was not granted`, (t) => {
+    const {states, fault} = walk(limits, () => new QuotaAccount(BOUNDS));
+    t.log(`${states} states`);
+    t.is(fault, undefined);
+  });
+
+  test(`${asks} asks, ${steps} waits: a planted double spend is found`, (t) => {
+    const {states, fault} = walk(limits, () => new AddingAccount(BOUNDS));
+    t.log(`${states} states, ${fault}`);
+    t.not(fault, undefined);
+  });
+}
