Pass the tokens of quotas between hosts

Callers' view: none yet; the front asks for nothing.

Cause: the meter of a tenant is one host, and most requests come to others.

Change: `TenantQuotas` spends from what this host holds and asks the tenant's meter, the first by rendezvous, in the background; a request that finds nothing waits 120 ms at the most. One message carries all tenants of a meter. After two missing answers the second host stands in, with a small part of the quota, so that links which lose messages don't double it. `TenantMeters` holds the meters of this host: it takes the part of the quota that its part of the recorded hosts is, and begins anew after a freeze, as another host has metered meanwhile.

--- a/packages/dispatch/src/tenants/quota-account.ts
+++ b/packages/dispatch/src/tenants/quota-account.ts
@@ -8,7 +8,7 @@
 const TIGHT_PERIOD_MS = 250;
 
 /** Part of the burst below which a quota is near. */
-const TIGHT_SHARE = 1 / 4;
+const TIGHT_SHARE = 1 / 8;
 
 /** Longest time for which a refusal stands without another ask, ms. */
 const LONGEST_DENIAL_MS = 250;
@@ -20,7 +20,7 @@
 const IDLE_MS = 3_000;
 
 /** Requests that a host wants to be able to take at once. */
-const READY_REQUESTS = 2;
+const READY_REQUESTS = 8;
 
 /** Tokens that one request has spent. */
 export interface Spend {
@@ -123,7 +123,7 @@
     if (passedMs >= Math.min(answer.nextMs, LONGEST_DENIAL_MS)) {
       return undefined;
     }
-    const behindMs = (this.refused / this.bounds.perSecond) * 1_000;
+    const behindMs = this.durationMs(this.refused);
     this.refused += tokens;
     const toldMs = Math.max(answer.nextMs, answer.retryAfterMs) - passedMs;
     return {
@@ -171,13 +171,22 @@
     return {serial, allowance, spent, lapsed, wish, needs: opened, refused};
   }
 
-  /** Takes an answer to what was asked at some time. */
-  answered(answer: QuotaAnswer, askedAt: Instant, at: Instant): void {
+  /** How long the quota takes for tokens, milliseconds. */
+  durationMs(tokens: number): number {
+    return (tokens / this.bounds.perSecond) * 1_000;
+  }
+
+  /**
+   * Takes an answer to what was asked at some time; returns by how much the
+   * allowance rises.
+   */
+  answered(answer: QuotaAnswer, askedAt: Instant, at: Instant): number {
     this.lapse(at);
     if (elapsedMs(askedAt, at) >= ALLOWANCE_MS) {
-      return;
+      return 0;
     }
-    this.allowance = Math.max(this.allowance, answer.allowance);
+    const rise = Math.max(0, answer.allowance - this.allowance);
+    this.allowance += rise;
     if (
       this.renewedAt === undefined ||
       elapsedMs(this.renewedAt, askedAt) > 0
@@ -185,6 +194,7 @@
       this.renewedAt = askedAt;
       this.latest = {answer, at};
     }
+    return rise;
   }
 
   /** Whether nothing would be lost with it. */
@@ -198,7 +208,7 @@
   private wish(at: Instant): number {
     return this.usedAt === undefined || elapsedMs(this.usedAt, at) > IDLE_MS
       ? 0
-      : READY_REQUESTS * this.meanTokens + this.useRate * this.fade(at);
+      : READY_REQUESTS * this.meanTokens + 2 * this.useRate * this.fade(at);
   }
 
   private fade(at: Instant): number {
--- a/packages/dispatch/src/tenants/quota-bounds.ts
+++ b/packages/dispatch/src/tenants/quota-bounds.ts
@@ -45,6 +45,8 @@
   readonly windowMs: number;
   /** How much less than all hosts may be seen without a part of the rate. */
   readonly unseenShare: number;
+  /** Part of the quota that a meter gives out which stands in for another. */
+  readonly standInShare: number;
 }
 
 /** Longest time in which tokens are given back, milliseconds. */
@@ -75,5 +77,6 @@
     ),
     windowMs: windowS * 1_000,
     unseenShare: share / 4,
+    standInShare: overlap / 2 / (perSecond * windowS),
   };
 };
--- a/packages/dispatch/src/tenants/quota-meter.ts
+++ b/packages/dispatch/src/tenants/quota-meter.ts
@@ -56,6 +56,12 @@
 /** Between two looks for accounts whose allowance ran out, milliseconds. */
 const EXPIRY_PERIOD_MS = 250;
 
+/** Part of the burst that is kept back for requests that find nothing. */
+const KEPT_SHARE = 1 / 4;
+
+/** The same, where hosts get equal parts, as some have used theirs already. */
+const LINE_KEPT_SHARE = 1 / 2;
+
 /** How long a request too large for the overdraft has tokens saved up, ms. */
 const SAVING_MS = 4_000;
 
@@ -191,10 +197,8 @@
         retryAfterMs ||= this.refuse(missing);
       }
     }
-    const ahead = Math.min(
-      ask.wish - spare,
-      this.level - Math.max(0, this.ceilingWhenIdle() / 2),
-    );
+    const left = this.level - this.ceilingWhenIdle() * KEPT_SHARE;
+    const ahead = Math.min(ask.wish - spare, this.line() - spare, left);
     if (ahead > 0) {
       this.level -= ahead;
       this.give(account, ahead);
@@ -202,6 +206,14 @@
     return retryAfterMs;
   }
 
+  /** What one host may have at hand, so that each gets its part. */
+  private line(): number {
+    const {capacity, burst} = this.bounds;
+    return (
+      (this.scale * (capacity - burst * LINE_KEPT_SHARE)) / this.accounts.size
+    );
+  }
+
   private give(account: Account, tokens: number): void {
     account.allowance += tokens;
     this.held += tokens;
--- a/packages/dispatch/src/test/tenants/grant-protocol_test.ts
+++ b/packages/dispatch/src/test/tenants/grant-protocol_test.ts
@@ -194,9 +194,10 @@
     answer: QuotaAnswer,
     askedAt: ReturnType<World['at']>,
     at: ReturnType<World['at']>,
-  ): void {
+  ): number {
     this.added += answer.allowance - this.asked;
-    super.answered({...answer, allowance: this.added}, askedAt, at);
+    const doubled = {...answer, allowance: this.added};
+    return super.answered(doubled, askedAt, at);
   }
 }
 
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -43,6 +43,7 @@
 import {reloadSettings} from './settings-reload.js';
 import type {EntryHostSettings} from './settings-schema.js';
 import {ServersView, StoreReader} from './store/index.js';
+import {TenantQuotas} from './tenants/index.js';
 import {ServerCaller, UpstreamPools} from './upstream/index.js';
 
 /** How often entries that lapsed and servers in doubt are looked at, ms. */
@@ -100,6 +101,7 @@
   private readonly claims: ClaimKeeper;
   private readonly permits: SendPermits;
   private readonly broker: AdapterBroker;
+  private readonly quotas: TenantQuotas;
   private readonly peerService: FleetPeerService;
   private readonly front: FrontListener;
   private readonly checkedAt = new Map<string, Instant>();
@@ -189,10 +191,12 @@
       routes,
       linkTo,
     );
+    this.quotas = new TenantQuotas(this.context, linkTo);
     this.peerService = new FleetPeerService(
       this.exchange,
       this.broker,
       this.permits,
+      this.quotas,
     );
     const selector = new ServerSelector(
       this.context,
@@ -242,6 +246,7 @@
     this.exchange.start();
     this.claims.start();
     this.broker.start();
+    this.quotas.start();
     this.startUpkeep();
     this.context.logger.info('started', {
       incarnation: this.context.membership.self().incarnation,
@@ -329,6 +334,7 @@
     }
     this.routes = new RouteTable(parsed.data);
     this.front.use(this.routes, ring.value, snapshot.at);
+    this.quotas.use(parsed.data);
     this.broker.review();
     logger.info('configuration in use', {
       version,
--- a/packages/entry-host/src/index.ts
+++ b/packages/entry-host/src/index.ts
@@ -9,4 +9,5 @@
 export * from './settings-reload.js';
 export * from './settings-schema.js';
 export * from './store/index.js';
+export * from './tenants/index.js';
 export * from './upstream/index.js';
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -22,6 +22,18 @@
     ['tenant', 'outcome'],
   );
 
+  readonly quotaTokens = this.counter(
+    'basilworks_quota_tokens_total',
+    'Tokens of quotas by tenant: granted to this host, spent, returned.',
+    ['tenant', 'event'],
+  );
+
+  readonly quotaRefusals = this.counter(
+    'basilworks_quota_refusals_total',
+    'Requests refused by quotas, by tenant and reason.',
+    ['tenant', 'reason'],
+  );
+
   readonly sends = this.counter(
     'basilworks_sends_total',
     'Sends to servers by service and how they ended.',
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -49,7 +49,7 @@
 /** The part of a link that is used from outside. */
 export type PeerConnection = Pick<
   PeerLink,
-  'exchange' | 'prepare' | 'permit' | 'release' | 'doubtful' | 'close'
+  'exchange' | 'prepare' | 'permit' | 'quota' | 'release' | 'doubtful' | 'close'
 >;
 
 interface OpenLink {
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -16,7 +16,7 @@
 /** Time on top of a prepare's own wait for its way there and back, ms. */
 const PREPARE_SLACK_MS = 120;
 
-/** Longest wait for a permit, milliseconds: some round trips of a region. */
+/** Longest wait for permits and tokens, milliseconds: some round trips of a region. */
 const PERMIT_TIMEOUT_MS = 120;
 
 /** How long an answer that comes late is still taken, milliseconds. */
@@ -147,6 +147,15 @@
     return response?.$case === 'permit' ? response.value : undefined;
   }
 
+  /** Asks the peer for tokens; the answer, or undefined if none comes. */
+  async quota(
+    value: fleet.QuotaRequest,
+  ): Promise<fleet.QuotaResponse | undefined> {
+    const request: Request = {$case: 'quota', value};
+    const response = await this.call(request, PERMIT_TIMEOUT_MS, {brief: true});
+    return response?.$case === 'quota' ? response.value : undefined;
+  }
+
   /** Tells the peer what this host is done with, and what it has at servers. */
   release(fromHost: string, {releases, requests}: IssuerNews): void {
     const value: fleet.ReleaseAdaptersRequest = {
--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -32,6 +32,11 @@
   grant(request: fleet.PermitRequest): fleet.PermitResponse;
 }
 
+/** Lets requests of other hosts use quotas that are metered here. */
+export interface QuotaGranter {
+  grant(request: fleet.QuotaRequest): fleet.QuotaResponse;
+}
+
 type Conversation = ServerDuplexStream<fleet.PeerRequest, fleet.PeerResponse>;
 
 /** The gRPC listener for other entry hosts. */
@@ -42,10 +47,12 @@
     exchange: PeerExchange,
     preparer: AdapterPreparer,
     granter: PermitGranter,
+    quotas: QuotaGranter,
   ) {
     const service: fleet.FleetServiceServer = {
       converse: (call) => {
-        new PeerConversation(call, exchange, preparer, granter).start();
+        const parts = [exchange, preparer, granter, quotas] as const;
+        new PeerConversation(call, ...parts).start();
       },
     };
     this.server.addService(fleet.FleetServiceService, service);
@@ -90,6 +97,7 @@
     private readonly exchange: PeerExchange,
     private readonly preparer: AdapterPreparer,
     private readonly granter: PermitGranter,
+    private readonly quotas: QuotaGranter,
   ) {}
 
   start(): void {
@@ -133,6 +141,10 @@
       const value = this.granter.grant(request);
       this.call.write({serial, response: {$case: 'permit', value}});
     },
+    quota: (serial, request) => {
+      const value = this.quotas.grant(request);
+      this.call.write({serial, response: {$case: 'quota', value}});
+    },
     release: (_serial, {fromHost, releases, requests}) => {
       this.preparer.told(fromHost, {
         releases: releases.map(({serverRun, model, adapter}) => ({
--- /dev/null
+++ b/packages/entry-host/src/tenants/quota-book.ts
@@ -0,0 +1,51 @@
+import {
+  type QuotaBounds,
+  quotaBounds,
+  type QuotaTolerance,
+  type ServingConfiguration,
+  type TenantQuota,
+} from '@basilworks/dispatch';
+
+/** The quotas of the configuration in use, with their bounds. */
+export class QuotaBook {
+  private quotas = new Map<string, TenantQuota>();
+  private readonly bounds = new Map<string, QuotaBounds>();
+  private boundsFor: QuotaTolerance | undefined;
+  private versionInUse = 0;
+
+  constructor(private readonly tolerance: () => QuotaTolerance) {}
+
+  get version(): number {
+    return this.versionInUse;
+  }
+
+  use({version, tenants = []}: ServingConfiguration): void {
+    this.versionInUse = version;
+    this.quotas = new Map(
+      tenants.flatMap(({name, quota}) =>
+        quota === undefined ? [] : [[name, quota]],
+      ),
+    );
+    this.bounds.clear();
+  }
+
+  quotaOf(tenant: string): TenantQuota | undefined {
+    return this.quotas.get(tenant);
+  }
+
+  boundsOf(tenant: string): QuotaBounds | undefined {
+    const tolerance = this.tolerance();
+    if (this.boundsFor !== tolerance) {
+      this.boundsFor = tolerance;
+      this.bounds.clear();
+    }
+    const quota = this.quotas.get(tenant);
+    const known = this.bounds.get(tenant);
+    if (quota === undefined || known !== undefined) {
+      return known;
+    }
+    const bounds = quotaBounds(quota, tolerance);
+    this.bounds.set(tenant, bounds);
+    return bounds;
+  }
+}
--- a/packages/entry-host/src/test/views/view-fleet.ts
+++ b/packages/entry-host/src/test/views/view-fleet.ts
@@ -123,6 +123,7 @@
       exchange: (request) => fleet_.exchange(this, to, request, whenRunning),
       prepare: () => Promise.reject(new Error('not part of this rig')),
       permit: (request) => fleet_.permit(this, to, request, whenRunning),
+      quota: () => Promise.reject(new Error('not part of this rig')),
       release: ignore,
       doubtful: false,
       close: ignore,
