Keep requests of callers to their tenants' quotas

Callers' view: beyond a tenant's quota a request is answered 429 at once, with a Retry-After from when there will be tokens for it; 503 where no meter can tell, 400 where it states an absurd number of tokens. Without quotas nothing changes.

Cause: quotas were decoded, and nothing acted on them.

Change: the front asks once a request, after its tenant is known and before a server is chosen; retries and resumes ask nothing. What no server ran, for certain, gives its tokens back.

Evidence: the 28 tests of the front pass, three of them new: refusals reach no server, a request with two sends takes its tokens once, one that was never sent returns them.

--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -208,7 +208,12 @@
         this.tellIssuers();
       },
     );
-    this.front = new FrontListener(this.context, this.pools, selector);
+    this.front = new FrontListener(
+      this.context,
+      this.pools,
+      selector,
+      this.quotas,
+    );
   }
 
   /** Whether this host can serve callers. */
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -24,7 +24,8 @@
 import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
-import type {UpstreamPools} from '../upstream/index.js';
+import {type Admission, NO_QUOTAS, type QuotaGate} from '../tenants/index.js';
+import {headerValue, type UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
 import {CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
@@ -67,6 +68,7 @@
     private readonly context: EntryHostContext,
     private readonly pools: UpstreamPools,
     private readonly selector: ServerSelector,
+    private readonly quotas: QuotaGate = NO_QUOTAS,
   ) {
     this.gate = new CallerGate(context);
     this.server = createServer(
@@ -210,16 +212,37 @@
       refuse(503, 'the route has no service');
       return;
     }
-    await this.serve(request, ranked(route, caller), service, caller, answer);
+    const {tokenUsage} = platform.forwarding.headers;
+    const admission = await this.quotas.admit({
+      caller,
+      requestId: request.id,
+      usage: headerValue(rawHeaders, tokenUsage.toLowerCase()),
+    });
+    if (admission.type === 'refused') {
+      this.refuseByQuota(message, answer, admission);
+    } else if (message.socket.destroyed) {
+      admission.end(false);
+      answer.abort();
+    } else {
+      const ran = await this.serve(
+        request,
+        ranked(route, caller),
+        service,
+        caller,
+        answer,
+      );
+      admission.end(ran);
+    }
   }
 
+  /** Returns whether the request ran at a server, or may have. */
   private serve(
     request: CallerRequest,
     route: Route,
     service: Service,
     caller: Caller,
     answer: CallerAnswer,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const {context, pools, selector, gate} = this;
     const budget = this.budgetOf(service.name);
     const parts = {context, pools, selector, budget, gate};
@@ -279,6 +302,16 @@
     this.reject(message, answer, status, detail, headers);
   }
 
+  private refuseByQuota(
+    message: IncomingMessage,
+    answer: CallerAnswer,
+    {status, reason, retryAfterMs: waitMs}: Admission & {type: 'refused'},
+  ): void {
+    const headers =
+      status === 400 ? [] : ['Retry-After', (waitMs / 1_000).toFixed(2)];
+    this.reject(message, answer, status, `quota: ${reason}`, headers);
+  }
+
   private reject(
     message: IncomingMessage,
     answer: CallerAnswer,
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -67,6 +67,7 @@
   private lastSentMs: number | undefined;
   private over = false;
   private abandoned = false;
+  private mayHaveRun = false;
   private outcome = 'open';
   private headAt: Instant | undefined;
 
@@ -79,8 +80,11 @@
     private readonly caller: Caller,
   ) {}
 
-  /** Resolves when the caller has its final answer, or has left. */
-  async run(): Promise<void> {
+  /**
+   * Resolves when the caller has its final answer, or has left: whether the
+   * request ran at a server, or may have.
+   */
+  async run(): Promise<boolean> {
     const {timers, clock} = this.parts.context;
     this.parts.budget.deposit(clock.now());
     this.answer.onAbandoned(() => {
@@ -108,6 +112,7 @@
         break;
       }
       const result = await this.sendTo(selection);
+      this.mayHaveRun ||= mayHaveRun(result);
       if (this.isOver()) {
         break;
       }
@@ -115,6 +120,7 @@
     }
     timers.cancel(this.timer);
     timers.cancel(`${this.timer}/stalled`);
+    return this.mayHaveRun;
   }
 
   private isOver(): boolean {
@@ -448,6 +454,11 @@
   }
 }
 
+const mayHaveRun = (result: SendResult): boolean =>
+  result.type !== 'no-answer' ||
+  result.end === 'failed' ||
+  result.end === 'unknown';
+
 /** Status of an answer that was no success, for the log. */
 const statusOf = (result: SendResult): number | undefined =>
   result.type === 'failure'
--- /dev/null
+++ b/packages/entry-host/src/test/front/quota-requests_test.ts
@@ -0,0 +1,176 @@
+import {request as httpRequest} from 'node:http';
+
+import {
+  digestKey,
+  KeyRing,
+  RouteTable,
+  ServerTable,
+  StoreViews,
+} from '@basilworks/dispatch';
+import test from 'ava';
+
+import type {EntryHostContext} from '../../context.js';
+import {FrontListener, type ServerSelector} from '../../front/index.js';
+import type {Admission, QuotaRequest} from '../../tenants/index.js';
+import {
+  type ExchangeObserver,
+  UpstreamError,
+  type UpstreamPools,
+} from '../../upstream/index.js';
+import {serverEntry, ViewFleet} from '../views/view-fleet.js';
+import {HEADER_NAMES} from './header-names.js';
+
+const ROUTE = {
+  name: 'keyed',
+  host: 'h',
+  pathPrefix: '/',
+  kind: 'idempotent' as const,
+  targets: [{service: 'plain', weight: 1}],
+  timeoutMs: 2_000,
+  latencyTargetMs: 500,
+  priority: 5,
+  maximumAttempts: 2,
+  sticky: false,
+  resumable: false,
+};
+
+const ROUTES = new RouteTable({
+  version: 3,
+  routes: [ROUTE],
+  services: [{name: 'plain', healthPath: '/', maximumConnections: 10}],
+  limits: {
+    maximumHeaderBytes: 9_000,
+    maximumBodyBytes: 9_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 3_000,
+  },
+});
+
+const RING = KeyRing.of([
+  {name: 'acme', keyDigests: [digestKey('k')]},
+])._unsafeUnwrap();
+
+/** How sends end, in their order; without any, no server is found. */
+type SendEnds = readonly ('answered' | 'not-sent' | 'lost')[];
+
+/** Sends one request to a front; returns what became of it. */
+const serve = async (admission: Admission | undefined, ends: SendEnds) => {
+  const fleet = new ViewFleet(1);
+  const {context: parts} = fleet.startHost('h0');
+  const at = {monotonicMs: 9_000, wallMs: 9_000};
+  const views = new StoreViews();
+  views.offer({kind: 'configuration', at: 1, items: []}, at, at);
+  const servers = new ServerTable();
+  servers.update([{entry: serverEntry('s'), revision: 1}], undefined, at);
+  const context = {
+    ...parts,
+    clock: {now: () => at},
+    views,
+    servers,
+    platform: {
+      forwarding: {
+        headers: HEADER_NAMES,
+        lowestPriority: 9,
+        readNotice: () => ({leaving: false}),
+        readLoad: () => undefined,
+      },
+    },
+  } as unknown as EntryHostContext;
+  const left = [...ends];
+  const start = (_sent: unknown, _most: number, observer: ExchangeObserver) => {
+    const end = left.shift();
+    setImmediate(() => {
+      if (end === 'answered') {
+        const rawHeaders = ['X-Signature', 's'];
+        observer.head({status: 200, rawHeaders, endsWithConnection: false});
+        observer.end();
+      } else {
+        const sent = end === 'lost';
+        observer.failed(new UpstreamError(sent, 'interrupted', 'lost'));
+      }
+    });
+    return {pause: () => 0, resume: () => 0, cancel: () => 0};
+  };
+  const ignore = () => undefined;
+  const select = () =>
+    Promise.resolve(
+      left.length === 0
+        ? {type: 'none', reason: 'none is open', retryAfterMs: 0}
+        : {type: 'server', server: servers.byId('s')},
+    );
+  const selector = {select, begin: ignore, ended: ignore, refuted: ignore};
+  const asked: (string | undefined)[] = [];
+  const ended: boolean[] = [];
+  const admit = ({caller, usage}: QuotaRequest): Promise<Admission> => {
+    asked.push(caller.type === 'tenant' ? caller.tenant.name : '', usage);
+    const end = (ran: boolean) => {
+      ended.push(ran);
+    };
+    return Promise.resolve(admission ?? {type: 'admitted', end});
+  };
+  const front = new FrontListener(
+    context,
+    {of: () => ({start})} as unknown as UpstreamPools,
+    selector as unknown as ServerSelector,
+    {admit},
+  );
+  front.use(ROUTES, RING, 1);
+  const port = (await front.listen('127.0.0.1', 0))._unsafeUnwrap();
+  const answer = await new Promise<{
+    status: number;
+    retryAfter: string | undefined;
+  }>((resolve, reject) => {
+    const headers = {
+      Host: 'h',
+      [HEADER_NAMES.requestId]: 'r',
+      [HEADER_NAMES.key]: 'k',
+      [HEADER_NAMES.tokenUsage]: '640,72',
+    };
+    const request = httpRequest({port, path: '/', headers}, (response) => {
+      response.resume();
+      response.on('end', () => {
+        const {statusCode: status = 0, headers: got} = response;
+        resolve({status, retryAfter: got['retry-after']});
+      });
+    });
+    request.on('error', reject);
+    request.end();
+  });
+  front.close();
+  fleet.close();
+  return {...answer, asked, ended, sends: ends.length - left.length};
+};
+
+test('a request beyond a quota is sent to no server', async (t) => {
+  for (const status of [429, 503] as const) {
+    const reason = status === 429 ? 'over-quota' : 'unheard';
+    const got = await serve(
+      {type: 'refused', status, reason, retryAfterMs: 1_250},
+      ['answered'],
+    );
+    t.like(got, {status, retryAfter: '1.25', sends: 0});
+    t.deepEqual(got.asked, ['acme', '640,72']);
+  }
+});
+
+// A request that was retried took its tokens once for each send.
+test('a request takes its tokens once, and keeps them if it may have run', async (t) => {
+  for (const ends of [
+    ['answered'],
+    ['not-sent', 'answered'],
+    ['lost', 'answered'],
+    ['lost'],
+  ] as const) {
+    const {asked, ended} = await serve(undefined, ends);
+    t.deepEqual(asked, ['acme', '640,72']);
+    t.deepEqual(ended, [true], ends.join());
+  }
+});
+
+test('a request that found no server gives its tokens back', async (t) => {
+  for (const ends of [[], ['not-sent']] as const) {
+    const {status, ended} = await serve(undefined, ends);
+    t.is(status, 503);
+    t.deepEqual(ended, [false]);
+  }
+});
