--- /dev/null
+++ b/packages/entry-host/src/test/front/request-parts.ts
@@ -0,0 +1,14 @@
+import type {CallerRequest} from '../../front/caller-request.js';
+
+/** A request without a body, as tests of sends use it. */
+export const REQUEST: CallerRequest = {
+  id: 'r',
+  method: 'GET',
+  target: '/',
+  host: 'h',
+  rawHeaders: [],
+  body: Buffer.alloc(0),
+  model: undefined,
+  callerWaitMs: undefined,
+  arrivedAt: {monotonicMs: 0, wallMs: 0},
+};
