--- a/packages/dispatch/src/tenants/index.ts
+++ b/packages/dispatch/src/tenants/index.ts
@@ -3,4 +3,8 @@
 export * from './fair-shares.js';
 export * from './key-digest.js';
 export * from './key-ring.js';
+export * from './quota-account.js';
+export * from './quota-bounds.js';
+export * from './quota-meter.js';
+export * from './token-cost.js';
 export * from './use-rates.js';
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -49,6 +49,7 @@
 import {reloadSettings} from './settings-reload.js';
 import type {EntryHostSettings} from './settings-schema.js';
 import {ServersView, StoreReader} from './store/index.js';
+import {TenantQuotas} from './tenants/index.js';
 import {ServerCaller, UpstreamPools} from './upstream/index.js';
 
 /** How often entries that lapsed and servers in doubt are looked at, ms. */
@@ -106,6 +107,7 @@
   private readonly claims: ClaimKeeper;
   private readonly permits: SendPermits;
   private readonly broker: AdapterBroker;
+  private readonly quotas: TenantQuotas;
   private readonly peerService: FleetPeerService;
   private readonly front: FrontListener;
   private readonly checkedAt = new Map<string, Instant>();
@@ -203,10 +205,12 @@
       routes,
       linkTo,
     );
+    this.quotas = new TenantQuotas(this.context, linkTo);
     this.peerService = new FleetPeerService(
       this.exchange,
       this.broker,
       this.permits,
+      this.quotas,
     );
     const selector = new ServerSelector(
       this.context,
@@ -218,8 +222,13 @@
         this.tellIssuers();
       },
     );
-    const shares = new TenantShares(this.context, fairShares);
-    this.front = new FrontListener(this.context, this.pools, selector, shares);
+    this.front = new FrontListener(
+      this.context,
+      this.pools,
+      selector,
+      new TenantShares(this.context, fairShares),
+      this.quotas,
+    );
   }
 
   /** Whether this host can serve callers. */
@@ -257,6 +266,7 @@
     this.exchange.start();
     this.claims.start();
     this.broker.start();
+    this.quotas.start();
     this.startUpkeep();
     this.context.logger.info('started', {
       incarnation: this.context.membership.self().incarnation,
@@ -344,6 +354,7 @@
     }
     this.routes = new RouteTable(parsed.data);
     this.front.use(this.routes, ring.value, snapshot.at);
+    this.quotas.use(parsed.data);
     this.broker.review();
     logger.info('configuration in use', {
       version,
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -27,7 +27,8 @@
 import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
-import type {UpstreamPools} from '../upstream/index.js';
+import {type Admission, NO_QUOTAS, type QuotaGate} from '../tenants/index.js';
+import {headerValue, type UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
 import {CallerHold} from './caller-hold.js';
 import {CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
@@ -74,6 +75,7 @@
     private readonly pools: UpstreamPools,
     private readonly selector: ServerSelector,
     private readonly shares: TenantShares,
+    private readonly quotas: QuotaGate = NO_QUOTAS,
   ) {
     this.gate = new CallerGate(context);
     this.server = createServer(
@@ -233,23 +235,37 @@
       refuse(503, 'the route has no service');
       return;
     }
+    const {tokenUsage} = platform.forwarding.headers;
+    const admission = await this.quotas.admit({
+      caller,
+      requestId: request.id,
+      usage: headerValue(rawHeaders, tokenUsage.toLowerCase()),
+    });
+    if (admission.type === 'refused') {
+      this.refuseByQuota(message, answer, admission);
+      return;
+    }
+    if (message.socket.destroyed) {
+      admission.end(false);
+      answer.abort();
+      return;
+    }
     const verdict = this.shares.arrived(request, caller, service.name);
     this.count(caller, verdict.taken ? 'admitted' : 'over-share');
     if (!verdict.taken) {
+      admission.end(false);
       const reason = 'beyond its fair share of a service that is short';
-      this.reject(message, answer, 503, reason, verdict.retryAfterMs);
+      const retryAfter = this.spreadRetryAfter(verdict.retryAfterMs);
+      this.reject(message, answer, 503, reason, retryAfter);
       return;
     }
-    await this.serve(
-      request,
-      ranked(route, caller),
-      service,
-      caller,
-      answer,
-      hold,
+    const ranked = withRankOf(caller, route);
+    admission.end(
+      await this.serve(request, ranked, service, caller, answer, hold),
     );
   }
 
+  /** Returns whether the request ran at a server, or may have. */
   private async serve(
     request: CallerRequest,
     route: Route,
@@ -257,7 +273,7 @@
     caller: Caller,
     answer: CallerAnswer,
     hold: CallerHold,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const {context, pools, selector, gate} = this;
     const budget = this.budgetOf(service.name);
     const parts = {context, pools, selector, budget, gate};
@@ -271,9 +287,10 @@
       caller,
     );
     await run.run();
-    if (run.ran) {
+    if (run.mayHaveRun) {
       this.shares.ran(request, caller, service.name);
     }
+    return run.mayHaveRun;
   }
 
   /**
@@ -321,8 +338,19 @@
     const {metrics} = this.context;
     metrics.tenantRequests.inc({tenant: 'none', outcome: reason});
     const {status, detail} = IDENTITY_REFUSALS[reason];
-    const waitMs = status === 503 ? UNCONFIRMED_RETRY_MS : undefined;
-    this.reject(message, answer, status, detail, waitMs);
+    const retryAfter =
+      status === 503 ? this.spreadRetryAfter(UNCONFIRMED_RETRY_MS) : undefined;
+    this.reject(message, answer, status, detail, retryAfter);
+  }
+
+  private refuseByQuota(
+    message: IncomingMessage,
+    answer: CallerAnswer,
+    {status, reason, retryAfterMs: waitMs}: Admission & {type: 'refused'},
+  ): void {
+    // The meter told each its own time, so that it is not spread here.
+    const retryAfter = status === 400 ? undefined : (waitMs / 1_000).toFixed(2);
+    this.reject(message, answer, status, `quota: ${reason}`, retryAfter);
   }
 
   private reject(
@@ -330,10 +358,10 @@
     answer: CallerAnswer,
     status: number,
     reason: string,
-    /** When the caller should come back, milliseconds. */
-    waitMs?: number,
+    /** When the caller should come back, as a header's value. */
+    retryAfter?: string,
   ): void {
-    const {logger, metrics, random} = this.context;
+    const {logger, metrics} = this.context;
     const outcome = 'rejected';
     metrics.requests.inc({route: 'none', outcome});
     logger.info('request rejected', {
@@ -344,13 +372,14 @@
       configuration: this.routes?.configuration.version,
       configurationAgeMs: Math.round(this.gate.confirmedAgeMs()),
     });
-    const headers =
-      waitMs === undefined
-        ? []
-        : ['Retry-After', retryAfterS(waitMs, Infinity, random)];
+    const headers = retryAfter === undefined ? [] : ['Retry-After', retryAfter];
     answer.send(status, headers, Buffer.alloc(0));
   }
 
+  private spreadRetryAfter(waitMs: number): string {
+    return retryAfterS(waitMs, Infinity, this.context.random);
+  }
+
   /** Refuses a request before its body is read; it may come back. */
   private turnAway(
     {id, callerWaitMs}: CallerRequest,
@@ -379,7 +408,7 @@
 }
 
 /** The route with the rank of its caller's tenant, if that has one. */
-const ranked = (route: Route, caller: Caller): Route => {
+const withRankOf = (caller: Caller, route: Route): Route => {
   const priority =
     caller.type === 'tenant' ? caller.tenant.priority : undefined;
   return priority === undefined ? route : {...route, priority};
