Measure entry hosts as processes, at rest and at work

Callers' view: none.

Change: npm run bench -- entry-host starts entry hosts as the platform does, before the stand-ins of the platform's tests, and prints the processor time and memory of each, and new connections to servers.

--- /dev/null
+++ b/packages/bench/src/entry-host/index.ts
@@ -0,0 +1,1 @@
+export * from './entry-host-command.js';
