--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -19,6 +19,8 @@
   AdapterVersions,
   adapterVersionRecordSchema,
   addressAnswer,
+  FailureTallies,
+  FairShares,
   FleetLoad,
   hostCapacity,
   type HostStatus,
@@ -27,6 +29,7 @@
   ResidencyCache,
   RouteTable,
   type Server,
+  ServerSuspects,
   ServerTable,
   servingConfigurationSchema,
   type StoreKind,
@@ -37,7 +40,7 @@
 import type {EntryHostContext} from './context.js';
 import {BoundedLogger} from './lib/bounded-logger.js';
 import {plainRoutes} from './lib/plain-routes.js';
-import {FrontListener, ServerSelector} from './front/index.js';
+import {FrontListener, ServerSelector, TenantShares} from './front/index.js';
 import {EntryHostMetrics} from './metrics.js';
 import {AdapterBroker, ClaimKeeper} from './orders/index.js';
 import {SendPermits} from './permits/index.js';
@@ -146,6 +149,8 @@
       views,
       servers: new ServerTable(),
       fleetLoad: new FleetLoad(),
+      tallies: new FailureTallies(),
+      suspects: new ServerSuspects(),
       signal: this.abort.signal,
       random: overrides.random ?? Math.random,
     };
@@ -153,6 +158,11 @@
       VIEW_HANDLERS[kind](this);
     };
     const names = platform.forwarding.headers;
+    const {fleetLoad, random} = this.context;
+    const fairShares = new FairShares(
+      (service, at) => fleetLoad.occupancy(service, at),
+      random,
+    );
     this.pools = new UpstreamPools(
       names.requestId.toLowerCase(),
       timers,
@@ -172,6 +182,7 @@
       {
         awaitedHosts: () => this.claims.awaitedHosts(),
         issuedLoads: () => this.broker.issuedLoads(),
+        fairShares,
       },
     );
     this.claims = new ClaimKeeper(
@@ -207,7 +218,8 @@
         this.tellIssuers();
       },
     );
-    this.front = new FrontListener(this.context, this.pools, selector);
+    const shares = new TenantShares(this.context, fairShares);
+    this.front = new FrontListener(this.context, this.pools, selector, shares);
   }
 
   /** Whether this host can serve callers. */
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -12,10 +12,13 @@
   type Caller,
   type CallerLimits,
   chooseTarget,
+  HELD_REVIEW_PERIOD_MS,
+  HeldBytes,
+  heldBytesLimit,
   IDENTITY_REFUSALS,
   type IdentityRefusal,
   type KeyRing,
-  retryAfterMs,
+  retryAfterS,
   RetryBudget,
   type Route,
   type RouteTable,
@@ -26,10 +29,12 @@
 import type {EntryHostContext} from '../context.js';
 import type {UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
+import {CallerHold} from './caller-hold.js';
 import {CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
 import {RequestRun} from './request-run.js';
 import type {ServerSelector} from './server-selection.js';
+import type {TenantShares} from './tenant-shares.js';
 
 /** Largest head that is parsed at all, bytes; the configured limit is less. */
 const PARSER_HEAD_BYTES = 65_536;
@@ -57,6 +62,7 @@
   private readonly budgets = new Map<string, RetryBudget>();
   /** Connections that have had a request. */
   private readonly used = new WeakSet<Socket>();
+  private readonly held: HeldBytes;
   private readonly gate: CallerGate;
   private routes: RouteTable | undefined;
   private limits = FIRST_LIMITS;
@@ -67,6 +73,7 @@
     private readonly context: EntryHostContext,
     private readonly pools: UpstreamPools,
     private readonly selector: ServerSelector,
+    private readonly shares: TenantShares,
   ) {
     this.gate = new CallerGate(context);
     this.server = createServer(
@@ -85,6 +92,15 @@
       this.rejectBytes(error, socket);
     });
     this.applyLimits();
+    const {clock, timers, signal, metrics} = context;
+    this.held = new HeldBytes(() =>
+      heldBytesLimit(context.settings.machine.memoryMb),
+    );
+    const review = () => {
+      this.held.review(clock.now());
+      metrics.heldBytes.set(this.held.bytes);
+    };
+    timers.every('held-bytes', HELD_REVIEW_PERIOD_MS, review, {signal});
   }
 
   /** Requests that have no final answer yet. */
@@ -165,7 +181,20 @@
       refuse(431, 'the head is too large');
       return;
     }
-    const body = await readBody(message, this.limits.maximumBodyBytes);
+    const head = readCallerRequest(
+      message,
+      NOTHING,
+      arrivedAt,
+      platform.forwarding.headers,
+    );
+    const hold = new CallerHold(this.context, this.held, answer);
+    hold.requestId = head.id;
+    const {maximumBodyBytes} = this.limits;
+    if (!hold.admits(Math.min(expectedBytes(message), maximumBodyBytes))) {
+      this.turnAway(head, answer, 'no memory for its body');
+      return;
+    }
+    const body = await readBody(message, maximumBodyBytes, hold);
     if (body === 'too-large') {
       refuse(413, 'the body is too large');
       return;
@@ -174,12 +203,7 @@
       answer.abort();
       return;
     }
-    const request = readCallerRequest(
-      message,
-      body,
-      arrivedAt,
-      platform.forwarding.headers,
-    );
+    const request = {...head, body};
     if (await this.hasLeft(message.socket, request.id)) {
       answer.abort();
       return;
@@ -199,10 +223,9 @@
     }
     const caller = this.gate.identify(rawHeaders, route);
     if (caller.type === 'refused') {
-      this.refuseCaller(message, answer, route, caller.reason);
+      this.refuseCaller(message, answer, caller.reason);
       return;
     }
-    this.admitCaller(caller);
     const service = this.routes.service(
       chooseTarget(route, this.context.random()) ?? '',
     );
@@ -210,21 +233,47 @@
       refuse(503, 'the route has no service');
       return;
     }
-    await this.serve(request, ranked(route, caller), service, caller, answer);
+    const verdict = this.shares.arrived(request, caller, service.name);
+    this.count(caller, verdict.taken ? 'admitted' : 'over-share');
+    if (!verdict.taken) {
+      const reason = 'beyond its fair share of a service that is short';
+      this.reject(message, answer, 503, reason, verdict.retryAfterMs);
+      return;
+    }
+    await this.serve(
+      request,
+      ranked(route, caller),
+      service,
+      caller,
+      answer,
+      hold,
+    );
   }
 
-  private serve(
+  private async serve(
     request: CallerRequest,
     route: Route,
     service: Service,
     caller: Caller,
     answer: CallerAnswer,
+    hold: CallerHold,
   ): Promise<void> {
     const {context, pools, selector, gate} = this;
     const budget = this.budgetOf(service.name);
     const parts = {context, pools, selector, budget, gate};
-    const run = new RequestRun(parts, request, route, service, answer, caller);
-    return run.run();
+    const run = new RequestRun(
+      parts,
+      request,
+      route,
+      service,
+      answer,
+      hold,
+      caller,
+    );
+    await run.run();
+    if (run.ran) {
+      this.shares.ran(request, caller, service.name);
+    }
   }
 
   /**
@@ -257,26 +306,23 @@
     return budget;
   }
 
-  private admitCaller(caller: Caller): void {
+  private count(caller: Caller, outcome: string): void {
     if (caller.type === 'tenant') {
       const {name: tenant} = caller.tenant;
-      this.context.metrics.tenantRequests.inc({tenant, outcome: 'admitted'});
+      this.context.metrics.tenantRequests.inc({tenant, outcome});
     }
   }
 
   private refuseCaller(
     message: IncomingMessage,
     answer: CallerAnswer,
-    {timeoutMs}: Route,
     reason: IdentityRefusal,
   ): void {
-    const {metrics, random} = this.context;
+    const {metrics} = this.context;
     metrics.tenantRequests.inc({tenant: 'none', outcome: reason});
     const {status, detail} = IDENTITY_REFUSALS[reason];
-    const waitMs = retryAfterMs(UNCONFIRMED_RETRY_MS, timeoutMs, random);
-    const headers =
-      status === 503 ? ['Retry-After', (waitMs / 1_000).toFixed(2)] : [];
-    this.reject(message, answer, status, detail, headers);
+    const waitMs = status === 503 ? UNCONFIRMED_RETRY_MS : undefined;
+    this.reject(message, answer, status, detail, waitMs);
   }
 
   private reject(
@@ -284,9 +330,10 @@
     answer: CallerAnswer,
     status: number,
     reason: string,
-    rawHeaders: readonly string[] = [],
+    /** When the caller should come back, milliseconds. */
+    waitMs?: number,
   ): void {
-    const {logger, metrics} = this.context;
+    const {logger, metrics, random} = this.context;
     const outcome = 'rejected';
     metrics.requests.inc({route: 'none', outcome});
     logger.info('request rejected', {
@@ -297,7 +344,24 @@
       configuration: this.routes?.configuration.version,
       configurationAgeMs: Math.round(this.gate.confirmedAgeMs()),
     });
-    answer.send(status, rawHeaders, Buffer.alloc(0));
+    const headers =
+      waitMs === undefined
+        ? []
+        : ['Retry-After', retryAfterS(waitMs, Infinity, random)];
+    answer.send(status, headers, Buffer.alloc(0));
+  }
+
+  /** Refuses a request before its body is read; it may come back. */
+  private turnAway(
+    {id, callerWaitMs}: CallerRequest,
+    answer: CallerAnswer,
+    reason: string,
+  ): void {
+    const {logger, metrics, random} = this.context;
+    metrics.refusals.inc({reason});
+    logger.info('request turned away', {requestId: id, reason});
+    const waitS = retryAfterS(0, callerWaitMs ?? Infinity, random);
+    answer.send(503, ['Retry-After', waitS], NOTHING);
   }
 
   private rejectBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
@@ -329,10 +393,22 @@
     });
   });
 
+const NOTHING = Buffer.alloc(0);
+
+/** Body that is expected where its length isn't told, bytes: one read. */
+const UNTOLD_BYTES = 65_536;
+
+/** How long a body will be, as far as its head tells, bytes. */
+const expectedBytes = ({headers}: IncomingMessage): number =>
+  headers['transfer-encoding'] === undefined
+    ? Number(headers['content-length'] ?? 0)
+    : UNTOLD_BYTES;
+
 /** Reads a body up to a limit. */
 const readBody = (
   message: IncomingMessage,
   maximumBytes: number,
+  hold: CallerHold,
 ): Promise<Buffer | 'too-large' | 'cut'> =>
   new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -346,8 +422,10 @@
         return;
       }
       chunks.push(chunk);
+      hold.received(chunk.length);
     });
     message.on('end', () => {
+      hold.receivedWhole();
       resolve(Buffer.concat(chunks));
     });
     message.on('close', () => {
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -1,5 +1,10 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
-import type {AttemptVerdict, SendEnd, Server} from '@basilworks/dispatch';
+import type {
+  AttemptVerdict,
+  SendEnd,
+  Server,
+  ServerEstimate,
+} from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
 import {
@@ -15,6 +20,12 @@
   type SendDetails,
   writeRequestHead,
 } from './caller-request.js';
+import {
+  estimateSend,
+  type EstimateGrounds,
+  groundsOf,
+  promptTokensOf,
+} from './send-estimate.js';
 
 /** Receives the answer to a send, once it is known to be the server's own. */
 export interface SendObserver {
@@ -49,6 +60,16 @@
 /** Share of a server's connections that one host may use, split evenly. */
 const CONNECTION_SHARE = 0.85;
 
+/** A request that was given up without any answer after this failed, ms. */
+const UNANSWERED_MS = 1_500;
+
+/** Verdicts that tell whether a server fails what it takes. */
+const FAILED: Readonly<Partial<Record<AttemptVerdict, boolean>>> = {
+  served: false,
+  failed: true,
+  unreachable: true,
+};
+
 /** Most pauses of a server's stream; callers that take nothing are cut. */
 export interface SendControl {
   pause(): void;
@@ -57,7 +78,7 @@
 }
 
 /** What a send went by, for logs. */
-export interface SendGrounds {
+export interface SendGrounds extends EstimateGrounds {
   /** Revision of the server's entry at the choice. */
   readonly entryRevision: number;
   /** Revision and age of the view of all servers at the choice. */
@@ -82,6 +103,7 @@
   private done: (result: SendResult) => void = () => undefined;
   private readonly chosenAt: Instant;
   private readonly chosenFrom: Omit<SendGrounds, 'delayMs'>;
+  private estimate: ServerEstimate | undefined;
   private delayMs: number | undefined;
 
   constructor(
@@ -106,7 +128,11 @@
   }
 
   get grounds(): SendGrounds {
-    return {...this.chosenFrom, delayMs: this.delayMs};
+    return {
+      ...this.chosenFrom,
+      ...groundsOf(this.estimate),
+      delayMs: this.delayMs,
+    };
   }
 
   /** Sends; resolves when the answer, or the lack of one, is complete. */
@@ -117,10 +143,14 @@
     const sentAt = clock.now();
     const hosts = Math.max(1, membership.live().length);
     const share = (this.maximumConnections * CONNECTION_SHARE) / hosts;
+    this.estimate = estimateSend(this.context, this.server, request);
     return new Promise((resolve) => {
       evidence.sent(sentAt);
       this.done = (result) => {
-        evidence.ended(this.verdict(result), !this.headSeen, clock.now());
+        const verdict = this.verdict(result);
+        const at = clock.now();
+        evidence.ended(verdict, !this.headSeen, at);
+        this.count(verdict, elapsedMs(sentAt, at), at);
         resolve(result);
       };
       const handle = this.pools.of(this.server).start(
@@ -137,7 +167,7 @@
             const at = clock.now();
             this.headSeen = true;
             const waitedMs = at.monotonicMs - sentAt.monotonicMs;
-            evidence.answered(waitedMs, this.readLoad(head), at);
+            this.learn(request, head, waitedMs, at);
             takeNotice(this.context, this.server, head, sentAt);
             this.takeHead(head);
           },
@@ -283,6 +313,17 @@
     return 'failed';
   }
 
+  /** Counts the attempt for what all hosts see of the server. */
+  private count(verdict: AttemptVerdict, forMs: number, at: Instant): void {
+    const {entry, key} = this.server;
+    const unanswered = !this.headSeen && forMs > UNANSWERED_MS;
+    const failed =
+      verdict === 'cancelled' ? unanswered || undefined : FAILED[verdict];
+    if (failed !== undefined) {
+      this.context.tallies.count(entry.service, key, failed, at);
+    }
+  }
+
   /** Whether another server answers at this address. */
   private answersForAnother(): boolean {
     const {serverId} = this.context.platform.forwarding.headers;
@@ -290,12 +331,43 @@
     return id !== undefined && id !== this.server.entry.id;
   }
 
+  /** Takes what an answer tells of the speed and load of its server. */
+  private learn(
+    request: CallerRequest,
+    head: ResponseHead,
+    waitedMs: number,
+    at: Instant,
+  ): void {
+    const {evidence, entry} = this.server;
+    const load = this.readLoad(head);
+    const served = head.status >= 200 && head.status < 300;
+    const work =
+      load?.slowness === undefined || !served
+        ? undefined
+        : {
+            promptTokens: promptTokensOf(this.context, request),
+            slots: entry.slots,
+          };
+    evidence.answered(waitedMs, load, at, work);
+    if (served && this.estimate !== undefined) {
+      this.context.metrics.estimateRatio.observe(
+        {service: entry.service},
+        waitedMs / Math.max(1, this.estimate.firstMs),
+      );
+    }
+  }
+
   private readLoad(head: ResponseHead) {
     const {forwarding} = this.context.platform;
     const text = headerValue(
       head.rawHeaders,
       forwarding.headers.serverLoad.toLowerCase(),
     );
-    return text === undefined ? undefined : forwarding.readLoad(text);
+    const load = text === undefined ? undefined : forwarding.readLoad(text);
+    if (load?.slowness !== undefined) {
+      // It shares its machine with others, and may suffer from them.
+      this.context.tallies.watch(this.server.entry.service);
+    }
+    return load;
   }
 }
