--- a/packages/daemon/src/test/logger_test.ts
+++ b/packages/daemon/src/test/logger_test.ts
@@ -22,3 +22,18 @@
   t.not(line.time, 'y');
   t.is(line.kind, 'k');
 });
+
+test('a line holds the fields that are given, after its own', (t) => {
+  const lines: string[] = [];
+  const logger = createLogger('h"1', 'info', (line) => lines.push(line));
+  logger.info('a "b"', {of: 'c\n', count: 2, none: undefined});
+  logger.error('alone');
+  logger.error('empty', {none: undefined});
+  logger.debug('below the level');
+  const ends = lines.map((line) => line.replace(/^\{"time":"[^"]+Z",/, ''));
+  t.deepEqual(ends, [
+    '"level":"info","host":"h\\"1","message":"a \\"b\\"","of":"c\\n","count":2}\n',
+    '"level":"error","host":"h\\"1","message":"alone"}\n',
+    '"level":"error","host":"h\\"1","message":"empty"}\n',
+  ]);
+});
