Check a peer's word on a host only where it says something new

Callers' view: none.

Cause: each exchange between hosts checked the peer's status by a schema, though it repeats what is known: 4% of what a host at rest does, by a profile of nine.

Change: a status that equals the known one, field by field, stands for it.

Evidence: 100,000 words, three runs: 1.1 to 1.6 us checked, 0.3 to 0.7 us known. host-codec_test; the tests of exchanges and readers pass unchanged.

--- a/packages/entry-host/src/peers/host-codec.ts
+++ b/packages/entry-host/src/peers/host-codec.ts
@@ -18,10 +18,21 @@
   gone: z.boolean(),
 });
 
-/** Decodes a peer's word on a host; undefined where it can't be used. */
+const FIELDS = Object.keys(entrySchema.shape) as (keyof HostEntry)[];
+
+/**
+ * Decodes a peer's word on a host; undefined where it can't be used. A word that
+ * repeats what is `known` of the host, as most do, is not checked again.
+ */
 export const decodeHost = (
   status: fleet.HostStatus | undefined,
-): HostEntry | undefined => entrySchema.safeParse(status).data;
+  known?: HostEntry,
+): HostEntry | undefined =>
+  known !== undefined &&
+  status !== undefined &&
+  FIELDS.every((field) => status[field] === known[field])
+    ? known
+    : entrySchema.safeParse(status).data;
 
 /** Encodes a word on a host for peers. */
 export const encodeHost = (entry: HostEntry): fleet.HostStatus => ({...entry});
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -429,7 +429,10 @@
 
   /** Decodes a status; one that can't be used is told in the log. */
   private decode(status: fleet.HostStatus | undefined): HostEntry | undefined {
-    const entry = decodeHost(status);
+    const entry = decodeHost(
+      status,
+      this.context.membership.status(status?.host ?? ''),
+    );
     const nowMs = this.context.clock.now().monotonicMs;
     if (
       entry === undefined &&
--- /dev/null
+++ b/packages/entry-host/src/test/peers/host-codec_test.ts
@@ -0,0 +1,30 @@
+import type {HostEntry} from '@basilworks/dispatch';
+import test from 'ava';
+
+import {decodeHost, encodeHost} from '../../peers/host-codec.js';
+
+const KNOWN: HostEntry = {
+  host: 'h1',
+  incarnation: 'a',
+  zone: 'z1',
+  peerAddress: '10.0.0.1:9000',
+  callerAddress: '10.0.0.1:8000',
+  ready: true,
+  readsStore: true,
+  capacity: 675,
+  version: 3,
+  gone: false,
+};
+
+test('a word that repeats what is known stands for it', (t) => {
+  t.is(decodeHost(encodeHost(KNOWN), KNOWN), KNOWN);
+});
+
+test('a word with anything new is checked', (t) => {
+  const newer = {...KNOWN, version: 4, gone: true};
+  t.deepEqual(decodeHost(encodeHost(newer), KNOWN), newer);
+  t.deepEqual(decodeHost(encodeHost(KNOWN)), KNOWN);
+  const malformed = {...KNOWN, peerAddress: 'nowhere'};
+  t.is(decodeHost(encodeHost(malformed), KNOWN), undefined);
+  t.is(decodeHost(undefined, KNOWN), undefined);
+});
