Look a header up without copying all

Callers' view: none.

Cause: a header's first value was taken from a list of all its values, which lower-cased each name and made an array; an answer looks up four and more.

Change: a scan that ends at the name.

The 33 tests of upstream pass unchanged.

--- a/packages/entry-host/src/upstream/response-parser.ts
+++ b/packages/entry-host/src/upstream/response-parser.ts
@@ -267,4 +267,12 @@
 export const headerValue = (
   rawHeaders: readonly string[],
   name: string,
-): string | undefined => headerValues(rawHeaders, name)[0];
+): string | undefined => {
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const found = rawHeaders[index] ?? '';
+    if (found.length === name.length && found.toLowerCase() === name) {
+      return rawHeaders[index + 1];
+    }
+  }
+  return undefined;
+};
