Admit requests by the estimate of the first piece

Callers in a burst waited at plain servers until their answer was of no use, and others were refused though a server could have answered: a request was judged by counts of waiting requests and an assumed 500 ms for each.

Where servers tell their slowness, a request is refused as it arrives where no server could give its first piece in four fifths of the time left (lower ranks: less), or where no batch keeps the pause that its stream is owed. Retry-After is the time until the first has no queue or a lighter batch. The refusal's reason names the best estimate with its inputs and their ages. Pauses that callers make by reading slowly no longer count as a server's. Servers that tell no slowness are judged as before.

The test's fleet now draws noise and arrivals apart from decisions, so that plays that decide otherwise meet the same load; the thresholds of the choice are unchanged and hold.

--- a/packages/dispatch/src/servers/admission.ts
+++ b/packages/dispatch/src/servers/admission.ts
@@ -1,5 +1,10 @@
 import type {Instant} from '@basilworks/core';
 
+import {
+  type ServerEstimate,
+  ServiceEstimates,
+  tellSlowness,
+} from './server-estimate.js';
 import type {Server} from './server-table.js';
 
 /** What admission knows of a request. */
@@ -8,12 +13,21 @@
   readonly remainingMs: number;
   /** Rank among the requests of the service; 0 is first. */
   readonly priority: number;
+  /** Tokens of its prompt, if it tells. */
+  readonly promptTokens?: number | undefined;
+  /** Longest pause between two pieces that its caller is owed, milliseconds. */
+  readonly eventGapMs?: number | undefined;
 }
 
 /** Whether a request is taken now or told when to come back. */
 export type Admission =
   | {readonly admitted: true}
-  | {readonly admitted: false; readonly retryAfterMs: number};
+  | {
+      readonly admitted: false;
+      readonly retryAfterMs: number;
+      /** The least wait for a first piece, where it was estimated. */
+      readonly best?: ServerEstimate;
+    };
 
 /** Share of the remaining time that may be spent in a server's queue. */
 const QUEUE_SHARE = 0.5;
@@ -30,10 +44,14 @@
  */
 export const admit = (
   servers: readonly Server[],
-  {remainingMs, priority}: AdmissionRequest,
+  request: AdmissionRequest,
   serviceMs: number | undefined,
   at: Instant,
 ): Admission => {
+  if (tellSlowness(servers, at)) {
+    return admitByEstimate(servers, request, at);
+  }
+  const {remainingMs, priority} = request;
   const shortestWaitMs = Math.min(
     ...servers.map(({entry, evidence}) => {
       const waiting = evidence.load(at) - entry.slots;
@@ -47,3 +65,54 @@
     ? {admitted: true}
     : {admitted: false, retryAfterMs: shortestWaitMs};
 };
+
+/**
+ * Share of the remaining time that the wait for a first piece may be expected
+ * to take: queues that hosts heard of a second ago have grown since where it
+ * matters.
+ */
+const TIME_SHARE = 0.8;
+
+/** Each rank below the first may wait for this much less. */
+const TIME_SHARE_PER_RANK = 0.15;
+const LEAST_TIME_SHARE = 0.4;
+
+/** Time in which the requests of a batch have ended, milliseconds. */
+const BATCH_MS = 1_000;
+
+/**
+ * Refuses a request where no server could give its first piece in the time
+ * that its caller has, or where all batches are too slow for its stream.
+ *
+ * The load that it answers: bursts of twice what a few plain servers can do,
+ * and batches on machines that turn slow. What can't be answered in time is
+ * told so at once, and does not wait at a server until it is of no use.
+ */
+const admitByEstimate = (
+  servers: readonly Server[],
+  {remainingMs, priority, promptTokens, eventGapMs}: AdmissionRequest,
+  at: Instant,
+): Admission => {
+  const estimates = new ServiceEstimates(servers, at);
+  const share = Math.max(
+    LEAST_TIME_SHARE,
+    TIME_SHARE - TIME_SHARE_PER_RANK * priority,
+  );
+  const options = servers.map((server) => {
+    const estimate = estimates.of(server, promptTokens);
+    const {firstMs, queuedMs, gapMs} = estimate;
+    const pause = (gapMs ?? 0) / (eventGapMs ?? Infinity);
+    const batchMs = BATCH_MS * Math.max(0, 1 - 1 / pause);
+    return {
+      estimate,
+      able: firstMs <= remainingMs * share && pause <= 1,
+      untilMs: queuedMs + batchMs,
+    };
+  });
+  const best = options.reduce((first, option) =>
+    option.untilMs < first.untilMs ? option : first,
+  );
+  return options.some(({able}) => able)
+    ? {admitted: true}
+    : {admitted: false, retryAfterMs: best.untilMs, best: best.estimate};
+};
--- a/packages/dispatch/src/servers/server-estimate.ts
+++ b/packages/dispatch/src/servers/server-estimate.ts
@@ -7,6 +7,8 @@
 export interface ServerEstimate {
   /** Time to the first piece of the answer, milliseconds. */
   readonly firstMs: number;
+  /** Part of it that the request waits for a place, milliseconds. */
+  readonly queuedMs: number;
   /** Pause between two pieces, milliseconds; undefined where unknown. */
   readonly gapMs: number | undefined;
   /** How long work takes there, against the mean of its service at rest. */
@@ -46,6 +48,7 @@
   private readonly meanSlowness: number;
   private readonly meanOccupancy: number;
   private readonly meanGapMs: number | undefined;
+  private readonly meanWorkMs: number;
   private readonly line: {startMs: number; tokenMs: number};
 
   constructor(
@@ -64,12 +67,13 @@
     this.meanGapMs = mean(
       servers.flatMap(({evidence}) => evidence.paceMs(at) ?? []),
     );
-    this.line = lineThrough(
-      known.reduce(
-        (sums, {evidence}) => addWork(sums, evidence.speed.work(at)),
-        NO_WORK,
-      ),
+    const work = known.reduce(
+      (sums, {evidence}) => addWork(sums, evidence.speed.work(at)),
+      NO_WORK,
     );
+    this.line = lineThrough(work);
+    this.meanWorkMs =
+      work.answers === 0 ? ASSUMED_WORK_MS : work.ms / work.answers;
   }
 
   /** The estimate for a request with so many tokens in its prompt. */
@@ -81,13 +85,16 @@
     const now = evidence.speed.now(at) ?? rule;
     const requests = this.requests(server);
     const queuedShare = Math.max(0, requests + 1 - entry.slots) / entry.slots;
-    const slowness = own * now;
+    const runMs = this.workMs(promptTokens) * own * now;
+    // Those ahead have prompts of the usual size.
+    const queuedMs = this.meanWorkMs * own * now * queuedShare;
     const lastingSlowness = own * rule;
     const pace = evidence.paceMs(at) ?? this.meanGapMs;
     return {
-      firstMs: this.workMs(promptTokens) * slowness * (1 + queuedShare),
+      firstMs: runMs + queuedMs,
+      queuedMs,
       gapMs: pace === undefined ? undefined : (pace * now) / rule,
-      slowness,
+      slowness: own * now,
       lastingSlowness,
       slownessAgeMs: evidence.speed.ageMs(at),
       requests,
--- a/packages/dispatch/src/test/servers/plain-choice_test.ts
+++ b/packages/dispatch/src/test/servers/plain-choice_test.ts
@@ -12,12 +12,10 @@
   type PlainLoad,
   plainService,
   playPlainFleet,
+  at,
+  SEEDS,
 } from './plain-fleet.js';
 
-const SEEDS = [1, 2, 3, 4, 5];
-
-const at = (ms: number) => ({monotonicMs: ms, wallMs: ms});
-
 const chosen = (servers: readonly Server[], ms: number, draws: number) => {
   const generator = xoroshiro128plus(7);
   const counts = new Map<string | undefined, number>();
--- a/packages/dispatch/src/test/servers/plain-fleet.ts
+++ b/packages/dispatch/src/test/servers/plain-fleet.ts
@@ -1,9 +1,12 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
+import type {Instant} from '@basilworks/core';
 import {
+  type Admission,
   type ChoiceContext,
   type RecordedEntry,
+  retryAfterMs,
   type Server,
   ServerTable,
 } from '../../index.js';
@@ -25,6 +28,14 @@
     servers: readonly Server[],
     context: ChoiceContext,
   ) => Server | undefined;
+  /** How much more comes in a third of the time; none where it is missing. */
+  readonly burst?: number;
+  /** Whether a request is taken, with the time that its caller has. */
+  readonly admits?: (
+    servers: readonly Server[],
+    remainingMs: number,
+    at: Instant,
+  ) => Admission;
 }
 
 export interface PlainResult {
@@ -32,23 +43,36 @@
   readonly busiest: number;
   /** 95th percentile of waiting for a place, milliseconds. */
   readonly waitingMs: number;
-  /** Share of the requests that were answered within the target. */
+  /** Share of the answers that came within the target. */
   readonly onTime: number;
+  /** Share of all requests that were answered within target, and deadline. */
+  readonly allOnTime: number;
+  readonly allInTime: number;
+  /** Share that was refused though some server could have answered. */
+  readonly refusedInVain: number;
+  /** Share that waited at a server until it was of no use. */
+  readonly expired: number;
 }
 
 interface Arrival {
   readonly host: number;
   readonly atMs: number;
+  /** When the caller asked first. */
+  readonly bornMs: number;
 }
 
 const PERIOD_MS = 60_000;
 const WARM_UP_MS = 10_000;
 const WAY_MS = 1.5;
 const TARGET_MS = 195;
+const DEADLINE_MS = 1_550;
+const BURST_PERIOD_MS = 12_000;
 /** Mean time for which a server is slower at a time, milliseconds. */
 const NOISE_MS = 400;
 
-const instant = (ms: number) => ({monotonicMs: ms, wallMs: ms});
+export const SEEDS = [1, 2, 3, 4, 5];
+
+export const at = (ms: number): Instant => ({monotonicMs: ms, wallMs: ms});
 
 /** Entries of a plain service, in three zones. */
 export const plainEntries = (
@@ -72,9 +96,13 @@
 
 /** Plays the load on virtual time. */
 export const playPlainFleet = (load: PlainLoad): PlainResult => {
-  const generator = xoroshiro128plus(load.seed);
-  const random = () => uniformFloat64(generator);
-  const exponential = (meanMs: number) => -Math.log(1 - random()) * meanMs;
+  // Draws of their own, so that plays that decide otherwise meet the same load.
+  const [random, nextNoise, nextArrival] = [0, 1, 2].map((part) => {
+    const generator = xoroshiro128plus(load.seed * 3 + part);
+    return () => uniformFloat64(generator);
+  }) as [() => number, () => number, () => number];
+  const exponential = (meanMs: number, draw: () => number) =>
+    -Math.log(1 - draw()) * meanMs;
   const events: {ms: number; run: () => void}[] = [];
   const after = (ms: number, run: () => void) => {
     let low = 0;
@@ -92,7 +120,7 @@
   const entries = plainEntries(load.speeds.length, load.slots);
   const tables = Array.from({length: load.hosts}, () => {
     const table = new ServerTable();
-    table.update(entries, undefined, instant(0));
+    table.update(entries, undefined, at(0));
     return table;
   });
   const machines = load.speeds.map((speed) => ({
@@ -107,7 +135,8 @@
     const turn = (ms: number) => {
       machine.noisy = machine.noisy === 1 ? factor : 1;
       const quietMs = (NOISE_MS * (1 - share)) / share;
-      const nextMs = ms + exponential(machine.noisy === 1 ? quietMs : NOISE_MS);
+      const nextMs =
+        ms + exponential(machine.noisy === 1 ? quietMs : NOISE_MS, nextNoise);
       after(nextMs, () => {
         turn(nextMs);
       });
@@ -118,10 +147,40 @@
   }
   const waits: number[] = [];
   const times: number[] = [];
-  const send = ({host, atMs}: Arrival) => {
+  let born = 0;
+  let inVain = 0;
+  let expired = 0;
+  const isCounted = (ms: number) => ms > WARM_UP_MS;
+  const refuses = ({host, atMs, bornMs}: Arrival): boolean => {
+    const remainingMs = DEADLINE_MS - (atMs - bornMs);
+    const servers = tables[host]?.all() ?? [];
+    const admission = load.admits?.(servers, remainingMs, at(atMs));
+    if (admission?.admitted !== false) {
+      return false;
+    }
+    const leastMs = Math.min(
+      ...machines.map(
+        ({queue, speed, noisy}) =>
+          load.workMs * speed * noisy * (1 + queue.length / load.slots),
+      ),
+    );
+    inVain += isCounted(bornMs) && leastMs < remainingMs / 2 ? 1 : 0;
+    const waitMs = retryAfterMs(admission.retryAfterMs, remainingMs, random);
+    if (bornMs === atMs) {
+      const again = {host, atMs: atMs + waitMs, bornMs};
+      after(again.atMs, () => {
+        send(again);
+      });
+    }
+    return true;
+  };
+  const send = ({host, atMs, bornMs}: Arrival) => {
+    if (refuses({host, atMs, bornMs})) {
+      return;
+    }
     const table = tables[host];
     const server = load.choose(table?.all() ?? [], {
-      at: instant(atMs),
+      at: at(atMs),
       zone: `z${host % 3}`,
       tried: new Set(),
       silenceLimitMs: 800,
@@ -132,10 +191,16 @@
       return;
     }
     const {evidence} = server;
-    evidence.sent(instant(atMs));
-    const counts = atMs > WARM_UP_MS;
+    evidence.sent(at(atMs));
+    const counts = isCounted(bornMs);
     machine.served += counts ? 1 : 0;
     const begin = (ms: number) => {
+      if (ms > bornMs + DEADLINE_MS) {
+        expired += counts ? 1 : 0;
+        evidence.ended('refused', true, at(ms));
+        machine.queue.shift()?.();
+        return;
+      }
       machine.running += 1;
       if (counts) {
         waits.push(ms - atMs - WAY_MS);
@@ -152,7 +217,7 @@
         };
         machine.queue.shift()?.();
         after(endMs + WAY_MS, () => {
-          const now = instant(endMs + WAY_MS);
+          const now = at(endMs + WAY_MS);
           const waitedMs = now.monotonicMs - atMs;
           const work = {promptTokens: 0, slots: load.slots};
           const told =
@@ -162,7 +227,7 @@
           evidence.answered(waitedMs, told, now, work);
           evidence.ended('served', false, now);
           if (counts) {
-            times.push(waitedMs);
+            times.push(now.monotonicMs - bornMs);
           }
         });
       });
@@ -180,8 +245,11 @@
   };
   let now = 0;
   const arrive = (atMs: number) => {
-    send({host: Math.floor(random() * load.hosts), atMs});
-    const nextMs = atMs + exponential(1_000 / load.requestsPerS);
+    born += isCounted(atMs) ? 1 : 0;
+    send({host: Math.floor(nextArrival() * load.hosts), atMs, bornMs: atMs});
+    const bursts = atMs % BURST_PERIOD_MS < BURST_PERIOD_MS / 3;
+    const perS = load.requestsPerS * (bursts ? (load.burst ?? 1) : 1);
+    const nextMs = atMs + exponential(1_000 / perS, nextArrival);
     if (nextMs < PERIOD_MS) {
       after(nextMs, () => {
         arrive(nextMs);
@@ -207,13 +275,17 @@
     busiest: Math.max(...shares),
     waitingMs: percentile(waits, 0.95),
     onTime: times.filter((ms) => ms < TARGET_MS).length / times.length,
+    allOnTime: times.filter((ms) => ms < TARGET_MS).length / born,
+    allInTime: times.filter((ms) => ms < DEADLINE_MS).length / born,
+    refusedInVain: inVain / born,
+    expired: expired / born,
   };
 };
 
 /** A service of some servers with 6 places each. */
 export const plainService = (count: number): readonly Server[] => {
   const table = new ServerTable();
-  table.update(plainEntries(count, 6), undefined, instant(0));
+  table.update(plainEntries(count, 6), undefined, at(0));
   return table.all();
 };
 
@@ -226,10 +298,10 @@
   promptTokens = 0,
 ): void => {
   const load = {running: 1, waiting: 0, slowness};
-  evidence.sent(instant(ms - waitedMs));
+  evidence.sent(at(ms - waitedMs));
   const {slots} = entry;
-  evidence.answered(waitedMs, load, instant(ms), {promptTokens, slots});
-  evidence.ended('served', false, instant(ms));
+  evidence.answered(waitedMs, load, at(ms), {promptTokens, slots});
+  evidence.ended('served', false, at(ms));
 };
 
 const percentile = (values: readonly number[], share: number): number =>
--- a/packages/dispatch/src/test/servers/server-estimate_test.ts
+++ b/packages/dispatch/src/test/servers/server-estimate_test.ts
@@ -3,11 +3,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
 import {ServiceEstimates} from '../../index.js';
-import {answer, plainService} from './plain-fleet.js';
-
-const SEEDS = [1, 2, 3, 4, 5];
-
-const at = (ms: number) => ({monotonicMs: ms, wallMs: ms});
+import {answer, plainService, at, SEEDS} from './plain-fleet.js';
 
 test('what is unknown of a server is the mean of its service', (t) => {
   const servers = plainService(3);
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -25,6 +25,7 @@
 import type {SendPermits} from '../permits/index.js';
 import {headerValue} from '../upstream/index.js';
 import type {CallerRequest} from './caller-request.js';
+import {groundsOf, promptTokensOf} from './send-estimate.js';
 
 /** Where to send a request next. */
 export type Selection =
@@ -167,14 +168,24 @@
       const pauseMs = servers.shortestPauseMs(service.name, at);
       return none('no server is open', pauseMs ?? NO_SERVER_RETRY_MS);
     }
+    const {priority, eventGapMs} = route;
+    const promptTokens = tellSlowness(open, at)
+      ? promptTokensOf(this.context, request)
+      : undefined;
     const admission = admit(
       open,
-      {remainingMs, priority: route.priority},
+      {remainingMs, priority, promptTokens, eventGapMs},
       undefined,
       at,
     );
     if (!admission.admitted) {
-      return none('all servers are full', admission.retryAfterMs);
+      const {best, retryAfterMs} = admission;
+      return none(
+        best === undefined
+          ? 'all servers are full'
+          : `no server could answer in time: ${JSON.stringify(groundsOf(best))}`,
+        retryAfterMs,
+      );
     }
     const choice = this.choiceContext(selection.tried, service.name);
     if (service.engine === undefined || request.model === undefined) {
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -182,6 +182,8 @@
   }
 
   pause(): void {
+    // The next piece is late by its caller, not by its server.
+    this.pieceAt = undefined;
     this.handle?.pause();
   }
 
