--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -1,8 +1,11 @@
 import {randomBytes} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
-import {createServer, type Server as HttpServer} from 'node:http';
+import {
+  createServer,
+  type RequestListener,
+  type Server as HttpServer,
+} from 'node:http';
 
-import {getRequestListener} from '@hono/node-server';
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   type Clock,
@@ -16,23 +19,26 @@
   AdapterVersions,
   adapterVersionRecordSchema,
   addressAnswer,
+  FailureTallies,
   FleetLoad,
   hostCapacity,
   type HostStatus,
+  KeyRing,
   Membership,
   ResidencyCache,
   RouteTable,
   type Server,
+  ServerSuspects,
   ServerTable,
   servingConfigurationSchema,
   type StoreKind,
   StoreViews,
 } from '@basilworks/dispatch';
-import {Hono} from 'hono';
 import {ok, type Result} from 'neverthrow';
 
 import type {EntryHostContext} from './context.js';
 import {BoundedLogger} from './lib/bounded-logger.js';
+import {plainRoutes} from './lib/plain-routes.js';
 import {FrontListener, ServerSelector} from './front/index.js';
 import {EntryHostMetrics} from './metrics.js';
 import {AdapterBroker, ClaimKeeper} from './orders/index.js';
@@ -142,6 +148,8 @@
       views,
       servers: new ServerTable(),
       fleetLoad: new FleetLoad(),
+      tallies: new FailureTallies(),
+      suspects: new ServerSuspects(),
       signal: this.abort.signal,
       random: overrides.random ?? Math.random,
     };
@@ -303,8 +311,9 @@
   /** Handlers of newer views; see `VIEW_HANDLERS`. */
   useConfiguration(): void {
     const {views, logger} = this.context;
-    const value = views.get('configuration')?.snapshot.items[0]?.value;
-    if (value === undefined) {
+    const snapshot = views.get('configuration')?.snapshot;
+    const value = snapshot?.items[0]?.value;
+    if (snapshot === undefined || value === undefined) {
       return;
     }
     const parsed = servingConfigurationSchema.safeParse(value);
@@ -313,14 +322,23 @@
       logger.error('a configuration is malformed', {problem});
       return;
     }
-    if (parsed.data.version < (this.routes?.configuration.version ?? 0)) {
+    const {version, tenants} = parsed.data;
+    if (version < this.routeVersion) {
+      // Keys wait for a newer one, as this host does not go by the newest.
+      logger.error('a configuration is older than the one in use', {version});
+      return;
+    }
+    const ring = tenants === undefined ? ok(undefined) : KeyRing.of(tenants);
+    if (ring.isErr()) {
+      const problem = ring.error.message;
+      logger.error('a configuration is ambiguous', {version, problem});
       return;
     }
     this.routes = new RouteTable(parsed.data);
-    this.front.use(this.routes);
+    this.front.use(this.routes, ring.value, snapshot.at);
     this.broker.review();
     logger.info('configuration in use', {
-      version: parsed.data.version,
+      version,
       routes: parsed.data.routes.length,
       ageMs: Math.round(views.ageMs('configuration', this.context.clock.now())),
     });
@@ -449,48 +467,52 @@
     logger.info('server checked', {server: server.entry.id, status});
   }
 
-  private readinessRoutes(): Hono {
-    const app = new Hono();
-    app.get(this.context.platform.host.readyPath, (call) =>
-      call.body(null, this.ready ? 200 : 503),
-    );
-    return app;
+  private readinessRoutes(): RequestListener {
+    return plainRoutes({
+      [this.context.platform.host.readyPath]: () => ({
+        status: this.ready ? 200 : 503,
+      }),
+    });
   }
 
-  private directoryRoutes(): Hono {
+  private directoryRoutes(): RequestListener {
     const {platform, membership, random} = this.context;
     const {host} = platform;
-    const app = new Hono();
-    app.get(host.addressPath, (call) => {
-      const addresses = addressAnswer(
-        membership.live(),
-        call.req.query(host.zoneParameter),
-        membership.self(),
-        random,
-      );
-      return call.json(
-        host.addressAnswer(
-          addresses,
-          Math.min(ADDRESS_LIFETIME_S, this.settings.addressLifetimeS),
-        ),
-      );
+    return plainRoutes({
+      [host.addressPath]: (query) => {
+        const addresses = addressAnswer(
+          membership.live(),
+          query.get(host.zoneParameter) ?? undefined,
+          membership.self(),
+          random,
+        );
+        const lifetimeS = Math.min(
+          ADDRESS_LIFETIME_S,
+          this.settings.addressLifetimeS,
+        );
+        return {
+          status: 200,
+          contentType: 'application/json',
+          body: JSON.stringify(host.addressAnswer(addresses, lifetimeS)),
+        };
+      },
     });
-    return app;
   }
 
-  private metricsRoutes(): Hono {
+  private metricsRoutes(): RequestListener {
     const {registry} = this.context.metrics;
-    const app = new Hono();
-    app.get('/metrics', async (call) => call.text(await registry.metrics()));
-    return app;
+    return plainRoutes({
+      '/metrics': async () => ({
+        status: 200,
+        contentType: 'text/plain;charset=UTF-8',
+        body: await registry.metrics(),
+      }),
+    });
   }
 
-  private serve(address: string, app: Hono): void {
+  private serve(address: string, routes: RequestListener): void {
     const [host, port] = splitAddress(address);
-    const listener = getRequestListener(app.fetch);
-    const server = createServer((request, response) => {
-      void listener(request, response);
-    });
+    const server = createServer(routes);
     server.on('error', (error) => {
       this.context.logger.error('a listener failed', {
         address,
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -8,14 +8,30 @@
 import type {Duplex} from 'node:stream';
 
 import {ListenError} from '@basilworks/daemon';
-import type {CallerLimits, RetryBudget, RouteTable} from '@basilworks/dispatch';
-import {chooseTarget, RetryBudget as Budget} from '@basilworks/dispatch';
+import {
+  type Caller,
+  type CallerLimits,
+  chooseTarget,
+  HELD_REVIEW_PERIOD_MS,
+  HeldBytes,
+  heldBytesLimit,
+  IDENTITY_REFUSALS,
+  type IdentityRefusal,
+  type KeyRing,
+  retryAfterMs,
+  RetryBudget,
+  type Route,
+  type RouteTable,
+  type Service,
+} from '@basilworks/dispatch';
 import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
 import type {UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
-import {readCallerRequest} from './caller-request.js';
+import {CallerHold} from './caller-hold.js';
+import {CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
+import {type CallerRequest, readCallerRequest} from './caller-request.js';
 import {RequestRun} from './request-run.js';
 import type {ServerSelector} from './server-selection.js';
 
@@ -45,6 +61,8 @@
   private readonly budgets = new Map<string, RetryBudget>();
   /** Connections that have had a request. */
   private readonly used = new WeakSet<Socket>();
+  private readonly held: HeldBytes;
+  private readonly gate: CallerGate;
   private routes: RouteTable | undefined;
   private limits = FIRST_LIMITS;
   private inProgress = 0;
@@ -55,6 +73,7 @@
     private readonly pools: UpstreamPools,
     private readonly selector: ServerSelector,
   ) {
+    this.gate = new CallerGate(context);
     this.server = createServer(
       {
         maxHeaderSize: PARSER_HEAD_BYTES,
@@ -71,6 +90,15 @@
       this.rejectBytes(error, socket);
     });
     this.applyLimits();
+    const {clock, timers, signal, metrics} = context;
+    this.held = new HeldBytes(() =>
+      heldBytesLimit(context.settings.machine.memoryMb),
+    );
+    const review = () => {
+      this.held.review(clock.now());
+      metrics.heldBytes.set(this.held.bytes);
+    };
+    timers.every('held-bytes', HELD_REVIEW_PERIOD_MS, review, {signal});
   }
 
   /** Requests that have no final answer yet. */
@@ -78,9 +106,13 @@
     return this.inProgress;
   }
 
-  /** Takes a newer configuration into use. */
-  use(routes: RouteTable): void {
+  /**
+   * Takes a newer configuration into use, of a revision of the store; `ring`
+   * holds the keys of its tenants, if it has any.
+   */
+  use(routes: RouteTable, ring: KeyRing | undefined, revision: number): void {
     this.routes = routes;
+    this.gate.use(ring, revision);
     this.limits = routes.configuration.limits;
     this.applyLimits();
   }
@@ -147,7 +179,20 @@
       refuse(431, 'the head is too large');
       return;
     }
-    const body = await readBody(message, this.limits.maximumBodyBytes);
+    const head = readCallerRequest(
+      message,
+      NOTHING,
+      arrivedAt,
+      platform.forwarding.headers,
+    );
+    const hold = new CallerHold(this.context, this.held, answer);
+    hold.requestId = head.id;
+    const {maximumBodyBytes} = this.limits;
+    if (!hold.admits(Math.min(expectedBytes(message), maximumBodyBytes))) {
+      this.turnAway(head, answer, 'no memory for its body');
+      return;
+    }
+    const body = await readBody(message, maximumBodyBytes, hold);
     if (body === 'too-large') {
       refuse(413, 'the body is too large');
       return;
@@ -156,12 +201,7 @@
       answer.abort();
       return;
     }
-    const request = readCallerRequest(
-      message,
-      body,
-      arrivedAt,
-      platform.forwarding.headers,
-    );
+    const request = {...head, body};
     if (await this.hasLeft(message.socket, request.id)) {
       answer.abort();
       return;
@@ -179,6 +219,12 @@
       refuse(404, 'no route');
       return;
     }
+    const caller = this.gate.identify(rawHeaders, route);
+    if (caller.type === 'refused') {
+      this.refuseCaller(message, answer, route, caller.reason);
+      return;
+    }
+    this.admitCaller(caller);
     const service = this.routes.service(
       chooseTarget(route, this.context.random()) ?? '',
     );
@@ -186,11 +232,37 @@
       refuse(503, 'the route has no service');
       return;
     }
-    const {context, pools, selector} = this;
+    await this.serve(
+      request,
+      ranked(route, caller),
+      service,
+      caller,
+      answer,
+      hold,
+    );
+  }
+
+  private serve(
+    request: CallerRequest,
+    route: Route,
+    service: Service,
+    caller: Caller,
+    answer: CallerAnswer,
+    hold: CallerHold,
+  ): Promise<void> {
+    const {context, pools, selector, gate} = this;
     const budget = this.budgetOf(service.name);
-    const parts = {context, pools, selector, budget};
-    const run = new RequestRun(parts, request, route, service, answer);
-    await run.run();
+    const parts = {context, pools, selector, budget, gate};
+    const run = new RequestRun(
+      parts,
+      request,
+      route,
+      service,
+      answer,
+      hold,
+      caller,
+    );
+    return run.run();
   }
 
   /**
@@ -218,16 +290,39 @@
     if (known !== undefined) {
       return known;
     }
-    const budget = new Budget(() => this.context.settings.retryBudget);
+    const budget = new RetryBudget(() => this.context.settings.retryBudget);
     this.budgets.set(service, budget);
     return budget;
   }
 
+  private admitCaller(caller: Caller): void {
+    if (caller.type === 'tenant') {
+      const {name: tenant} = caller.tenant;
+      this.context.metrics.tenantRequests.inc({tenant, outcome: 'admitted'});
+    }
+  }
+
+  private refuseCaller(
+    message: IncomingMessage,
+    answer: CallerAnswer,
+    {timeoutMs}: Route,
+    reason: IdentityRefusal,
+  ): void {
+    const {metrics, random} = this.context;
+    metrics.tenantRequests.inc({tenant: 'none', outcome: reason});
+    const {status, detail} = IDENTITY_REFUSALS[reason];
+    const waitMs = retryAfterMs(UNCONFIRMED_RETRY_MS, timeoutMs, random);
+    const headers =
+      status === 503 ? ['Retry-After', (waitMs / 1_000).toFixed(2)] : [];
+    this.reject(message, answer, status, detail, headers);
+  }
+
   private reject(
     message: IncomingMessage,
     answer: CallerAnswer,
     status: number,
     reason: string,
+    rawHeaders: readonly string[] = [],
   ): void {
     const {logger, metrics} = this.context;
     const outcome = 'rejected';
@@ -238,8 +333,23 @@
       requestHost: message.headers.host,
       target: message.url,
       configuration: this.routes?.configuration.version,
+      configurationAgeMs: Math.round(this.gate.confirmedAgeMs()),
     });
-    answer.send(status, [], Buffer.alloc(0));
+    answer.send(status, rawHeaders, Buffer.alloc(0));
+  }
+
+  /** Refuses a request before its body is read; it may come back. */
+  private turnAway(
+    {id, callerWaitMs}: CallerRequest,
+    answer: CallerAnswer,
+    reason: string,
+  ): void {
+    const {logger, metrics, random} = this.context;
+    metrics.refusals.inc({reason});
+    logger.info('request turned away', {requestId: id, reason});
+    const waitMs = retryAfterMs(0, callerWaitMs ?? Infinity, random);
+    const headers = ['Retry-After', (waitMs / 1_000).toFixed(2)];
+    answer.send(503, headers, NOTHING);
   }
 
   private rejectBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
@@ -256,6 +366,13 @@
   }
 }
 
+/** The route with the rank of its caller's tenant, if that has one. */
+const ranked = (route: Route, caller: Caller): Route => {
+  const priority =
+    caller.type === 'tenant' ? caller.tenant.priority : undefined;
+  return priority === undefined ? route : {...route, priority};
+};
+
 /** Resolves once the loop has polled for input again. */
 const nextPoll = (): Promise<void> =>
   new Promise((resolve) => {
@@ -264,10 +381,22 @@
     });
   });
 
+const NOTHING = Buffer.alloc(0);
+
+/** Body that is expected where its length isn't told, bytes: one read. */
+const UNTOLD_BYTES = 65_536;
+
+/** How long a body will be, as far as its head tells, bytes. */
+const expectedBytes = ({headers}: IncomingMessage): number =>
+  headers['transfer-encoding'] === undefined
+    ? Number(headers['content-length'] ?? 0)
+    : UNTOLD_BYTES;
+
 /** Reads a body up to a limit. */
 const readBody = (
   message: IncomingMessage,
   maximumBytes: number,
+  hold: CallerHold,
 ): Promise<Buffer | 'too-large' | 'cut'> =>
   new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -281,8 +410,10 @@
         return;
       }
       chunks.push(chunk);
+      hold.received(chunk.length);
     });
     message.on('end', () => {
+      hold.receivedWhole();
       resolve(Buffer.concat(chunks));
     });
     message.on('close', () => {
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -19,6 +19,12 @@
     ['route', 'outcome'],
   );
 
+  readonly tenantRequests = this.counter(
+    'basilworks_tenant_requests_total',
+    'Requests by tenant, none where it is not known, admitted or refused.',
+    ['tenant', 'outcome'],
+  );
+
   readonly sends = this.counter(
     'basilworks_sends_total',
     'Sends to servers by service and how they ended.',
@@ -55,6 +61,12 @@
     ['service', 'outcome'],
   );
 
+  readonly suspicions = this.counter(
+    'basilworks_servers_avoided_total',
+    'Servers that requests were kept off for failing them, by service.',
+    ['service'],
+  );
+
   readonly storeCalls = this.counter(
     'basilworks_store_calls_total',
     'Calls to the metadata store by operation and how they ended.',
@@ -67,6 +79,24 @@
     ['service'],
   );
 
+  readonly cutCallers = this.counter(
+    'basilworks_cut_callers_total',
+    'Callers whose connections this host has cut, by reason.',
+    ['reason'],
+  );
+
+  readonly refusals = this.counter(
+    'basilworks_refusals_total',
+    'Requests refused before they were read, by reason.',
+    ['reason'],
+  );
+
+  readonly heldBytes = new Gauge({
+    name: 'basilworks_held_bytes',
+    help: 'Bytes held for callers, as last reviewed.',
+    registers: [this.registry],
+  });
+
   readonly answerSeconds = new Histogram({
     name: 'basilworks_answer_seconds',
     help: 'Time to the head of an answer by route, seconds.',
