Spread an adapter that is suddenly asked for often at once

Callers of an adapter that turned popular met a crowded server: the rate that its spread goes by has a half-life of 2 s, so that a sixth of all requests on one adapter spread it after half a second only, while its first server was crowded in less than a tenth.

A second rate with a half-life of 250 ms counts from eight requests on, and the greater of the two decides, where the server's hosts tell its slowness. Requests that hosts tell of later (`uses`) are no burst. Elsewhere the spread is as before; the existing test of hot adapters is unchanged.

--- a/packages/dispatch/src/adapters/adapter-demand.ts
+++ b/packages/dispatch/src/adapters/adapter-demand.ts
@@ -5,6 +5,15 @@
 /** Half-life of the rates, milliseconds: a burst is seen within a second. */
 const HALF_LIFE_MS = 2_000;
 
+/**
+ * Half-life of the rates by which a burst on one adapter is seen, milliseconds:
+ * its server is crowded within a tenth of a second.
+ */
+const BURST_HALF_LIFE_MS = 250;
+
+/** Requests within a burst before it counts as one. */
+const LEAST_BURST = 8;
+
 /** Adapters whose rates are kept; the least asked for go first. */
 const MAXIMUM_ADAPTERS = 256;
 
@@ -23,6 +32,8 @@
 interface Rate {
   /** Decayed count. */
   count: number;
+  /** The same, decayed so fast that only a burst counts. */
+  burst: number;
   at: Instant;
 }
 
@@ -32,6 +43,8 @@
   readonly requests: number;
   /** Requests from which the server counts as crowded. */
   readonly crowdedFrom: number;
+  /** Whether a burst within a fraction of a second counts. */
+  readonly followsBursts?: boolean;
 }
 
 /**
@@ -41,14 +54,25 @@
  */
 export class AdapterDemand {
   private readonly rates = new Map<string, Rate>();
-  private readonly all: Rate = {count: 0, at: {monotonicMs: 0, wallMs: 0}};
+  private readonly all: Rate = {
+    count: 0,
+    burst: 0,
+    at: {monotonicMs: 0, wallMs: 0},
+  };
 
-  /** Counts a request whose host chose one of `among` servers. */
-  count(name: AdapterName, among: number, at: Instant): void {
+  /**
+   * Counts a request whose host chose one of `among` servers, and earlier ones
+   * of which it did not tell at once.
+   */
+  count(name: AdapterName, among: number, at: Instant, earlier = 0): void {
     const key = adapterKey(name);
     const known = this.rates.get(key);
     this.rates.delete(key);
-    this.rates.set(key, {count: decayed(known, at) + among, at});
+    this.rates.set(key, {
+      count: decayed(known, at) + among * (1 + earlier),
+      burst: decayedBurst(known, at) + among,
+      at,
+    });
     this.all.count = decayed(this.all, at) + 1;
     this.all.at = at;
     if (this.rates.size > MAXIMUM_ADAPTERS) {
@@ -59,7 +83,7 @@
   /** Servers over which requests for the adapter should be spread. */
   spread(
     name: AdapterName,
-    {requests, crowdedFrom}: SpreadContext,
+    {requests, crowdedFrom, followsBursts}: SpreadContext,
     at: Instant,
   ): number {
     const arrivalsPerS = perSecond(this.all, at);
@@ -67,7 +91,9 @@
       arrivalsPerS < 1
         ? ASSUMED_RUN_S
         : Math.min(ASSUMED_RUN_S * 2, requests / arrivalsPerS);
-    const wanted = perSecond(this.rates.get(adapterKey(name)), at) * runS;
+    const rate = this.rates.get(adapterKey(name));
+    const burst = followsBursts === true ? burstPerSecond(rate, at) : 0;
+    const wanted = Math.max(perSecond(rate, at), burst) * runS;
     const servers = Math.ceil(
       wanted / Math.max(1, crowdedFrom * ADAPTER_SHARE),
     );
@@ -89,5 +115,18 @@
     ? 0
     : rate.count * 0.5 ** (Math.max(0, elapsedMs(rate.at, at)) / HALF_LIFE_MS);
 
+const decayedBurst = (rate: Rate | undefined, at: Instant): number =>
+  rate === undefined
+    ? 0
+    : rate.burst *
+      0.5 ** (Math.max(0, elapsedMs(rate.at, at)) / BURST_HALF_LIFE_MS);
+
+const burstPerSecond = (rate: Rate | undefined, at: Instant): number => {
+  const burst = decayedBurst(rate, at);
+  return burst < LEAST_BURST
+    ? 0
+    : (burst * Math.LN2 * 1_000) / BURST_HALF_LIFE_MS;
+};
+
 const perSecond = (rate: Rate | undefined, at: Instant): number =>
   (decayed(rate, at) * Math.LN2 * 1_000) / HALF_LIFE_MS;
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -77,7 +77,7 @@
       this.slowness.told(slowness);
     }
     this.told(request.host, request.inFlight);
-    this.adapterDemand.count(request, among * (1 + uses), clock.now());
+    this.adapterDemand.count(request, among, clock.now(), uses);
     return new Promise((resolve) => {
       const {requestId, maximumWaitMs} = request;
       const timer = `prepare/${this.server.key}/${requestId}`;
@@ -268,6 +268,7 @@
           {
             requests: this.requests(),
             crowdedFrom: limit * this.worth(),
+            followsBursts: this.slowness.agreed() !== undefined,
           },
           this.context.clock.now(),
         );
