Lead operators from a keyed request's id to its cause

Cause: `request rejected` named no request, so that a caller's report of a 401 or 503 led to no line.

Two tests besides: the line, and that configurations are read closely enough for a short bound of revocations.

--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -24,7 +24,7 @@
 import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
-import type {UpstreamPools} from '../upstream/index.js';
+import {headerValue, type UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
 import {CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
@@ -156,7 +156,7 @@
     });
     const answer = new CallerAnswer(response, () => this.closing);
     const refuse = (status: number, reason: string) => {
-      this.reject(message, answer, status, reason);
+      this.reject(message, answer, {status, reason});
     };
     const {rawHeaders} = message;
     const headBytes = rawHeaders.reduce(
@@ -215,7 +215,8 @@
     this.count(caller, verdict.taken ? 'admitted' : 'over-share');
     if (!verdict.taken) {
       const reason = 'beyond its fair share of a service that is short';
-      this.reject(message, answer, 503, reason, verdict.retryAfterMs);
+      const {retryAfterMs: waitMs} = verdict;
+      this.reject(message, answer, {status: 503, reason, waitMs, caller});
       return;
     }
     await this.serve(request, ranked(route, caller), service, caller, answer);
@@ -284,21 +285,21 @@
     metrics.tenantRequests.inc({tenant: 'none', outcome: reason});
     const {status, detail} = IDENTITY_REFUSALS[reason];
     const waitMs = status === 503 ? UNCONFIRMED_RETRY_MS : undefined;
-    this.reject(message, answer, status, detail, waitMs);
+    this.reject(message, answer, {status, reason: detail, waitMs});
   }
 
   private reject(
     message: IncomingMessage,
     answer: CallerAnswer,
-    status: number,
-    reason: string,
-    /** When the caller should come back, milliseconds. */
-    waitMs?: number,
+    {status, reason, waitMs, caller}: Rejection,
   ): void {
-    const {logger, metrics, random} = this.context;
+    const {logger, metrics, random, platform} = this.context;
+    const idName = platform.forwarding.headers.requestId.toLowerCase();
     const outcome = 'rejected';
     metrics.requests.inc({route: 'none', outcome});
     logger.info('request rejected', {
+      requestId: headerValue(message.rawHeaders, idName),
+      tenant: caller?.type === 'tenant' ? caller.tenant.name : undefined,
       status,
       reason,
       requestHost: message.headers.host,
@@ -327,6 +328,15 @@
   }
 }
 
+/** Why a request is not forwarded. */
+interface Rejection {
+  readonly status: number;
+  readonly reason: string;
+  /** When the caller should come back, milliseconds. */
+  readonly waitMs?: number | undefined;
+  readonly caller?: Caller;
+}
+
 /** The route with the rank of its caller's tenant, if that has one. */
 const ranked = (route: Route, caller: Caller): Route => {
   const priority =
--- a/packages/entry-host/src/test/front/keyed-requests_test.ts
+++ b/packages/entry-host/src/test/front/keyed-requests_test.ts
@@ -261,5 +261,10 @@
   const refused = await front.ask('/keyed/', {'x-key': KEY});
   t.is(refused.status, 503);
   t.truthy(refused.retryAfter);
+  t.true(
+    front.lines.some((line) =>
+      line.startsWith('request rejected {"requestId":"r","tenant":"acme"'),
+    ),
+  );
   t.is((await front.ask('/open/')).status, 200);
 });
--- a/packages/entry-host/src/test/views/reading-plans_test.ts
+++ b/packages/entry-host/src/test/views/reading-plans_test.ts
@@ -1,4 +1,4 @@
-import {OUTAGE_GAP_MS, STORE_KINDS} from '@basilworks/dispatch';
+import {mayTakeKeys, OUTAGE_GAP_MS, STORE_KINDS} from '@basilworks/dispatch';
 import test from 'ava';
 
 import {oldestViewMs, readingPlan} from '../../index.js';
@@ -39,3 +39,15 @@
     t.true(oldestViewMs(plan) <= OUTAGE_GAP_MS, `${leavingServerMs}`);
   }
 });
+
+test('configurations are confirmed more closely than keys are revoked', (t) => {
+  const newsBounds = {
+    leavingServerMs: 2_000,
+    configurationMs: 8_000,
+    adapterVersionMs: 5_000,
+  };
+  for (const keyRevocationMs of [2_500, 5_000]) {
+    const plan = readingPlan('configuration', {newsBounds, keyRevocationMs});
+    t.true(mayTakeKeys(oldestViewMs(plan), keyRevocationMs));
+  }
+});
