--- a/packages/dispatch/src/servers/choose-server.ts
+++ b/packages/dispatch/src/servers/choose-server.ts
@@ -1,4 +1,4 @@
-import {type Instant, rankByRendezvous} from '@basilworks/core';
+import {type Instant, rankByWeightedRendezvous} from '@basilworks/core';
 
 import {crowdedFrom} from './crowding.js';
 import type {Server} from './server-table.js';
@@ -13,21 +13,24 @@
   readonly silenceLimitMs: number;
   /** Share of the places of all servers that are taken, where it is known. */
   readonly fleetOccupancy?: number | undefined;
+  /** Whether requests are kept off a server, by its key. */
+  readonly avoids?: ((server: string) => boolean) | undefined;
   /** Breaks ties, 0 to 1. */
   readonly random: () => number;
 }
 
 /** Cost of a server in another zone, in places: breaks near ties only. */
-const OTHER_ZONE_COST = 0.15;
+export const OTHER_ZONE_COST = 0.15;
 
 /** How much a failing server is avoided, in loads of a whole server. */
-const FAILURE_COST = 2;
+export const FAILURE_COST = 2;
 
 /** Whether requests should be kept off a server if others can take them. */
 export const isDoubtful = (
-  {evidence}: Server,
-  {at, silenceLimitMs}: ChoiceContext,
+  {evidence, key}: Server,
+  {at, silenceLimitMs, avoids}: ChoiceContext,
 ): boolean =>
+  avoids?.(key) === true ||
   evidence.paused(at) ||
   evidence.needsCheck() ||
   evidence.silentMs(at) > silenceLimitMs;
@@ -42,9 +45,13 @@
   return sound.length > 0 ? sound : fresh;
 };
 
-/** Share of a server's places that are taken, 1 when it is full. */
+/** Places that a server is worth, as a slower one does less with each. */
+export const worthOf = ({entry, evidence}: Server): number =>
+  entry.slots / evidence.speed.agreed;
+
+/** Share of what a server can do that is taken, 1 when it is full. */
 export const occupancy = (server: Server, at: Instant): number =>
-  server.evidence.load(at) / server.entry.slots;
+  server.evidence.load(at) / worthOf(server);
 
 /**
  * Returns the server with the least expected wait: free places first, then
@@ -117,12 +124,20 @@
   return Math.max(SLOW_FLOOR_MS, median * SLOW_SHARE);
 };
 
+/** Slowness against the usual of a server from which it counts as slow now. */
+const SLOW_NOW_FROM = 1.5;
+
+const isSlowNow = ({evidence: {speed}}: Server, at: Instant): boolean =>
+  (speed.now(at) ?? 0) > (speed.asRule(at) ?? 1) * SLOW_NOW_FROM;
+
 /** Where requests for one key should go. */
 export interface AffinityRanking {
   /** The servers that are worth a try, by a stable ranking for each key. */
   readonly byAffinity: readonly Server[];
   /** Those that are not crowded, by the same ranking. */
   readonly roomy: readonly Server[];
+  /** Those that are roomy and not slower than usual just now. */
+  readonly swift: readonly Server[];
   /** All in the order in which they should be tried: the crowded ones last. */
   readonly toTry: readonly Server[];
 }
@@ -135,7 +150,11 @@
 ): AffinityRanking => {
   const usable = usableServers(servers, context);
   const byId = new Map(usable.map((server) => [server.entry.id, server]));
-  const byAffinity = rankByRendezvous(key, [...byId.keys()]).flatMap(
+  const weighted = usable.map(({entry, evidence}) => ({
+    name: entry.id,
+    weight: 1 / evidence.speed.agreed,
+  }));
+  const byAffinity = rankByWeightedRendezvous(key, weighted).flatMap(
     (id) => byId.get(id) ?? [],
   );
   const {at, fleetOccupancy} = context;
@@ -143,5 +162,6 @@
   const crowded = byAffinity
     .filter((server) => !roomy.includes(server))
     .sort((first, second) => occupancy(first, at) - occupancy(second, at));
-  return {byAffinity, roomy, toTry: [...roomy, ...crowded]};
+  const swift = roomy.filter((server) => !isSlowNow(server, at));
+  return {byAffinity, roomy, swift, toTry: [...roomy, ...crowded]};
 };
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -12,6 +12,9 @@
   type Caller,
   type CallerLimits,
   chooseTarget,
+  HELD_REVIEW_PERIOD_MS,
+  HeldBytes,
+  heldBytesLimit,
   IDENTITY_REFUSALS,
   type IdentityRefusal,
   type KeyRing,
@@ -26,6 +29,7 @@
 import type {EntryHostContext} from '../context.js';
 import {headerValue, type UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
+import {CallerHold} from './caller-hold.js';
 import {CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
 import {RequestRun} from './request-run.js';
@@ -58,6 +62,7 @@
   private readonly budgets = new Map<string, RetryBudget>();
   /** Connections that have had a request. */
   private readonly used = new WeakSet<Socket>();
+  private readonly held: HeldBytes;
   private readonly gate: CallerGate;
   private routes: RouteTable | undefined;
   private limits = FIRST_LIMITS;
@@ -87,6 +92,15 @@
       this.rejectBytes(error, socket);
     });
     this.applyLimits();
+    const {clock, timers, signal, metrics} = context;
+    this.held = new HeldBytes(() =>
+      heldBytesLimit(context.settings.machine.memoryMb),
+    );
+    const review = () => {
+      this.held.review(clock.now());
+      metrics.heldBytes.set(this.held.bytes);
+    };
+    timers.every('held-bytes', HELD_REVIEW_PERIOD_MS, review, {signal});
   }
 
   /** Requests that have no final answer yet. */
@@ -167,7 +181,20 @@
       refuse(431, 'the head is too large');
       return;
     }
-    const body = await readBody(message, this.limits.maximumBodyBytes);
+    const head = readCallerRequest(
+      message,
+      NOTHING,
+      arrivedAt,
+      platform.forwarding.headers,
+    );
+    const hold = new CallerHold(this.context, this.held, answer);
+    hold.requestId = head.id;
+    const {maximumBodyBytes} = this.limits;
+    if (!hold.admits(Math.min(expectedBytes(message), maximumBodyBytes))) {
+      this.turnAway(head, answer, 'no memory for its body');
+      return;
+    }
+    const body = await readBody(message, maximumBodyBytes, hold);
     if (body === 'too-large') {
       refuse(413, 'the body is too large');
       return;
@@ -176,12 +203,7 @@
       answer.abort();
       return;
     }
-    const request = readCallerRequest(
-      message,
-      body,
-      arrivedAt,
-      platform.forwarding.headers,
-    );
+    const request = {...head, body};
     if (await this.hasLeft(message.socket, request.id)) {
       answer.abort();
       return;
@@ -219,7 +241,14 @@
       this.reject(message, answer, {status: 503, reason, waitMs, caller});
       return;
     }
-    await this.serve(request, ranked(route, caller), service, caller, answer);
+    await this.serve(
+      request,
+      ranked(route, caller),
+      service,
+      caller,
+      answer,
+      hold,
+    );
   }
 
   private async serve(
@@ -228,11 +257,20 @@
     service: Service,
     caller: Caller,
     answer: CallerAnswer,
+    hold: CallerHold,
   ): Promise<void> {
     const {context, pools, selector, gate} = this;
     const budget = this.budgetOf(service.name);
     const parts = {context, pools, selector, budget, gate};
-    const run = new RequestRun(parts, request, route, service, answer, caller);
+    const run = new RequestRun(
+      parts,
+      request,
+      route,
+      service,
+      answer,
+      hold,
+      caller,
+    );
     await run.run();
     if (run.ran) {
       this.shares.ran(request, caller, service.name);
@@ -314,6 +352,19 @@
     answer.send(status, headers, Buffer.alloc(0));
   }
 
+  /** Refuses a request before its body is read; it may come back. */
+  private turnAway(
+    {id, callerWaitMs}: CallerRequest,
+    answer: CallerAnswer,
+    reason: string,
+  ): void {
+    const {logger, metrics, random} = this.context;
+    metrics.refusals.inc({reason});
+    logger.info('request turned away', {requestId: id, reason});
+    const waitS = retryAfterS(0, callerWaitMs ?? Infinity, random);
+    answer.send(503, ['Retry-After', waitS], NOTHING);
+  }
+
   private rejectBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
     const code = error.code ?? '';
     this.context.logger.info('connection rejected', {code});
@@ -352,10 +403,22 @@
     });
   });
 
+const NOTHING = Buffer.alloc(0);
+
+/** Body that is expected where its length isn't told, bytes: one read. */
+const UNTOLD_BYTES = 65_536;
+
+/** How long a body will be, as far as its head tells, bytes. */
+const expectedBytes = ({headers}: IncomingMessage): number =>
+  headers['transfer-encoding'] === undefined
+    ? Number(headers['content-length'] ?? 0)
+    : UNTOLD_BYTES;
+
 /** Reads a body up to a limit. */
 const readBody = (
   message: IncomingMessage,
   maximumBytes: number,
+  hold: CallerHold,
 ): Promise<Buffer | 'too-large' | 'cut'> =>
   new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -369,8 +432,10 @@
         return;
       }
       chunks.push(chunk);
+      hold.received(chunk.length);
     });
     message.on('end', () => {
+      hold.receivedWhole();
       resolve(Buffer.concat(chunks));
     });
     message.on('close', () => {
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -6,6 +6,9 @@
   0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8,
 ];
 
+/** Bounds of the ratio of what came to its estimate: wrong by two and by four. */
+const RATIO_BUCKETS = [0.25, 0.5, 0.67, 0.8, 0.9, 1.1, 1.25, 1.5, 2, 4];
+
 /** Counters and histograms of an entry host. */
 export class EntryHostMetrics {
   readonly registry = new Registry();
@@ -58,6 +61,12 @@
     ['service', 'outcome'],
   );
 
+  readonly suspicions = this.counter(
+    'basilworks_servers_avoided_total',
+    'Servers that requests were kept off for failing them, by service.',
+    ['service'],
+  );
+
   readonly storeCalls = this.counter(
     'basilworks_store_calls_total',
     'Calls to the metadata store by operation and how they ended.',
@@ -70,6 +79,24 @@
     ['service'],
   );
 
+  readonly cutCallers = this.counter(
+    'basilworks_cut_callers_total',
+    'Callers whose connections this host has cut, by reason.',
+    ['reason'],
+  );
+
+  readonly refusals = this.counter(
+    'basilworks_refusals_total',
+    'Requests refused before they were read, by reason.',
+    ['reason'],
+  );
+
+  readonly heldBytes = new Gauge({
+    name: 'basilworks_held_bytes',
+    help: 'Bytes held for callers, as last reviewed.',
+    registers: [this.registry],
+  });
+
   readonly answerSeconds = new Histogram({
     name: 'basilworks_answer_seconds',
     help: 'Time to the head of an answer by route, seconds.',
@@ -99,6 +126,14 @@
     registers: [this.registry],
   });
 
+  readonly estimateRatio = new Histogram({
+    name: 'basilworks_estimate_ratio',
+    help: 'Time to the head of a served answer against its estimate.',
+    labelNames: ['service'],
+    buckets: RATIO_BUCKETS,
+    registers: [this.registry],
+  });
+
   constructor(viewAgeMs: (kind: StoreKind) => number) {
     new Gauge({
       name: 'basilworks_view_age_seconds',
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -1,6 +1,7 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   before,
+  FailureJudge,
   type FairShares,
   type HostEntry,
   hostRecordSchema,
@@ -13,6 +14,13 @@
 import type {EntryHostContext} from '../context.js';
 import {decodeHost, encodeHost} from './host-codec.js';
 import type {PeerLink} from './peer-link.js';
+import {
+  decodeSuspects,
+  decodeTallies,
+  encodeSuspects,
+  encodeTallies,
+  takeSuspicion,
+} from './tally-codec.js';
 import {
   encodeViews,
   knownRevisions,
@@ -94,6 +102,7 @@
   private readonly links = new Map<string, OpenLink>();
   private readonly texts = new SnapshotTexts();
   private readonly pending = new Set<string>();
+  private readonly judge = new FailureJudge();
   private turn = 0;
   private readersAskedAt: Instant | undefined;
   private refusalLoggedAt: number | undefined;
@@ -143,6 +152,9 @@
     for (const word of request.words) {
       takeWord(this.context, word, lookedBefore(at));
     }
+    if (sender !== undefined && request.tallies.length > 0) {
+      this.judge.take(sender.host, decodeTallies(request.tallies), at);
+    }
     return {
       responder: encodeHost(membership.self()),
       views: wantsViews ? encodeViews(views, known, this.texts, at) : [],
@@ -157,6 +169,9 @@
         ageMs: Math.ceil(use.ageMs),
       })),
       words: encodeWords(this.context),
+      suspects: wantsViews
+        ? encodeSuspects(this.context.suspects.list(at))
+        : [],
     };
   }
 
@@ -210,6 +225,19 @@
       const {fairShares} = this.sources;
       fairShares?.takeTold(settings.host, fairShares.toTell(at), at);
       fairShares?.sumUp(membership.group().name, at);
+      this.judgeServers(at);
+    }
+  }
+
+  /** Finds the servers that fail requests of this host's group, as a reader. */
+  private judgeServers(at: Instant): void {
+    const {settings, servers, tallies} = this.context;
+    this.judge.take(settings.host, tallies.tell(at), at);
+    const judged = servers
+      .all()
+      .map(({key, entry}) => ({key, service: entry.service}));
+    for (const suspicion of this.judge.judge(judged, at)) {
+      takeSuspicion(this.context, suspicion, settings.host, at);
     }
   }
 
@@ -300,7 +328,7 @@
     host,
     wantsViews,
   }: Target): Promise<void> {
-    const {membership, views, clock, fleetLoad} = this.context;
+    const {membership, views, clock, fleetLoad, tallies} = this.context;
     if (this.pending.has(address)) {
       return;
     }
@@ -330,6 +358,7 @@
           }))
         : [],
       words: encodeWords(this.context),
+      tallies: wantsViews ? encodeTallies(tallies.tell(askedAt)) : [],
     });
     this.pending.delete(address);
     const at = clock.now();
@@ -353,6 +382,9 @@
     for (const word of response.words) {
       takeWord(this.context, word, lookedSince(askedAt, at));
     }
+    for (const suspicion of decodeSuspects(response.suspects)) {
+      takeSuspicion(this.context, suspicion, host, at);
+    }
     for (const kind of takeViews(views, response.views, askedAt, at)) {
       this.onNewer(kind);
     }
