--- a/packages/entry-host/src/front/caller-gate.ts
+++ b/packages/entry-host/src/front/caller-gate.ts
@@ -84,3 +84,10 @@
       : elapsedMs(this.confirmedAt, clock.now());
   }
 }
+
+/** The route with the rank of its caller's tenant, if that has one. */
+export const ranked = (route: Route, caller: Caller): Route => {
+  const priority =
+    caller.type === 'tenant' ? caller.tenant.priority : undefined;
+  return priority === undefined ? route : {...route, priority};
+};
