Know how full services without issuers are for fair shares

Callers' view: fair shares hold for plain services too, whose servers tell their load with answers.

Cause: occupancy over the fleet is summed up by those who issue orders, and nobody issues orders to plain servers.

Change: where no issuer tells, a host goes by what the open servers told it while that counts as new.

Evidence: tsc, eslint, prettier; servers_test, with a case for it, and platform/entry-host_test pass. No run under load was made of this part.

--- a/packages/dispatch/src/servers/index.ts
+++ b/packages/dispatch/src/servers/index.ts
@@ -17,3 +17,4 @@
 export * from './server-suspects.js';
 export * from './server-speed.js';
 export * from './server-table.js';
+export * from './told-occupancy.js';
--- a/packages/dispatch/src/test/servers/servers_test.ts
+++ b/packages/dispatch/src/test/servers/servers_test.ts
@@ -9,6 +9,7 @@
   type Server,
   type ServerEntry,
   ServerTable,
+  toldOccupancy,
 } from '../../index.js';
 
 const at = (ms: number) => ({monotonicMs: ms, wallMs: ms});
@@ -295,3 +296,12 @@
   const admission = admit(servers.all(), request, 500, at(0));
   t.like(admission, {admitted: false});
 });
+
+test('servers tell how full a service is, as long as their word is new', (t) => {
+  const servers = table(entry('a'), entry('b'), entry('c'));
+  t.is(toldOccupancy(servers.all(), at(0)), undefined);
+  byId(servers, 'a').evidence.answered(5, {running: 4, waiting: 2}, at(10));
+  byId(servers, 'b').evidence.answered(5, {running: 1, waiting: 0}, at(10));
+  t.is(toldOccupancy(servers.all(), at(20)), 7 / 8);
+  t.is(toldOccupancy(servers.all(), at(9_000)), undefined);
+});
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -34,6 +34,7 @@
   servingConfigurationSchema,
   type StoreKind,
   StoreViews,
+  toldOccupancy,
 } from '@basilworks/dispatch';
 import {ok, type Result} from 'neverthrow';
 
@@ -158,9 +159,11 @@
       VIEW_HANDLERS[kind](this);
     };
     const names = platform.forwarding.headers;
-    const {fleetLoad, random} = this.context;
+    const {fleetLoad, servers, random} = this.context;
     const fairShares = new FairShares(
-      (service, at) => fleetLoad.occupancy(service, at),
+      (service, at) =>
+        fleetLoad.occupancy(service, at) ??
+        toldOccupancy(servers.open(service, at), at),
       random,
     );
     this.pools = new UpstreamPools(
