Never refuse small tenants for their share

Callers' view: a tenant that asks less than half an equal part of all that is asked is not refused for its share.

Cause: in the first seconds of a load that begins at once, hardly anything has been served, and the level was near nothing for all. A trial with three hosts in one process, two engines of eight places that refuse beyond, and three tenants that ask 300, 15 and 8 times a second, refused the smallest four times.

Change: half of an equal part is a bound below which nobody is refused.

--- a/packages/dispatch/src/tenants/fair-shares.ts
+++ b/packages/dispatch/src/tenants/fair-shares.ts
@@ -25,6 +25,13 @@
 const LEAST_CORRECTION = 0.8;
 const MOST_CORRECTION = 1.25;
 
+/**
+ * A tenant that asks less than this of an equal part of all that is asked is
+ * not refused, whatever the capacity is taken for: what is served is not known
+ * well in the first seconds of a load.
+ */
+const SMALL_SHARE = 0.5;
+
 /** Waits that refused callers are told, milliseconds. */
 const SHORTEST_WAIT_MS = 500;
 const LONGEST_WAIT_MS = 4_000;
@@ -46,6 +53,8 @@
 interface Look {
   readonly at: Instant;
   readonly level: number;
+  /** Who asks no more is not refused. */
+  readonly small: number;
   readonly asked: ReadonlyMap<string, number>;
 }
 
@@ -135,9 +144,9 @@
     tenant: string,
     at: Instant,
   ): FairShareVerdict {
-    const {level, asked} = this.look(service, at);
+    const {level, small, asked} = this.look(service, at);
     const own = asked.get(tenant) ?? 0;
-    if (own <= level || this.random() < level / own) {
+    if (own <= Math.max(level, small) || this.random() < level / own) {
       return TAKEN;
     }
     const waitMs = SHORTEST_WAIT_MS * (own / Math.max(level, Number.MIN_VALUE));
@@ -157,7 +166,10 @@
     const asked = sumByTenant(uses);
     const served = uses.reduce((sum, use) => sum + use.served, 0);
     const capacity = served * capacityCorrection(occupancy);
-    const look = {at, asked, level: fairLevel([...asked.values()], capacity)};
+    const amounts = [...asked.values()];
+    const total = amounts.reduce((sum, amount) => sum + amount, 0);
+    const small = (SMALL_SHARE * total) / Math.max(1, amounts.length);
+    const look = {at, asked, level: fairLevel(amounts, capacity), small};
     this.looks.set(service, look);
     return look;
   }
--- a/packages/dispatch/src/test/tenants/fair-shares_test.ts
+++ b/packages/dispatch/src/test/tenants/fair-shares_test.ts
@@ -91,7 +91,7 @@
   );
 });
 
-test('a host that hears of no others refuses nobody', (t) => {
+test('a host that hears of no others refuses nobody, and small ones never', (t) => {
   const shares = new FairShares(
     () => 2,
     () => 1,
@@ -108,6 +108,15 @@
   t.false(shares.arrived('s', 'a', 1, heard).taken);
   t.true(shares.arrived('s', 'b', 1, heard).taken);
   t.true(shares.arrived('s', undefined, 1, heard).taken);
+  const begun = {monotonicMs: 400, wallMs: 400};
+  for (const [tenant, offered] of [['a', 900] as const, ['b', 20] as const]) {
+    shares.takeGroup(
+      {group: 'g', service: 's', tenant, offered, served: 0},
+      begun,
+    );
+  }
+  t.false(shares.arrived('s', 'a', 1, begun).taken);
+  t.true(shares.arrived('s', 'b', 1, begun).taken);
   const old = {monotonicMs: 5_000, wallMs: 5_000};
   t.true(shares.arrived('s', 'a', 1, old).taken);
 });
