--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -31,8 +31,9 @@
 import {headerValue, type UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
 import {CallerHold} from './caller-hold.js';
-import {CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
+import {CallerGate, ranked, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
+import {expectedBytes, readBody} from './request-body.js';
 import {RequestRun} from './request-run.js';
 import type {ServerSelector} from './server-selection.js';
 import type {TenantShares} from './tenant-shares.js';
@@ -172,7 +173,7 @@
     });
     const answer = new CallerAnswer(response, () => this.closing);
     const refuse = (status: number, reason: string) => {
-      this.reject(message, answer, status, reason);
+      this.reject(message, answer, {status, reason});
     };
     const {rawHeaders} = message;
     const headBytes = rawHeaders.reduce(
@@ -242,7 +243,7 @@
       usage: headerValue(rawHeaders, tokenUsage.toLowerCase()),
     });
     if (admission.type === 'refused') {
-      this.refuseByQuota(message, answer, admission);
+      this.refuseByQuota(message, answer, caller, admission);
       return;
     }
     if (message.socket.destroyed) {
@@ -256,13 +257,18 @@
       admission.end(false);
       const reason = 'beyond its fair share of a service that is short';
       const retryAfter = this.spreadRetryAfter(verdict.retryAfterMs);
-      this.reject(message, answer, 503, reason, retryAfter);
+      this.reject(message, answer, {status: 503, reason, retryAfter, caller});
       return;
     }
-    const ranked = withRankOf(caller, route);
-    admission.end(
-      await this.serve(request, ranked, service, caller, answer, hold),
+    const ran = await this.serve(
+      request,
+      ranked(route, caller),
+      service,
+      caller,
+      answer,
+      hold,
     );
+    admission.end(ran);
   }
 
   /** Returns whether the request ran at a server, or may have. */
@@ -340,31 +346,36 @@
     const {status, detail} = IDENTITY_REFUSALS[reason];
     const retryAfter =
       status === 503 ? this.spreadRetryAfter(UNCONFIRMED_RETRY_MS) : undefined;
-    this.reject(message, answer, status, detail, retryAfter);
+    this.reject(message, answer, {status, reason: detail, retryAfter});
   }
 
   private refuseByQuota(
     message: IncomingMessage,
     answer: CallerAnswer,
+    caller: Caller,
     {status, reason, retryAfterMs: waitMs}: Admission & {type: 'refused'},
   ): void {
-    // The meter told each its own time, so that it is not spread here.
-    const retryAfter = status === 400 ? undefined : (waitMs / 1_000).toFixed(2);
-    this.reject(message, answer, status, `quota: ${reason}`, retryAfter);
+    this.reject(message, answer, {
+      status,
+      reason: `quota: ${reason}`,
+      // The meter told each its own time, so that it is not spread here.
+      retryAfter: status === 400 ? undefined : (waitMs / 1_000).toFixed(2),
+      caller,
+    });
   }
 
   private reject(
     message: IncomingMessage,
     answer: CallerAnswer,
-    status: number,
-    reason: string,
-    /** When the caller should come back, as a header's value. */
-    retryAfter?: string,
+    {status, reason, retryAfter, caller}: Rejection,
   ): void {
-    const {logger, metrics} = this.context;
+    const {logger, metrics, platform} = this.context;
+    const idName = platform.forwarding.headers.requestId.toLowerCase();
     const outcome = 'rejected';
     metrics.requests.inc({route: 'none', outcome});
     logger.info('request rejected', {
+      requestId: headerValue(message.rawHeaders, idName),
+      tenant: caller?.type === 'tenant' ? caller.tenant.name : undefined,
       status,
       reason,
       requestHost: message.headers.host,
@@ -407,12 +418,14 @@
   }
 }
 
-/** The route with the rank of its caller's tenant, if that has one. */
-const withRankOf = (caller: Caller, route: Route): Route => {
-  const priority =
-    caller.type === 'tenant' ? caller.tenant.priority : undefined;
-  return priority === undefined ? route : {...route, priority};
-};
+/** Why a request is not forwarded. */
+interface Rejection {
+  readonly status: number;
+  readonly reason: string;
+  /** When the caller should come back, as a header's value. */
+  readonly retryAfter?: string | undefined;
+  readonly caller?: Caller;
+}
 
 /** Resolves once the loop has polled for input again. */
 const nextPoll = (): Promise<void> =>
@@ -423,41 +436,3 @@
   });
 
 const NOTHING = Buffer.alloc(0);
-
-/** Body that is expected where its length isn't told, bytes: one read. */
-const UNTOLD_BYTES = 65_536;
-
-/** How long a body will be, as far as its head tells, bytes. */
-const expectedBytes = ({headers}: IncomingMessage): number =>
-  headers['transfer-encoding'] === undefined
-    ? Number(headers['content-length'] ?? 0)
-    : UNTOLD_BYTES;
-
-/** Reads a body up to a limit. */
-const readBody = (
-  message: IncomingMessage,
-  maximumBytes: number,
-  hold: CallerHold,
-): Promise<Buffer | 'too-large' | 'cut'> =>
-  new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    message.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maximumBytes) {
-        resolve('too-large');
-        message.removeAllListeners('data');
-        message.resume();
-        return;
-      }
-      chunks.push(chunk);
-      hold.received(chunk.length);
-    });
-    message.on('end', () => {
-      hold.receivedWhole();
-      resolve(Buffer.concat(chunks));
-    });
-    message.on('close', () => {
-      resolve('cut');
-    });
-  });
