--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -1,6 +1,8 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   before,
+  FailureJudge,
+  type FairShares,
   type HostEntry,
   hostRecordSchema,
   type HostStatus,
@@ -12,6 +14,13 @@
 import type {EntryHostContext} from '../context.js';
 import {decodeHost, encodeHost} from './host-codec.js';
 import type {PeerLink} from './peer-link.js';
+import {
+  decodeSuspects,
+  decodeTallies,
+  encodeSuspects,
+  encodeTallies,
+  takeSuspicion,
+} from './tally-codec.js';
 import {
   encodeViews,
   knownRevisions,
@@ -65,6 +74,8 @@
   awaitedHosts(): readonly string[];
   /** Load of the servers whose orders this host issues. */
   issuedLoads(): readonly ServiceLoad[];
+  /** What tenants use of services, where there are tenants. */
+  readonly fairShares?: FairShares;
 }
 
 const NO_SOURCES: ExchangeSources = {
@@ -91,6 +102,7 @@
   private readonly links = new Map<string, OpenLink>();
   private readonly texts = new SnapshotTexts();
   private readonly pending = new Set<string>();
+  private readonly judge = new FailureJudge();
   private turn = 0;
   private readersAskedAt: Instant | undefined;
   private refusalLoggedAt: number | undefined;
@@ -134,9 +146,15 @@
     if (sender !== undefined && request.loads.length > 0) {
       fleetLoad.takeIssued(sender.host, request.loads, at);
     }
+    if (sender !== undefined && request.uses.length > 0) {
+      this.sources.fairShares?.takeTold(sender.host, request.uses, at);
+    }
     for (const word of request.words) {
       takeWord(this.context, word, lookedBefore(at));
     }
+    if (sender !== undefined && request.tallies.length > 0) {
+      this.judge.take(sender.host, decodeTallies(request.tallies), at);
+    }
     return {
       responder: encodeHost(membership.self()),
       views: wantsViews ? encodeViews(views, known, this.texts, at) : [],
@@ -146,7 +164,14 @@
       loads: fleetLoad
         .known(at)
         .map(({ageMs, ...load}) => ({...load, ageMs: Math.ceil(ageMs)})),
+      uses: (this.sources.fairShares?.known(at) ?? []).map((use) => ({
+        ...use,
+        ageMs: Math.ceil(use.ageMs),
+      })),
       words: encodeWords(this.context),
+      suspects: wantsViews
+        ? encodeSuspects(this.context.suspects.list(at))
+        : [],
     };
   }
 
@@ -190,13 +215,29 @@
     }
   }
 
-  /** Sums up the load of the servers of this host's group, as a reader. */
+  /** Sums up loads of servers and uses of the group, as a reader. */
   private sumUpLoad(): void {
     const {membership, fleetLoad, settings, clock} = this.context;
     if (membership.isReader(READERS_ASKED)) {
       const at = clock.now();
       fleetLoad.takeIssued(settings.host, this.sources.issuedLoads(), at);
       fleetLoad.sumUp(membership.group().name, at);
+      const {fairShares} = this.sources;
+      fairShares?.takeTold(settings.host, fairShares.toTell(at), at);
+      fairShares?.sumUp(membership.group().name, at);
+      this.judgeServers(at);
+    }
+  }
+
+  /** Finds the servers that fail requests of this host's group, as a reader. */
+  private judgeServers(at: Instant): void {
+    const {settings, servers, tallies} = this.context;
+    this.judge.take(settings.host, tallies.tell(at), at);
+    const judged = servers
+      .all()
+      .map(({key, entry}) => ({key, service: entry.service}));
+    for (const suspicion of this.judge.judge(judged, at)) {
+      takeSuspicion(this.context, suspicion, settings.host, at);
     }
   }
 
@@ -287,7 +328,7 @@
     host,
     wantsViews,
   }: Target): Promise<void> {
-    const {membership, views, clock, fleetLoad} = this.context;
+    const {membership, views, clock, fleetLoad, tallies} = this.context;
     if (this.pending.has(address)) {
       return;
     }
@@ -309,7 +350,15 @@
             .issuedLoads()
             .map((load) => ({...load, group: '', ageMs: 0}))
         : [],
+      uses: wantsViews
+        ? (this.sources.fairShares?.toTell(askedAt) ?? []).map((use) => ({
+            ...use,
+            group: '',
+            ageMs: 0,
+          }))
+        : [],
       words: encodeWords(this.context),
+      tallies: wantsViews ? encodeTallies(tallies.tell(askedAt)) : [],
     });
     this.pending.delete(address);
     const at = clock.now();
@@ -327,9 +376,15 @@
     for (const {ageMs, ...load} of response.loads) {
       fleetLoad.takeGroup(load, before(askedAt, ageMs));
     }
+    for (const {ageMs, ...use} of response.uses) {
+      this.sources.fairShares?.takeGroup(use, before(askedAt, ageMs));
+    }
     for (const word of response.words) {
       takeWord(this.context, word, lookedSince(askedAt, at));
     }
+    for (const suspicion of decodeSuspects(response.suspects)) {
+      takeSuspicion(this.context, suspicion, host, at);
+    }
     for (const kind of takeViews(views, response.views, askedAt, at)) {
       this.onNewer(kind);
     }
