Read bodies in a module of their own

Callers' view: none.

Change: `readBody` and `expectedBytes` are moved as they were.

Evidence: type check, linter and the tests of the front pass.

--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -33,6 +33,7 @@
 import {CallerHold} from './caller-hold.js';
 import {CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
+import {expectedBytes, readBody} from './read-body.js';
 import {RequestRun} from './request-run.js';
 import type {ServerSelector} from './server-selection.js';
 
@@ -410,41 +411,3 @@
   });
 
 const NOTHING = Buffer.alloc(0);
-
-/** Body that is expected where its length isn't told, bytes: one read. */
-const UNTOLD_BYTES = 65_536;
-
-/** How long a body will be, as far as its head tells, bytes. */
-const expectedBytes = ({headers}: IncomingMessage): number =>
-  headers['transfer-encoding'] === undefined
-    ? Number(headers['content-length'] ?? 0)
-    : UNTOLD_BYTES;
-
-/** Reads a body up to a limit. */
-const readBody = (
-  message: IncomingMessage,
-  maximumBytes: number,
-  hold: CallerHold,
-): Promise<Buffer | 'too-large' | 'cut'> =>
-  new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    message.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maximumBytes) {
-        resolve('too-large');
-        message.removeAllListeners('data');
-        message.resume();
-        return;
-      }
-      chunks.push(chunk);
-      hold.received(chunk.length);
-    });
-    message.on('end', () => {
-      hold.receivedWhole();
-      resolve(Buffer.concat(chunks));
-    });
-    message.on('close', () => {
-      resolve('cut');
-    });
-  });
