--- a/packages/entry-host/src/test/tenants/quota-fleet.ts
+++ b/packages/entry-host/src/test/tenants/quota-fleet.ts
@@ -1,13 +1,8 @@
 import type {Tenant, TenantQuota} from '@basilworks/dispatch';
 import type {fleet} from '@basilworks/protocol';
 
-import {
-  EntryHostMetrics,
-  entryHostSettingsSchema,
-  TenantQuotas,
-  type TenantQuotasContext,
-} from '../../index.js';
-import {VirtualTime, VirtualTimers} from '../views/virtual-time.js';
+import {VirtualTime} from '../views/virtual-time.js';
+import {ADDRESSES, QuotaHost} from './quota-host.js';
 
 /** Time until all hosts go by a newer configuration, milliseconds. */
 const APPLY_MS = 2_000;
@@ -17,8 +12,6 @@
 
 export const TOLERANCE = {windowS: 8, share: 0.1, extra: 110_000};
 
-const ADDRESS = '127.0.0.1:1';
-
 interface Run {
   readonly tenant: string;
   readonly atMs: number;
@@ -36,130 +29,6 @@
 
 const CALM: Network = {lost: 0, doubled: 0, slowMs: 3};
 
-/** One host with its own belief in who lives. */
-class QuotaHost {
-  quotas!: TenantQuotas;
-  up = true;
-  isolated = false;
-  changedMs = -1e6;
-  private incarnation = 0;
-  private frozen: (() => void)[] | undefined;
-  private timers: VirtualTimers | undefined;
-
-  constructor(
-    readonly name: string,
-    private readonly fleet_: QuotaFleet,
-    /** How late it learns of others, milliseconds. */
-    readonly lagMs: number,
-  ) {
-    this.restart();
-  }
-
-  get running(): boolean {
-    return this.up && this.frozen === undefined;
-  }
-
-  restart(): void {
-    const {time} = this.fleet_;
-    this.up = true;
-    this.frozen = undefined;
-    this.changedMs = time.nowMs;
-    this.timers?.close();
-    const run = (this.incarnation += 1);
-    const incarnation = `${run}`;
-    const whenRunning = (callback: () => void) => {
-      if (!this.up || run !== this.incarnation) {
-        return;
-      }
-      if (this.frozen === undefined) {
-        callback();
-      } else {
-        this.frozen.push(callback);
-      }
-    };
-    const timers = new VirtualTimers(time, whenRunning);
-    this.timers = timers;
-    const ignore = () => undefined;
-    const status = (name: string) => ({host: name, capacity: 500});
-    const items = [...this.fleet_.hosts.keys(), this.name].map((host) => ({
-      value: {type: 'host', host, zone: 'z', ...ADDRESSES},
-    }));
-    const context = {
-      settings: entryHostSettingsSchema.parse({
-        ...SETTINGS,
-        host: this.name,
-        quotaTolerance: this.fleet_.tolerance,
-      }),
-      clock: {now: () => ({monotonicMs: time.nowMs, wallMs: time.nowMs})},
-      timers,
-      logger: {debug: ignore, info: ignore, warn: ignore, error: ignore},
-      metrics: new EntryHostMetrics(() => 0),
-      membership: {
-        live: () => this.fleet_.believedLive(this).map(status),
-        self: () => ({incarnation}),
-      },
-      views: {get: () => ({snapshot: {items: this.fleet_.records ?? items}})},
-      platform: {
-        forwarding: {
-          readTokenUsage: (value: string) => ({
-            promptTokens: Number(value),
-            outputTokens: 0,
-          }),
-        },
-      },
-      signal: new AbortController().signal,
-    };
-    this.quotas = new TenantQuotas(
-      context as unknown as TenantQuotasContext,
-      (host) => ({
-        quota: (request) => this.fleet_.carry(this, host, request, whenRunning),
-      }),
-    );
-    this.quotas.use(this.fleet_.configuration());
-    this.quotas.start();
-  }
-
-  kill(): void {
-    this.up = false;
-    this.changedMs = this.fleet_.time.nowMs;
-    this.timers?.close();
-  }
-
-  freeze(): void {
-    this.frozen ??= [];
-    this.changedMs = this.fleet_.time.nowMs;
-  }
-
-  thaw(): void {
-    const held = this.frozen ?? [];
-    this.frozen = undefined;
-    this.changedMs = this.fleet_.time.nowMs;
-    for (const callback of held) {
-      callback();
-    }
-  }
-
-  cut(isolated: boolean): void {
-    this.isolated = isolated;
-    this.changedMs = this.fleet_.time.nowMs;
-  }
-}
-
-const ADDRESSES = {peerAddress: ADDRESS, callerAddress: ADDRESS};
-
-const SETTINGS = {
-  ...ADDRESSES,
-  zone: 'z',
-  readinessAddress: ADDRESS,
-  directoryAddress: ADDRESS,
-  storeAddress: ADDRESS,
-  seeds: [],
-  addressLifetimeS: 5,
-  stopGraceS: 8,
-  orderLeaseMs: 300,
-  retryBudget: {ratio: 0.2, extra: 50, windowS: 10},
-};
-
 /** Hosts that keep tenants to their quotas, on virtual time. */
 export class QuotaFleet {
   readonly time = new VirtualTime();
@@ -177,6 +46,8 @@
     quota: TenantQuota;
   }[] = [];
 
+  private apart = false;
+  private splitMs = -1e6;
   private requests = 0;
   private version = 0;
 
@@ -249,9 +120,10 @@
   believedLive(by: QuotaHost): readonly string[] {
     return [...this.hosts.values()]
       .filter((host) => {
-        const reached = host.running && !host.isolated && !by.isolated;
+        const reached = host.running && this.connected(host, by);
         const changedMs = Math.max(
           host.changedMs,
+          host.side === by.side ? -1e6 : this.splitMs,
           by.isolated || by.changedMs > host.changedMs ? by.changedMs : -1e6,
         );
         const known = this.time.nowMs - changedMs > by.lagMs;
@@ -321,12 +193,12 @@
       });
       this.pass(() => {
         const peer = hosts.get(to);
-        if (peer?.running !== true || peer.isolated || from.isolated) {
+        if (peer?.running !== true || !this.connected(peer, from)) {
           return;
         }
         const response = peer.quotas.grant(request);
         this.pass(() => {
-          if (!peer.isolated && !from.isolated) {
+          if (this.connected(peer, from)) {
             whenRunning(() => {
               resolve(response);
             });
@@ -364,6 +236,20 @@
     return (tokens / forMs) * 1_000;
   }
 
+  /** Parts the hosts into two sides, or joins them again. */
+  split(apart: boolean, sideOf: (index: number) => number): void {
+    this.apart = apart;
+    this.splitMs = this.time.nowMs;
+    for (const [index, host] of [...this.hosts.values()].entries()) {
+      host.side = sideOf(index);
+    }
+  }
+
+  private connected(one: QuotaHost, other: QuotaHost): boolean {
+    const sameSide = !this.apart || one.side === other.side;
+    return sameSide && !one.isolated && !other.isolated;
+  }
+
   private pass(deliver: () => void): void {
     const {random, network} = this;
     const copies = random() < network.doubled ? 2 : 1;
