--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -20,6 +20,7 @@
   adapterVersionRecordSchema,
   addressAnswer,
   FailureTallies,
+  FairShares,
   FleetLoad,
   hostCapacity,
   type HostStatus,
@@ -33,13 +34,14 @@
   servingConfigurationSchema,
   type StoreKind,
   StoreViews,
+  toldOccupancy,
 } from '@basilworks/dispatch';
 import {ok, type Result} from 'neverthrow';
 
 import type {EntryHostContext} from './context.js';
 import {BoundedLogger} from './lib/bounded-logger.js';
 import {plainRoutes} from './lib/plain-routes.js';
-import {FrontListener, ServerSelector} from './front/index.js';
+import {FrontListener, ServerSelector, TenantShares} from './front/index.js';
 import {EntryHostMetrics} from './metrics.js';
 import {AdapterBroker, ClaimKeeper} from './orders/index.js';
 import {SendPermits} from './permits/index.js';
@@ -159,6 +161,13 @@
       VIEW_HANDLERS[kind](this);
     };
     const names = platform.forwarding.headers;
+    const {fleetLoad, servers, random} = this.context;
+    const fairShares = new FairShares(
+      (service, at) =>
+        fleetLoad.occupancy(service, at) ??
+        toldOccupancy(servers.open(service, at), at),
+      random,
+    );
     this.pools = new UpstreamPools(
       names.requestId.toLowerCase(),
       timers,
@@ -178,6 +187,7 @@
       {
         awaitedHosts: () => this.claims.awaitedHosts(),
         issuedLoads: () => this.broker.issuedLoads(),
+        fairShares,
       },
     );
     this.claims = new ClaimKeeper(
@@ -219,6 +229,7 @@
       this.context,
       this.pools,
       selector,
+      new TenantShares(this.context, fairShares),
       this.quotas,
     );
   }
--- a/packages/entry-host/src/test/front/front-listener_test.ts
+++ b/packages/entry-host/src/test/front/front-listener_test.ts
@@ -19,6 +19,7 @@
     } as unknown as EntryHostContext,
     undefined as never,
     undefined as never,
+    undefined as never,
   );
   const port = (await front.listen('127.0.0.1', 0))._unsafeUnwrap();
   const socket = connect({port, host: '127.0.0.1'});
--- a/packages/entry-host/src/test/front/quota-requests_test.ts
+++ b/packages/entry-host/src/test/front/quota-requests_test.ts
@@ -2,6 +2,7 @@
 
 import {
   digestKey,
+  FairShares,
   KeyRing,
   RouteTable,
   ServerTable,
@@ -10,7 +11,11 @@
 import test from 'ava';
 
 import type {EntryHostContext} from '../../context.js';
-import {FrontListener, type ServerSelector} from '../../front/index.js';
+import {
+  FrontListener,
+  type ServerSelector,
+  TenantShares,
+} from '../../front/index.js';
 import type {Admission, QuotaRequest} from '../../tenants/index.js';
 import {
   type ExchangeObserver,
@@ -73,6 +78,7 @@
         lowestPriority: 9,
         readNotice: () => ({leaving: false}),
         readLoad: () => undefined,
+        readTokenUsage: () => undefined,
       },
     },
   } as unknown as EntryHostContext;
@@ -112,6 +118,7 @@
     context,
     {of: () => ({start})} as unknown as UpstreamPools,
     selector as unknown as ServerSelector,
+    new TenantShares(context, new FairShares(() => undefined, Math.random)),
     {admit},
   );
   front.use(ROUTES, RING, 1);
