--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -20,6 +20,7 @@
   adapterVersionRecordSchema,
   addressAnswer,
   FailureTallies,
+  FairShares,
   FleetLoad,
   hostCapacity,
   type HostStatus,
@@ -33,13 +34,14 @@
   servingConfigurationSchema,
   type StoreKind,
   StoreViews,
+  toldOccupancy,
 } from '@basilworks/dispatch';
 import {ok, type Result} from 'neverthrow';
 
 import type {EntryHostContext} from './context.js';
 import {BoundedLogger} from './lib/bounded-logger.js';
 import {plainRoutes} from './lib/plain-routes.js';
-import {FrontListener, ServerSelector} from './front/index.js';
+import {FrontListener, ServerSelector, TenantShares} from './front/index.js';
 import {EntryHostMetrics} from './metrics.js';
 import {AdapterBroker, ClaimKeeper} from './orders/index.js';
 import {SendPermits} from './permits/index.js';
@@ -48,6 +50,7 @@
 import {reloadSettings} from './settings-reload.js';
 import type {EntryHostSettings} from './settings-schema.js';
 import {ServersView, StoreReader} from './store/index.js';
+import {TenantQuotas} from './tenants/index.js';
 import {ServerCaller, UpstreamPools} from './upstream/index.js';
 
 /** How often entries that lapsed and servers in doubt are looked at, ms. */
@@ -105,6 +108,7 @@
   private readonly claims: ClaimKeeper;
   private readonly permits: SendPermits;
   private readonly broker: AdapterBroker;
+  private readonly quotas: TenantQuotas;
   private readonly peerService: FleetPeerService;
   private readonly front: FrontListener;
   private readonly checkedAt = new Map<string, Instant>();
@@ -157,6 +161,13 @@
       VIEW_HANDLERS[kind](this);
     };
     const names = platform.forwarding.headers;
+    const {fleetLoad, servers, random} = this.context;
+    const fairShares = new FairShares(
+      (service, at) =>
+        fleetLoad.occupancy(service, at) ??
+        toldOccupancy(servers.open(service, at), at),
+      random,
+    );
     this.pools = new UpstreamPools(
       names.requestId.toLowerCase(),
       timers,
@@ -176,6 +187,7 @@
       {
         awaitedHosts: () => this.claims.awaitedHosts(),
         issuedLoads: () => this.broker.issuedLoads(),
+        fairShares,
       },
     );
     this.claims = new ClaimKeeper(
@@ -196,10 +208,12 @@
       routes,
       linkTo,
     );
+    this.quotas = new TenantQuotas(this.context, linkTo);
     this.peerService = new FleetPeerService(
       this.exchange,
       this.broker,
       this.permits,
+      this.quotas,
     );
     const selector = new ServerSelector(
       this.context,
@@ -211,7 +225,13 @@
         this.tellIssuers();
       },
     );
-    this.front = new FrontListener(this.context, this.pools, selector);
+    this.front = new FrontListener(
+      this.context,
+      this.pools,
+      selector,
+      new TenantShares(this.context, fairShares),
+      this.quotas,
+    );
   }
 
   /** Whether this host can serve callers. */
@@ -249,6 +269,7 @@
     this.exchange.start();
     this.claims.start();
     this.broker.start();
+    this.quotas.start();
     this.startUpkeep();
     this.context.logger.info('started', {
       incarnation: this.context.membership.self().incarnation,
@@ -336,6 +357,7 @@
     }
     this.routes = new RouteTable(parsed.data);
     this.front.use(this.routes, ring.value, snapshot.at);
+    this.quotas.use(parsed.data);
     this.broker.review();
     logger.info('configuration in use', {
       version,
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -18,7 +18,7 @@
   IDENTITY_REFUSALS,
   type IdentityRefusal,
   type KeyRing,
-  retryAfterMs,
+  retryAfterS,
   RetryBudget,
   type Route,
   type RouteTable,
@@ -27,13 +27,16 @@
 import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
-import type {UpstreamPools} from '../upstream/index.js';
+import {type Admission, NO_QUOTAS, type QuotaGate} from '../tenants/index.js';
+import {headerValue, type UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
 import {CallerHold} from './caller-hold.js';
-import {CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
+import {CallerGate, ranked, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
+import {expectedBytes, readBody} from './request-body.js';
 import {RequestRun} from './request-run.js';
 import type {ServerSelector} from './server-selection.js';
+import type {TenantShares} from './tenant-shares.js';
 
 /** Largest head that is parsed at all, bytes; the configured limit is less. */
 const PARSER_HEAD_BYTES = 65_536;
@@ -72,6 +75,8 @@
     private readonly context: EntryHostContext,
     private readonly pools: UpstreamPools,
     private readonly selector: ServerSelector,
+    private readonly shares: TenantShares,
+    private readonly quotas: QuotaGate = NO_QUOTAS,
   ) {
     this.gate = new CallerGate(context);
     this.server = createServer(
@@ -168,7 +173,7 @@
     });
     const answer = new CallerAnswer(response, () => this.closing);
     const refuse = (status: number, reason: string) => {
-      this.reject(message, answer, status, reason);
+      this.reject(message, answer, {status, reason});
     };
     const {rawHeaders} = message;
     const headBytes = rawHeaders.reduce(
@@ -221,10 +226,9 @@
     }
     const caller = this.gate.identify(rawHeaders, route);
     if (caller.type === 'refused') {
-      this.refuseCaller(message, answer, route, caller.reason);
+      this.refuseCaller(message, answer, caller.reason);
       return;
     }
-    this.admitCaller(caller);
     const service = this.routes.service(
       chooseTarget(route, this.context.random()) ?? '',
     );
@@ -232,7 +236,31 @@
       refuse(503, 'the route has no service');
       return;
     }
-    await this.serve(
+    const {tokenUsage} = platform.forwarding.headers;
+    const admission = await this.quotas.admit({
+      caller,
+      requestId: request.id,
+      usage: headerValue(rawHeaders, tokenUsage.toLowerCase()),
+    });
+    if (admission.type === 'refused') {
+      this.refuseByQuota(message, answer, caller, admission);
+      return;
+    }
+    if (message.socket.destroyed) {
+      admission.end(false);
+      answer.abort();
+      return;
+    }
+    const verdict = this.shares.arrived(request, caller, service.name);
+    this.count(caller, verdict.taken ? 'admitted' : 'over-share');
+    if (!verdict.taken) {
+      admission.end(false);
+      const reason = 'beyond its fair share of a service that is short';
+      const retryAfter = this.spreadRetryAfter(verdict.retryAfterMs);
+      this.reject(message, answer, {status: 503, reason, retryAfter, caller});
+      return;
+    }
+    const ran = await this.serve(
       request,
       ranked(route, caller),
       service,
@@ -240,16 +268,18 @@
       answer,
       hold,
     );
+    admission.end(ran);
   }
 
-  private serve(
+  /** Returns whether the request ran at a server, or may have. */
+  private async serve(
     request: CallerRequest,
     route: Route,
     service: Service,
     caller: Caller,
     answer: CallerAnswer,
     hold: CallerHold,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const {context, pools, selector, gate} = this;
     const budget = this.budgetOf(service.name);
     const parts = {context, pools, selector, budget, gate};
@@ -262,7 +292,11 @@
       hold,
       caller,
     );
-    return run.run();
+    await run.run();
+    if (run.mayHaveRun) {
+      this.shares.ran(request, caller, service.name);
+    }
+    return run.mayHaveRun;
   }
 
   /**
@@ -295,39 +329,53 @@
     return budget;
   }
 
-  private admitCaller(caller: Caller): void {
+  private count(caller: Caller, outcome: string): void {
     if (caller.type === 'tenant') {
       const {name: tenant} = caller.tenant;
-      this.context.metrics.tenantRequests.inc({tenant, outcome: 'admitted'});
+      this.context.metrics.tenantRequests.inc({tenant, outcome});
     }
   }
 
   private refuseCaller(
     message: IncomingMessage,
     answer: CallerAnswer,
-    {timeoutMs}: Route,
     reason: IdentityRefusal,
   ): void {
-    const {metrics, random} = this.context;
+    const {metrics} = this.context;
     metrics.tenantRequests.inc({tenant: 'none', outcome: reason});
     const {status, detail} = IDENTITY_REFUSALS[reason];
-    const waitMs = retryAfterMs(UNCONFIRMED_RETRY_MS, timeoutMs, random);
-    const headers =
-      status === 503 ? ['Retry-After', (waitMs / 1_000).toFixed(2)] : [];
-    this.reject(message, answer, status, detail, headers);
+    const retryAfter =
+      status === 503 ? this.spreadRetryAfter(UNCONFIRMED_RETRY_MS) : undefined;
+    this.reject(message, answer, {status, reason: detail, retryAfter});
+  }
+
+  private refuseByQuota(
+    message: IncomingMessage,
+    answer: CallerAnswer,
+    caller: Caller,
+    {status, reason, retryAfterMs: waitMs}: Admission & {type: 'refused'},
+  ): void {
+    this.reject(message, answer, {
+      status,
+      reason: `quota: ${reason}`,
+      // The meter told each its own time, so that it is not spread here.
+      retryAfter: status === 400 ? undefined : (waitMs / 1_000).toFixed(2),
+      caller,
+    });
   }
 
   private reject(
     message: IncomingMessage,
     answer: CallerAnswer,
-    status: number,
-    reason: string,
-    rawHeaders: readonly string[] = [],
+    {status, reason, retryAfter, caller}: Rejection,
   ): void {
-    const {logger, metrics} = this.context;
+    const {logger, metrics, platform} = this.context;
+    const idName = platform.forwarding.headers.requestId.toLowerCase();
     const outcome = 'rejected';
     metrics.requests.inc({route: 'none', outcome});
     logger.info('request rejected', {
+      requestId: headerValue(message.rawHeaders, idName),
+      tenant: caller?.type === 'tenant' ? caller.tenant.name : undefined,
       status,
       reason,
       requestHost: message.headers.host,
@@ -335,7 +383,12 @@
       configuration: this.routes?.configuration.version,
       configurationAgeMs: Math.round(this.gate.confirmedAgeMs()),
     });
-    answer.send(status, rawHeaders, Buffer.alloc(0));
+    const headers = retryAfter === undefined ? [] : ['Retry-After', retryAfter];
+    answer.send(status, headers, Buffer.alloc(0));
+  }
+
+  private spreadRetryAfter(waitMs: number): string {
+    return retryAfterS(waitMs, Infinity, this.context.random);
   }
 
   /** Refuses a request before its body is read; it may come back. */
@@ -347,9 +400,8 @@
     const {logger, metrics, random} = this.context;
     metrics.refusals.inc({reason});
     logger.info('request turned away', {requestId: id, reason});
-    const waitMs = retryAfterMs(0, callerWaitMs ?? Infinity, random);
-    const headers = ['Retry-After', (waitMs / 1_000).toFixed(2)];
-    answer.send(503, headers, NOTHING);
+    const waitS = retryAfterS(0, callerWaitMs ?? Infinity, random);
+    answer.send(503, ['Retry-After', waitS], NOTHING);
   }
 
   private rejectBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
@@ -366,12 +418,14 @@
   }
 }
 
-/** The route with the rank of its caller's tenant, if that has one. */
-const ranked = (route: Route, caller: Caller): Route => {
-  const priority =
-    caller.type === 'tenant' ? caller.tenant.priority : undefined;
-  return priority === undefined ? route : {...route, priority};
-};
+/** Why a request is not forwarded. */
+interface Rejection {
+  readonly status: number;
+  readonly reason: string;
+  /** When the caller should come back, as a header's value. */
+  readonly retryAfter?: string | undefined;
+  readonly caller?: Caller;
+}
 
 /** Resolves once the loop has polled for input again. */
 const nextPoll = (): Promise<void> =>
@@ -382,41 +436,3 @@
   });
 
 const NOTHING = Buffer.alloc(0);
-
-/** Body that is expected where its length isn't told, bytes: one read. */
-const UNTOLD_BYTES = 65_536;
-
-/** How long a body will be, as far as its head tells, bytes. */
-const expectedBytes = ({headers}: IncomingMessage): number =>
-  headers['transfer-encoding'] === undefined
-    ? Number(headers['content-length'] ?? 0)
-    : UNTOLD_BYTES;
-
-/** Reads a body up to a limit. */
-const readBody = (
-  message: IncomingMessage,
-  maximumBytes: number,
-  hold: CallerHold,
-): Promise<Buffer | 'too-large' | 'cut'> =>
-  new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    message.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maximumBytes) {
-        resolve('too-large');
-        message.removeAllListeners('data');
-        message.resume();
-        return;
-      }
-      chunks.push(chunk);
-      hold.received(chunk.length);
-    });
-    message.on('end', () => {
-      hold.receivedWhole();
-      resolve(Buffer.concat(chunks));
-    });
-    message.on('close', () => {
-      resolve('cut');
-    });
-  });
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -3,7 +3,7 @@
   type Caller,
   mayRepeat,
   nextStep,
-  retryAfterMs,
+  retryAfterS,
   type RetryBudget,
   type Route,
   type SendEnd,
@@ -65,6 +65,7 @@
   private lastSentMs: number | undefined;
   private over = false;
   private abandoned = false;
+  private ran = false;
   private outcome = 'open';
   private headAt: Instant | undefined;
 
@@ -78,6 +79,11 @@
     private readonly caller: Caller,
   ) {}
 
+  /** Whether the request ran at a server, or may have. */
+  get mayHaveRun(): boolean {
+    return this.ran;
+  }
+
   /** Resolves when the caller has its final answer, or has left. */
   async run(): Promise<void> {
     const {timers, clock} = this.parts.context;
@@ -97,6 +103,7 @@
     });
     while (!this.over) {
       if (!this.mayServe()) {
+        this.countUnconfirmed();
         this.endWithout(UNCONFIRMED);
         break;
       }
@@ -109,6 +116,7 @@
         break;
       }
       const result = await this.sendTo(selection);
+      this.ran ||= mayHaveRun(result);
       if (this.isOver()) {
         break;
       }
@@ -122,6 +130,14 @@
     return this.over;
   }
 
+  private countUnconfirmed(): void {
+    if (this.caller.type === 'tenant') {
+      const {name: tenant} = this.caller.tenant;
+      const {tenantRequests} = this.parts.context.metrics;
+      tenantRequests.inc({tenant, outcome: 'unconfirmed'});
+    }
+  }
+
   private mayServe(): boolean {
     return this.parts.gate.mayStillSend(this.caller);
   }
@@ -356,11 +372,10 @@
 
   private refuse(reason: string, expectedWaitMs: number): void {
     const {random} = this.parts.context;
-    const waitMs = retryAfterMs(expectedWaitMs, this.remainingMs(), random);
     this.finish('refused', 503, reason);
     this.answer.send(
       503,
-      ['Retry-After', (waitMs / 1_000).toFixed(2)],
+      ['Retry-After', retryAfterS(expectedWaitMs, this.remainingMs(), random)],
       Buffer.alloc(0),
     );
   }
@@ -447,6 +462,11 @@
   }
 }
 
+const mayHaveRun = (result: SendResult): boolean =>
+  result.type !== 'no-answer' ||
+  result.end === 'failed' ||
+  result.end === 'unknown';
+
 /** Status of an answer that was no success, for the log. */
 const statusOf = (result: SendResult): number | undefined =>
   result.type === 'failure'
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -2,6 +2,7 @@
 import {
   before,
   FailureJudge,
+  type FairShares,
   type HostEntry,
   hostRecordSchema,
   type HostStatus,
@@ -57,7 +58,7 @@
 /** The part of a link that is used from outside. */
 export type PeerConnection = Pick<
   PeerLink,
-  'exchange' | 'prepare' | 'permit' | 'release' | 'doubtful' | 'close'
+  'exchange' | 'prepare' | 'permit' | 'quota' | 'release' | 'doubtful' | 'close'
 >;
 
 interface OpenLink {
@@ -73,6 +74,8 @@
   awaitedHosts(): readonly string[];
   /** Load of the servers whose orders this host issues. */
   issuedLoads(): readonly ServiceLoad[];
+  /** What tenants use of services, where there are tenants. */
+  readonly fairShares?: FairShares;
 }
 
 const NO_SOURCES: ExchangeSources = {
@@ -143,6 +146,9 @@
     if (sender !== undefined && request.loads.length > 0) {
       fleetLoad.takeIssued(sender.host, request.loads, at);
     }
+    if (sender !== undefined && request.uses.length > 0) {
+      this.sources.fairShares?.takeTold(sender.host, request.uses, at);
+    }
     for (const word of request.words) {
       takeWord(this.context, word, lookedBefore(at));
     }
@@ -158,6 +164,10 @@
       loads: fleetLoad
         .known(at)
         .map(({ageMs, ...load}) => ({...load, ageMs: Math.ceil(ageMs)})),
+      uses: (this.sources.fairShares?.known(at) ?? []).map((use) => ({
+        ...use,
+        ageMs: Math.ceil(use.ageMs),
+      })),
       words: encodeWords(this.context),
       suspects: wantsViews
         ? encodeSuspects(this.context.suspects.list(at))
@@ -205,13 +215,16 @@
     }
   }
 
-  /** Sums up the load of the servers of this host's group, as a reader. */
+  /** Sums up loads of servers and uses of the group, as a reader. */
   private sumUpLoad(): void {
     const {membership, fleetLoad, settings, clock} = this.context;
     if (membership.isReader(READERS_ASKED)) {
       const at = clock.now();
       fleetLoad.takeIssued(settings.host, this.sources.issuedLoads(), at);
       fleetLoad.sumUp(membership.group().name, at);
+      const {fairShares} = this.sources;
+      fairShares?.takeTold(settings.host, fairShares.toTell(at), at);
+      fairShares?.sumUp(membership.group().name, at);
       this.judgeServers(at);
     }
   }
@@ -337,6 +350,13 @@
             .issuedLoads()
             .map((load) => ({...load, group: '', ageMs: 0}))
         : [],
+      uses: wantsViews
+        ? (this.sources.fairShares?.toTell(askedAt) ?? []).map((use) => ({
+            ...use,
+            group: '',
+            ageMs: 0,
+          }))
+        : [],
       words: encodeWords(this.context),
       tallies: wantsViews ? encodeTallies(tallies.tell(askedAt)) : [],
     });
@@ -356,6 +376,9 @@
     for (const {ageMs, ...load} of response.loads) {
       fleetLoad.takeGroup(load, before(askedAt, ageMs));
     }
+    for (const {ageMs, ...use} of response.uses) {
+      this.sources.fairShares?.takeGroup(use, before(askedAt, ageMs));
+    }
     for (const word of response.words) {
       takeWord(this.context, word, lookedSince(askedAt, at));
     }
@@ -406,7 +429,10 @@
 
   /** Decodes a status; one that can't be used is told in the log. */
   private decode(status: fleet.HostStatus | undefined): HostEntry | undefined {
-    const entry = decodeHost(status);
+    const entry = decodeHost(
+      status,
+      this.context.membership.status(status?.host ?? ''),
+    );
     const nowMs = this.context.clock.now().monotonicMs;
     if (
       entry === undefined &&
