Take no permit for a request whose caller has left

Callers' view: a server that names a limit is not kept from others by requests whose callers left while they waited for an adapter.

Cause: a wait for an adapter ends as the caller leaves, but the choice went on to what it last knew, and asked for a permit that was then not used. Prepares and selections were seen, by reading, to end at once.

Change: the choice ends where its caller has left.

Evidence: the new test fails without the change; with it 31 tests of front pass.

--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -110,6 +110,7 @@
     const {request, route, service, signal} = selection;
     const {logger} = this.context;
     const passedOver = new Set(selection.tried);
+    const hasLeft = () => signal.aborted;
     let heldBackMs = this.passOverDenied(service, passedOver);
     for (;;) {
       const chosen = await this.choose({...selection, tried: passedOver});
@@ -118,11 +119,15 @@
           ? chosen
           : none(`${chosen.reason}, others are at their limits`, heldBackMs);
       }
+      if (hasLeft()) {
+        // Its caller left: a permit would be lost to all others.
+        return none('its caller left', 0);
+      }
       const {server} = chosen;
       // A limit that is named from here on was not asked for.
       const limited = server.notices.requestsPerSecond !== undefined;
       const permit = await this.permits.acquire(server, route.priority);
-      if (permit.granted || signal.aborted) {
+      if (permit.granted || hasLeft()) {
         return {...chosen, permitted: limited && permit.granted};
       }
       const {retryAfterMs} = permit;
--- a/packages/entry-host/src/test/front/server-selection_test.ts
+++ b/packages/entry-host/src/test/front/server-selection_test.ts
@@ -51,6 +51,8 @@
   issuer: (world: {
     readonly versions: AdapterVersions;
     readonly close: (id: string) => void;
+    /** The caller closes its connection. */
+    readonly leave: () => void;
   }) => Issuer,
   permits: Permits = FREE,
 ) => {
@@ -66,7 +68,11 @@
   };
   list();
   const versions = new AdapterVersions();
-  const run = issuer({versions, close: list});
+  const abort = new AbortController();
+  const leave = () => {
+    abort.abort();
+  };
+  const run = issuer({versions, close: list, leave});
   const asked: (readonly [string, number])[] = [];
   const broker = {
     hasIssuer: () => true,
@@ -96,7 +102,7 @@
     untilLateMs: 600,
     tried: new Set(),
     firstSend: true,
-    signal: new AbortController().signal,
+    signal: abort.signal,
   });
   fleet.close();
   return {selection, asked};
@@ -108,6 +114,20 @@
   t.is(asked.length, 1);
 });
 
+test('a request whose caller leaves during the wait takes no permit', async (t) => {
+  const permits: string[] = [];
+  const {selection, asked} = await select(
+    ({leave}) => leave,
+    denying((id) => {
+      permits.push(id);
+      return undefined;
+    }),
+  );
+  t.like(selection, {type: 'none', reason: 'its caller left'});
+  t.is(asked.length, 1);
+  t.deepEqual(permits, []);
+});
+
 test('a server that leaves during the wait is passed over', async (t) => {
   let first: string | undefined;
   const {selection} = await select(({close}) => ({entry: {id}}) => {
