--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -34,6 +34,7 @@
   servingConfigurationSchema,
   type StoreKind,
   StoreViews,
+  toldOccupancy,
 } from '@basilworks/dispatch';
 import {ok, type Result} from 'neverthrow';
 
@@ -49,6 +50,7 @@
 import {reloadSettings} from './settings-reload.js';
 import type {EntryHostSettings} from './settings-schema.js';
 import {ServersView, StoreReader} from './store/index.js';
+import {TenantQuotas} from './tenants/index.js';
 import {ServerCaller, UpstreamPools} from './upstream/index.js';
 
 /** How often entries that lapsed and servers in doubt are looked at, ms. */
@@ -106,6 +108,7 @@
   private readonly claims: ClaimKeeper;
   private readonly permits: SendPermits;
   private readonly broker: AdapterBroker;
+  private readonly quotas: TenantQuotas;
   private readonly peerService: FleetPeerService;
   private readonly front: FrontListener;
   private readonly checkedAt = new Map<string, Instant>();
@@ -158,9 +161,11 @@
       VIEW_HANDLERS[kind](this);
     };
     const names = platform.forwarding.headers;
-    const {fleetLoad, random} = this.context;
+    const {fleetLoad, servers, random} = this.context;
     const fairShares = new FairShares(
-      (service, at) => fleetLoad.occupancy(service, at),
+      (service, at) =>
+        fleetLoad.occupancy(service, at) ??
+        toldOccupancy(servers.open(service, at), at),
       random,
     );
     this.pools = new UpstreamPools(
@@ -203,10 +208,12 @@
       routes,
       linkTo,
     );
+    this.quotas = new TenantQuotas(this.context, linkTo);
     this.peerService = new FleetPeerService(
       this.exchange,
       this.broker,
       this.permits,
+      this.quotas,
     );
     const selector = new ServerSelector(
       this.context,
@@ -218,8 +225,13 @@
         this.tellIssuers();
       },
     );
-    const shares = new TenantShares(this.context, fairShares);
-    this.front = new FrontListener(this.context, this.pools, selector, shares);
+    this.front = new FrontListener(
+      this.context,
+      this.pools,
+      selector,
+      new TenantShares(this.context, fairShares),
+      this.quotas,
+    );
   }
 
   /** Whether this host can serve callers. */
@@ -257,6 +269,7 @@
     this.exchange.start();
     this.claims.start();
     this.broker.start();
+    this.quotas.start();
     this.startUpkeep();
     this.context.logger.info('started', {
       incarnation: this.context.membership.self().incarnation,
@@ -344,6 +357,7 @@
     }
     this.routes = new RouteTable(parsed.data);
     this.front.use(this.routes, ring.value, snapshot.at);
+    this.quotas.use(parsed.data);
     this.broker.review();
     logger.info('configuration in use', {
       version,
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -27,10 +27,11 @@
 import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
-import type {UpstreamPools} from '../upstream/index.js';
+import {type Admission, NO_QUOTAS, type QuotaGate} from '../tenants/index.js';
+import {headerValue, type UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
 import {CallerHold} from './caller-hold.js';
-import {CallerGate, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
+import {CallerGate, ranked, UNCONFIRMED_RETRY_MS} from './caller-gate.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
 import {expectedBytes, readBody} from './request-body.js';
 import {RequestRun} from './request-run.js';
@@ -75,6 +76,7 @@
     private readonly pools: UpstreamPools,
     private readonly selector: ServerSelector,
     private readonly shares: TenantShares,
+    private readonly quotas: QuotaGate = NO_QUOTAS,
   ) {
     this.gate = new CallerGate(context);
     this.server = createServer(
@@ -171,7 +173,7 @@
     });
     const answer = new CallerAnswer(response, () => this.closing);
     const refuse = (status: number, reason: string) => {
-      this.reject(message, answer, status, reason);
+      this.reject(message, answer, {status, reason});
     };
     const {rawHeaders} = message;
     const headBytes = rawHeaders.reduce(
@@ -234,14 +236,31 @@
       refuse(503, 'the route has no service');
       return;
     }
+    const {tokenUsage} = platform.forwarding.headers;
+    const admission = await this.quotas.admit({
+      caller,
+      requestId: request.id,
+      usage: headerValue(rawHeaders, tokenUsage.toLowerCase()),
+    });
+    if (admission.type === 'refused') {
+      this.refuseByQuota(message, answer, caller, admission);
+      return;
+    }
+    if (message.socket.destroyed) {
+      admission.end(false);
+      answer.abort();
+      return;
+    }
     const verdict = this.shares.arrived(request, caller, service.name);
     this.count(caller, verdict.taken ? 'admitted' : 'over-share');
     if (!verdict.taken) {
+      admission.end(false);
       const reason = 'beyond its fair share of a service that is short';
-      this.reject(message, answer, 503, reason, verdict.retryAfterMs);
+      const retryAfter = this.spreadRetryAfter(verdict.retryAfterMs);
+      this.reject(message, answer, {status: 503, reason, retryAfter, caller});
       return;
     }
-    await this.serve(
+    const ran = await this.serve(
       request,
       ranked(route, caller),
       service,
@@ -249,8 +268,10 @@
       answer,
       hold,
     );
+    admission.end(ran);
   }
 
+  /** Returns whether the request ran at a server, or may have. */
   private async serve(
     request: CallerRequest,
     route: Route,
@@ -258,7 +279,7 @@
     caller: Caller,
     answer: CallerAnswer,
     hold: CallerHold,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const {context, pools, selector, gate} = this;
     const budget = this.budgetOf(service.name);
     const parts = {context, pools, selector, budget, gate};
@@ -272,9 +293,10 @@
       caller,
     );
     await run.run();
-    if (run.ran) {
+    if (run.mayHaveRun) {
       this.shares.ran(request, caller, service.name);
     }
+    return run.mayHaveRun;
   }
 
   /**
@@ -322,22 +344,38 @@
     const {metrics} = this.context;
     metrics.tenantRequests.inc({tenant: 'none', outcome: reason});
     const {status, detail} = IDENTITY_REFUSALS[reason];
-    const waitMs = status === 503 ? UNCONFIRMED_RETRY_MS : undefined;
-    this.reject(message, answer, status, detail, waitMs);
+    const retryAfter =
+      status === 503 ? this.spreadRetryAfter(UNCONFIRMED_RETRY_MS) : undefined;
+    this.reject(message, answer, {status, reason: detail, retryAfter});
+  }
+
+  private refuseByQuota(
+    message: IncomingMessage,
+    answer: CallerAnswer,
+    caller: Caller,
+    {status, reason, retryAfterMs: waitMs}: Admission & {type: 'refused'},
+  ): void {
+    this.reject(message, answer, {
+      status,
+      reason: `quota: ${reason}`,
+      // The meter told each its own time, so that it is not spread here.
+      retryAfter: status === 400 ? undefined : (waitMs / 1_000).toFixed(2),
+      caller,
+    });
   }
 
   private reject(
     message: IncomingMessage,
     answer: CallerAnswer,
-    status: number,
-    reason: string,
-    /** When the caller should come back, milliseconds. */
-    waitMs?: number,
+    {status, reason, retryAfter, caller}: Rejection,
   ): void {
-    const {logger, metrics, random} = this.context;
+    const {logger, metrics, platform} = this.context;
+    const idName = platform.forwarding.headers.requestId.toLowerCase();
     const outcome = 'rejected';
     metrics.requests.inc({route: 'none', outcome});
     logger.info('request rejected', {
+      requestId: headerValue(message.rawHeaders, idName),
+      tenant: caller?.type === 'tenant' ? caller.tenant.name : undefined,
       status,
       reason,
       requestHost: message.headers.host,
@@ -345,13 +383,14 @@
       configuration: this.routes?.configuration.version,
       configurationAgeMs: Math.round(this.gate.confirmedAgeMs()),
     });
-    const headers =
-      waitMs === undefined
-        ? []
-        : ['Retry-After', retryAfterS(waitMs, Infinity, random)];
+    const headers = retryAfter === undefined ? [] : ['Retry-After', retryAfter];
     answer.send(status, headers, Buffer.alloc(0));
   }
 
+  private spreadRetryAfter(waitMs: number): string {
+    return retryAfterS(waitMs, Infinity, this.context.random);
+  }
+
   /** Refuses a request before its body is read; it may come back. */
   private turnAway(
     {id, callerWaitMs}: CallerRequest,
@@ -379,12 +418,14 @@
   }
 }
 
-/** The route with the rank of its caller's tenant, if that has one. */
-const ranked = (route: Route, caller: Caller): Route => {
-  const priority =
-    caller.type === 'tenant' ? caller.tenant.priority : undefined;
-  return priority === undefined ? route : {...route, priority};
-};
+/** Why a request is not forwarded. */
+interface Rejection {
+  readonly status: number;
+  readonly reason: string;
+  /** When the caller should come back, as a header's value. */
+  readonly retryAfter?: string | undefined;
+  readonly caller?: Caller;
+}
 
 /** Resolves once the loop has polled for input again. */
 const nextPoll = (): Promise<void> =>
--- a/packages/entry-host/src/front/request-run.ts
+++ b/packages/entry-host/src/front/request-run.ts
@@ -65,6 +65,7 @@
   private lastSentMs: number | undefined;
   private over = false;
   private abandoned = false;
+  private ran = false;
   private outcome = 'open';
   private headAt: Instant | undefined;
 
@@ -78,9 +79,9 @@
     private readonly caller: Caller,
   ) {}
 
-  /** Whether a server has run it, or may have. */
-  get ran(): boolean {
-    return this.outcome === 'answered' || this.runs > 0;
+  /** Whether the request ran at a server, or may have. */
+  get mayHaveRun(): boolean {
+    return this.ran;
   }
 
   /** Resolves when the caller has its final answer, or has left. */
@@ -115,6 +116,7 @@
         break;
       }
       const result = await this.sendTo(selection);
+      this.ran ||= mayHaveRun(result);
       if (this.isOver()) {
         break;
       }
@@ -460,6 +462,11 @@
   }
 }
 
+const mayHaveRun = (result: SendResult): boolean =>
+  result.type !== 'no-answer' ||
+  result.end === 'failed' ||
+  result.end === 'unknown';
+
 /** Status of an answer that was no success, for the log. */
 const statusOf = (result: SendResult): number | undefined =>
   result.type === 'failure'
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -58,7 +58,7 @@
 /** The part of a link that is used from outside. */
 export type PeerConnection = Pick<
   PeerLink,
-  'exchange' | 'prepare' | 'permit' | 'release' | 'doubtful' | 'close'
+  'exchange' | 'prepare' | 'permit' | 'quota' | 'release' | 'doubtful' | 'close'
 >;
 
 interface OpenLink {
@@ -429,7 +429,10 @@
 
   /** Decodes a status; one that can't be used is told in the log. */
   private decode(status: fleet.HostStatus | undefined): HostEntry | undefined {
-    const entry = decodeHost(status);
+    const entry = decodeHost(
+      status,
+      this.context.membership.status(status?.host ?? ''),
+    );
     const nowMs = this.context.clock.now().monotonicMs;
     if (
       entry === undefined &&
