Keep the figures of a group in a module beside the exchange

Callers' view: none.

Change: GroupNews tells, takes, sums up and answers all three. What goes over the wire and when is the same.

Evidence: 35 tests of peers, readers, fleet sizes and failing servers pass.

--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -1,26 +1,16 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
-  before,
-  FailureJudge,
-  type FairShares,
   type HostEntry,
   hostRecordSchema,
   type HostStatus,
-  type ServiceLoad,
   type StoreKind,
 } from '@basilworks/dispatch';
 import type {fleet} from '@basilworks/protocol';
 
 import type {EntryHostContext} from '../context.js';
+import {GroupNews, type GroupNewsSources} from './group-news.js';
 import {decodeHost, encodeHost} from './host-codec.js';
 import type {PeerLink} from './peer-link.js';
-import {
-  decodeSuspects,
-  decodeTallies,
-  encodeSuspects,
-  encodeTallies,
-  takeSuspicion,
-} from './tally-codec.js';
 import {
   encodeViews,
   knownRevisions,
@@ -69,13 +59,9 @@
 }
 
 /** What other parts of the host want told or asked. */
-export interface ExchangeSources {
+export interface ExchangeSources extends GroupNewsSources {
   /** Hosts whose own word is waited for. */
   awaitedHosts(): readonly string[];
-  /** Load of the servers whose orders this host issues. */
-  issuedLoads(): readonly ServiceLoad[];
-  /** What tenants use of services, where there are tenants. */
-  readonly fairShares?: FairShares;
 }
 
 const NO_SOURCES: ExchangeSources = {
@@ -102,7 +88,7 @@
   private readonly links = new Map<string, OpenLink>();
   private readonly texts = new SnapshotTexts();
   private readonly pending = new Set<string>();
-  private readonly judge = new FailureJudge();
+  private readonly news: GroupNews;
   private turn = 0;
   private readersAskedAt: Instant | undefined;
   private refusalLoggedAt: number | undefined;
@@ -113,7 +99,9 @@
     /** Opens the link to an address. */
     private readonly connect: (address: string) => PeerConnection,
     private readonly sources: ExchangeSources = NO_SOURCES,
-  ) {}
+  ) {
+    this.news = new GroupNews(context, sources);
+  }
 
   start(): void {
     const {timers, signal} = this.context;
@@ -136,42 +124,27 @@
 
   /** Answers a peer's exchange. */
   answer(request: fleet.ExchangeRequest): fleet.ExchangeResponse {
-    const {membership, views, clock, fleetLoad} = this.context;
+    const {membership, views, clock} = this.context;
     const {sender, known, digests, wantsViews, recordsRevision} = request;
     const at = clock.now();
     this.heard(sender, recordsRevision, at);
     for (const status of request.hosts) {
       this.learned(status, at);
     }
-    if (sender !== undefined && request.loads.length > 0) {
-      fleetLoad.takeIssued(sender.host, request.loads, at);
-    }
-    if (sender !== undefined && request.uses.length > 0) {
-      this.sources.fairShares?.takeTold(sender.host, request.uses, at);
+    if (sender !== undefined) {
+      this.news.takeTold(sender.host, request, at);
     }
     for (const word of request.words) {
       takeWord(this.context, word, lookedBefore(at));
     }
-    if (sender !== undefined && request.tallies.length > 0) {
-      this.judge.take(sender.host, decodeTallies(request.tallies), at);
-    }
     return {
       responder: encodeHost(membership.self()),
       views: wantsViews ? encodeViews(views, known, this.texts, at) : [],
       hosts: membership.differences(digests, at).map(encodeHost),
       recordsRevision: views.revision('records'),
       digests: membership.digests(),
-      loads: fleetLoad
-        .known(at)
-        .map(({ageMs, ...load}) => ({...load, ageMs: Math.ceil(ageMs)})),
-      uses: (this.sources.fairShares?.known(at) ?? []).map((use) => ({
-        ...use,
-        ageMs: Math.ceil(use.ageMs),
-      })),
+      ...this.news.known(wantsViews, at),
       words: encodeWords(this.context),
-      suspects: wantsViews
-        ? encodeSuspects(this.context.suspects.list(at))
-        : [],
     };
   }
 
@@ -200,7 +173,9 @@
     const {membership, clock} = this.context;
     this.logGone(membership.judge(clock.now()));
     this.closeIdleLinks();
-    this.sumUpLoad();
+    if (membership.isReader(READERS_ASKED)) {
+      this.news.sumUp(membership.group().name, clock.now());
+    }
     const targets = [
       ...(this.isReadersTurn() ? this.readers() : []),
       ...this.others(),
@@ -215,32 +190,6 @@
     }
   }
 
-  /** Sums up loads of servers and uses of the group, as a reader. */
-  private sumUpLoad(): void {
-    const {membership, fleetLoad, settings, clock} = this.context;
-    if (membership.isReader(READERS_ASKED)) {
-      const at = clock.now();
-      fleetLoad.takeIssued(settings.host, this.sources.issuedLoads(), at);
-      fleetLoad.sumUp(membership.group().name, at);
-      const {fairShares} = this.sources;
-      fairShares?.takeTold(settings.host, fairShares.toTell(at), at);
-      fairShares?.sumUp(membership.group().name, at);
-      this.judgeServers(at);
-    }
-  }
-
-  /** Finds the servers that fail requests of this host's group, as a reader. */
-  private judgeServers(at: Instant): void {
-    const {settings, servers, tallies} = this.context;
-    this.judge.take(settings.host, tallies.tell(at), at);
-    const judged = servers
-      .all()
-      .map(({key, entry}) => ({key, service: entry.service}));
-    for (const suspicion of this.judge.judge(judged, at)) {
-      takeSuspicion(this.context, suspicion, settings.host, at);
-    }
-  }
-
   /**
    * Whether the readers are asked in this round: in each one in a small fleet,
    * else once a second, as views that grow old are asked for besides.
@@ -328,7 +277,7 @@
     host,
     wantsViews,
   }: Target): Promise<void> {
-    const {membership, views, clock, fleetLoad, tallies} = this.context;
+    const {membership, views, clock} = this.context;
     if (this.pending.has(address)) {
       return;
     }
@@ -345,20 +294,9 @@
         link.digests === undefined
           ? []
           : membership.differences(link.digests, askedAt).map(encodeHost),
-      loads: wantsViews
-        ? this.sources
-            .issuedLoads()
-            .map((load) => ({...load, group: '', ageMs: 0}))
-        : [],
-      uses: wantsViews
-        ? (this.sources.fairShares?.toTell(askedAt) ?? []).map((use) => ({
-            ...use,
-            group: '',
-            ageMs: 0,
-          }))
-        : [],
+      // Views are asked of readers only.
+      ...this.news.toTell(wantsViews, askedAt),
       words: encodeWords(this.context),
-      tallies: wantsViews ? encodeTallies(tallies.tell(askedAt)) : [],
     });
     this.pending.delete(address);
     const at = clock.now();
@@ -373,18 +311,10 @@
     for (const status of response.hosts) {
       this.learned(status, at);
     }
-    for (const {ageMs, ...load} of response.loads) {
-      fleetLoad.takeGroup(load, before(askedAt, ageMs));
-    }
-    for (const {ageMs, ...use} of response.uses) {
-      this.sources.fairShares?.takeGroup(use, before(askedAt, ageMs));
-    }
+    this.news.takeKnown(host, response, askedAt, at);
     for (const word of response.words) {
       takeWord(this.context, word, lookedSince(askedAt, at));
     }
-    for (const suspicion of decodeSuspects(response.suspects)) {
-      takeSuspicion(this.context, suspicion, host, at);
-    }
     for (const kind of takeViews(views, response.views, askedAt, at)) {
       this.onNewer(kind);
     }
