Limit the prompts that are pending at a server where event gaps come close

Change: hosts report gaps of three quarters of the target or more to the issuer of the server's orders. Once two hosts report a long gap on one server, the issuer limits pending prefill work: requests announce their prompts with the request for the adapter, wait in order of lateness, priority and time left, and the next one goes when the first event of an earlier one is reported. The limit starts at a third of the target, falls with each long gap that pending prompts explain, and grows in quiet seconds while prompts wait, up to its last reduction within 30 s; it is lifted when it is not needed. Without a limit nothing waits and leases are used as before. A prompt whose end nobody reports stops to count after twice its estimate.

--- a/packages/dispatch/src/adapters/adapter-slots-events.ts
+++ b/packages/dispatch/src/adapters/adapter-slots-events.ts
@@ -71,6 +71,8 @@
   readonly takesCrowded: boolean;
   /** Long-term slowdown observed by the host; if the server reports it. */
   readonly slowness?: number | undefined;
+  /** Tokens of its prompt, if its stream has a target for event gaps, or 0. */
+  readonly promptTokens: number;
 }
 
 /** The answer to a `PrepareRequest`. */
@@ -81,6 +83,11 @@
   readonly spread?: number | undefined;
   /** Long-term slowdown of the server, used by all hosts; if known. */
   readonly slowness?: number | undefined;
+  /**
+   * Whether the issuer limits the prompts that are pending at the server, so
+   * that each has to be announced.
+   */
+  readonly paced?: boolean | undefined;
 };
 
 /** Whether the adapter is resident for the request. */
@@ -110,6 +117,7 @@
   'unknown-adapter',
   'server-gone',
   'held-back',
+  'prompts-waiting',
   'unreachable',
 ] as const;
 export type PrepareRefusal = (typeof PREPARE_REFUSALS)[number];
--- /dev/null
+++ b/packages/dispatch/src/prompts/prefill-pace.ts
@@ -0,0 +1,215 @@
+import {elapsedMs, type Instant} from '@basilworks/core';
+
+/** The longest recent gap between two events of a stream on a server. */
+export interface EventGap {
+  readonly gapMs: number;
+  /** Longest gap with which the stream is still on time, milliseconds. */
+  readonly targetMs: number;
+}
+
+/** A gap is close to its target from this share of it, and keeps the limit. */
+export const CLOSE_GAP_SHARE = 0.75;
+
+/** Share of its target from which a gap reduces the limit. */
+const LONG_GAP_SHARE = 0.9;
+
+/** Share of the target that gaps should reach after a reduction. */
+const AIMED_GAP_SHARE = 0.85;
+
+/** Largest reduction of the limit at a time. */
+const MINIMUM_REDUCTION = 0.7;
+
+/**
+ * First limit, as a share of the target. An engine reads prompts in each of the
+ * steps that produce one event, which are a few.
+ */
+const INITIAL_LIMIT_SHARE = 1 / 3;
+
+/** Limit at which it is lifted, as a multiple of the target. */
+const LIFTED_LIMIT_SHARE = 3;
+
+/** Smallest limit, milliseconds: about one step of an engine with a prompt. */
+const MINIMUM_LIMIT_MS = 20;
+
+/**
+ * Growth of the limit for each second without a close gap. It compounds, so
+ * that a limit that isn't needed is lifted within some seconds.
+ */
+const GROWTH_PER_QUIET_SECOND = 1.1;
+
+/** Interval between two growths, milliseconds. */
+const GROWTH_INTERVAL_MS = 1_000;
+
+/**
+ * How long a reduced limit bounds further growth, milliseconds: each attempt
+ * above it may make the streams of a whole batch late.
+ */
+const REDUCTION_MEMORY_MS = 30_000;
+
+/**
+ * Time within which two hosts must report long gaps on one server for the limit
+ * to be set, milliseconds. A gap that a single host sees may be due to its link.
+ */
+const CONFIRMATION_MS = 1_000;
+
+/**
+ * Time for which work that was pending may explain a gap, milliseconds: the gap
+ * itself and the delay of its report.
+ */
+export const EXPLANATION_MS = 600;
+
+/** Prefill speed until one was observed, tokens per millisecond. */
+const ASSUMED_TOKENS_PER_MS = 20;
+
+/** Bounds of the believed speed, tokens per millisecond. */
+const SLOWEST_TOKENS_PER_MS = 2;
+const FASTEST_TOKENS_PER_MS = 200;
+
+/**
+ * Weights of the newest speed in the running mean. Network times and the steps
+ * in progress make samples too slow, never too fast.
+ */
+const FASTER_WEIGHT = 0.3;
+const SLOWER_WEIGHT = 0.02;
+
+/** Smaller prompts tell more of the network than of the speed, tokens. */
+const MINIMUM_SAMPLE_TOKENS = 500;
+
+/**
+ * How much prefill work the servers of one service may have pending, as learned
+ * from the event gaps of their streams, and how fast they prefill.
+ *
+ * The running streams of a batch produce no events while their engine prefills.
+ * Prompts that arrive together therefore make every stream of the batch late,
+ * although each prompt could have waited for its first event. Where engines
+ * prefill so little per step that gaps stay clear of the target, there is no
+ * limit.
+ */
+export class PrefillPace {
+  private limit: number | undefined;
+  private tokensPerMs = ASSUMED_TOKENS_PER_MS;
+  private targetMs = Infinity;
+  private reducedAt: Instant | undefined;
+  private closeAt: Instant | undefined;
+  private grownAt: Instant | undefined;
+  /** The limit after its latest reduction, milliseconds. */
+  private reducedTo = Infinity;
+  private unconfirmed:
+    | {readonly server: string; readonly host: string; readonly at: Instant}
+    | undefined;
+
+  /** Largest pending prefill work, milliseconds; undefined without a limit. */
+  get limitMs(): number | undefined {
+    return this.limit;
+  }
+
+  /** Estimated time to prefill a prompt, milliseconds. */
+  prefillMs(tokens: number): number {
+    return tokens / this.tokensPerMs;
+  }
+
+  /**
+   * Applies a long gap that a host observed on a server, where up to
+   * `pendingMs` of prefill work had recently been pending.
+   */
+  recordGap(
+    {gapMs, targetMs}: EventGap,
+    observation: {server: string; host: string; pendingMs: number},
+    at: Instant,
+  ): void {
+    const share = gapMs / targetMs;
+    if (share < CLOSE_GAP_SHARE) {
+      return;
+    }
+    this.targetMs = targetMs;
+    this.closeAt = at;
+    if (share < LONG_GAP_SHARE) {
+      return;
+    }
+    if (this.limit === undefined) {
+      this.confirm(observation, at);
+    } else if (
+      observation.pendingMs >= this.limit / 2 &&
+      (this.reducedAt === undefined || elapsedMs(this.reducedAt, at) > targetMs)
+    ) {
+      // The streams of a batch all report the same gap: it counts once.
+      this.reducedAt = at;
+      this.limit = Math.max(
+        MINIMUM_LIMIT_MS,
+        this.limit * Math.max(MINIMUM_REDUCTION, AIMED_GAP_SHARE / share),
+      );
+      this.reducedTo = this.limit;
+    }
+  }
+
+  /** Records that a prompt has to wait for the limit, which may then grow. */
+  recordWait(at: Instant): void {
+    if (this.limit === undefined) {
+      return;
+    }
+    const quietMs =
+      this.closeAt === undefined ? 0 : elapsedMs(this.closeAt, at);
+    const sinceGrowthMs =
+      this.grownAt === undefined ? Infinity : elapsedMs(this.grownAt, at);
+    if (quietMs < GROWTH_INTERVAL_MS || sinceGrowthMs < GROWTH_INTERVAL_MS) {
+      return;
+    }
+    this.grownAt = at;
+    this.limit = Math.max(
+      this.limit,
+      Math.min(
+        this.limit * GROWTH_PER_QUIET_SECOND ** (quietMs / 1_000),
+        this.maximumLimitMs(at),
+      ),
+    );
+    if (this.limit > this.targetMs * LIFTED_LIMIT_SHARE) {
+      this.limit = undefined;
+    }
+  }
+
+  /**
+   * Records the time from the send of a prompt to its first event, where no
+   * other prompt was pending at the server.
+   */
+  recordPrefill(tokens: number, tookMs: number): void {
+    if (tokens < MINIMUM_SAMPLE_TOKENS) {
+      return;
+    }
+    const speed = Math.min(
+      FASTEST_TOKENS_PER_MS,
+      Math.max(SLOWEST_TOKENS_PER_MS, tokens / Math.max(1, tookMs)),
+    );
+    const weight = speed > this.tokensPerMs ? FASTER_WEIGHT : SLOWER_WEIGHT;
+    this.tokensPerMs += weight * (speed - this.tokensPerMs);
+  }
+
+  private maximumLimitMs(at: Instant): number {
+    return this.reducedAt === undefined ||
+      elapsedMs(this.reducedAt, at) > REDUCTION_MEMORY_MS
+      ? Infinity
+      : this.reducedTo;
+  }
+
+  /** Sets the limit once a second host reports a long gap on the server. */
+  private confirm(
+    {server, host}: {server: string; host: string},
+    at: Instant,
+  ): void {
+    const known = this.unconfirmed;
+    const confirmed =
+      known?.server === server &&
+      known.host !== host &&
+      elapsedMs(known.at, at) <= CONFIRMATION_MS;
+    if (confirmed) {
+      this.unconfirmed = undefined;
+      this.reducedAt = at;
+      this.reducedTo = Infinity;
+      this.limit = Math.max(
+        MINIMUM_LIMIT_MS,
+        this.targetMs * INITIAL_LIMIT_SHARE,
+      );
+    } else {
+      this.unconfirmed = {server, host, at};
+    }
+  }
+}
--- a/packages/dispatch/src/servers/server-health.ts
+++ b/packages/dispatch/src/servers/server-health.ts
@@ -43,6 +43,12 @@
 /** Number of gaps that a mean gap requires. */
 const MIN_GAPS = 10;
 
+/**
+ * Validity of the issuer's word that prompts are limited, milliseconds: longer
+ * than any adapter lease, with which requests need no answer of the issuer.
+ */
+const PACED_VALIDITY_MS = 2_000;
+
 /** First and longest pause after a server was unreachable, milliseconds. */
 const INITIAL_PAUSE_MS = 500;
 const MAX_PAUSE_MS = 4_000;
@@ -62,6 +68,7 @@
   /** Speed of the server, where it reports its slowness. */
   readonly speed = new ServerSpeed();
 
+  private pacedAt: Instant | undefined;
   private gaps = {meanMs: 0, count: 0};
   private lastGapAt: Instant | undefined;
   private reported: (ReportedLoad & {at: Instant}) | undefined;
@@ -144,6 +151,19 @@
     this.applyLoad({running: requests, waiting: 0}, at);
   }
 
+  /** Records whether the server's issuer limits its pending prompts. */
+  recordPaced(paced: boolean, at: Instant): void {
+    this.pacedAt = paced ? at : undefined;
+  }
+
+  /** Whether prompts for the server have to be announced to its issuer. */
+  isPaced(at: Instant): boolean {
+    return (
+      this.pacedAt !== undefined &&
+      elapsedMs(this.pacedAt, at) <= PACED_VALIDITY_MS
+    );
+  }
+
   private applyLoad(load: ReportedLoad, at: Instant): void {
     this.reported = {...load, at};
     this.sentSinceReport = 0;
--- a/packages/dispatch/src/test/adapters/slots-simulation.ts
+++ b/packages/dispatch/src/test/adapters/slots-simulation.ts
@@ -122,6 +122,7 @@
         inFlight: 0,
         takesCrowded: false,
         among: 1,
+        promptTokens: 0,
       },
     });
   }
--- /dev/null
+++ b/packages/dispatch/src/test/prompts/prefill-queue_test.ts
@@ -0,0 +1,185 @@
+import test from 'ava';
+import fc from 'fast-check';
+
+import {PrefillPace, PrefillQueue, PromptReports} from '../../index.js';
+
+const at = (ms: number) => ({monotonicMs: ms, wallMs: ms});
+
+const prompt = (id: string, tokens: number, overrides = {}) => ({
+  id,
+  tokens,
+  priority: 0,
+  onTimeWithinMs: 1_000,
+  ...overrides,
+});
+
+/** A pace with a limit of 100 ms, or 2,000 tokens at the assumed speed. */
+const limitedPace = (): PrefillPace => {
+  const pace = new PrefillPace();
+  const gap = {gapMs: 400, targetMs: 300};
+  for (const host of ['a', 'b']) {
+    pace.recordGap(gap, {server: 's', host, pendingMs: 0}, at(0));
+  }
+  return pace;
+};
+
+test('all prompts go at once without a limit', (t) => {
+  const queue = new PrefillQueue(new PrefillPace());
+  queue.add(prompt('a', 50_000), at(0));
+  queue.add(prompt('b', 50_000), at(0));
+  t.deepEqual(queue.release(at(0)), ['a', 'b']);
+  t.is(queue.nextMs(at(0)), undefined);
+});
+
+test('a prompt goes when the one before it has been read', (t) => {
+  const queue = new PrefillQueue(limitedPace());
+  for (const id of ['a', 'b', 'c']) {
+    queue.add(prompt(id, 900), at(0));
+  }
+  t.deepEqual(queue.release(at(0)), ['a', 'b']);
+  t.deepEqual(queue.release(at(20)), []);
+  t.is(queue.expectedWaitMs({priority: 0}, at(20)), 35);
+  queue.recordRead('a', 60);
+  t.deepEqual(queue.release(at(60)), ['c']);
+});
+
+test('a prompt above the limit goes alone', (t) => {
+  const queue = new PrefillQueue(limitedPace());
+  queue.add(prompt('large', 9_000), at(0));
+  queue.add(prompt('small', 100), at(0));
+  t.deepEqual(queue.release(at(0)), ['large']);
+  queue.recordRead('large', 450);
+  t.deepEqual(queue.release(at(450)), ['small']);
+});
+
+test('prompts that can be on time go first, then by priority', (t) => {
+  const queue = new PrefillQueue(limitedPace());
+  queue.add(prompt('busy', 2_000), at(0));
+  t.deepEqual(queue.release(at(0)), ['busy']);
+  queue.add(prompt('late', 2_000, {onTimeWithinMs: 10}), at(0));
+  queue.add(prompt('lower', 2_000, {priority: 1}), at(0));
+  queue.add(prompt('relaxed', 2_000), at(0));
+  queue.add(prompt('urgent', 2_000, {onTimeWithinMs: 500}), at(0));
+  const order: string[] = [];
+  for (const id of ['busy', 'urgent', 'relaxed', 'lower']) {
+    queue.recordRead(id, 100);
+    order.push(...queue.release(at(50)));
+  }
+  t.deepEqual(order, ['urgent', 'relaxed', 'lower', 'late']);
+});
+
+// The host that sent the prompt, or its report, may be lost.
+test('a prompt whose end is never reported stops to count', (t) => {
+  const queue = new PrefillQueue(limitedPace());
+  queue.add(prompt('lost', 2_000), at(0));
+  queue.add(prompt('next', 2_000), at(0));
+  t.deepEqual(queue.release(at(0)), ['lost']);
+  const nextMs = queue.nextMs(at(0)) ?? Infinity;
+  t.true(nextMs <= 1_000);
+  t.deepEqual(queue.release(at(nextMs)), ['next']);
+});
+
+test('withdrawn prompts neither wait nor count', (t) => {
+  const queue = new PrefillQueue(limitedPace());
+  queue.add(prompt('sent', 2_000), at(0));
+  t.deepEqual(queue.release(at(0)), ['sent']);
+  queue.add(prompt('waiting', 2_000), at(0));
+  queue.withdraw('waiting');
+  queue.withdraw('sent');
+  t.is(queue.workMs(at(0)), 0);
+  t.is(queue.nextMs(at(0)), undefined);
+});
+
+test('each prompt is released once, and none waits forever', (t) => {
+  fc.assert(
+    fc.property(
+      fc.array(
+        fc.record({
+          tokens: fc.integer({min: 0, max: 20_000}),
+          afterMs: fc.integer({min: 0, max: 200}),
+          read: fc.boolean(),
+        }),
+        {maxLength: 40},
+      ),
+      (arrivals) => {
+        const queue = new PrefillQueue(limitedPace());
+        const released: string[] = [];
+        let now = 0;
+        const release = () => {
+          const ids = queue.release(at(now));
+          released.push(...ids);
+          for (const id of ids) {
+            if (arrivals[Number(id)]?.read === true) {
+              queue.recordRead(id, 10);
+            }
+          }
+        };
+        arrivals.forEach(({tokens, afterMs}, index) => {
+          now += afterMs;
+          queue.add(prompt(String(index), tokens), at(now));
+          release();
+        });
+        for (let wait = queue.nextMs(at(now)); wait !== undefined;) {
+          now += wait;
+          release();
+          wait = queue.nextMs(at(now));
+        }
+        t.deepEqual(
+          [...released].sort((one, other) => Number(one) - Number(other)),
+          arrivals.map((_arrival, index) => String(index)),
+        );
+      },
+    ),
+    {seed: 1, numRuns: 200},
+  );
+});
+
+test('a gap that one host alone sees sets no limit', (t) => {
+  const pace = new PrefillPace();
+  const observation = {server: 's', host: 'a', pendingMs: 0};
+  for (let now = 0; now < 5_000; now += 100) {
+    pace.recordGap({gapMs: 400, targetMs: 300}, observation, at(now));
+  }
+  t.is(pace.limitMs, undefined);
+});
+
+test('gaps that pending prompts do not explain leave the limit', (t) => {
+  const pace = limitedPace();
+  const gap = {gapMs: 900, targetMs: 300};
+  const observation = {server: 's', host: 'a', pendingMs: 5};
+  pace.recordGap(gap, observation, at(2_000));
+  t.is(pace.limitMs, 100);
+  pace.recordGap(gap, {...observation, pendingMs: 90}, at(2_000));
+  t.is(Math.round(pace.limitMs ?? 0), 70);
+});
+
+test('a limit that is not needed any more is lifted', (t) => {
+  const pace = limitedPace();
+  let now = 0;
+  while (pace.limitMs !== undefined && now < 60_000) {
+    now += 100;
+    pace.recordWait(at(now));
+  }
+  t.true(now < 15_000, String(now));
+});
+
+test('reports carry the longest close gap of each server', (t) => {
+  let scheduled = 0;
+  const reports = new PromptReports(() => {
+    scheduled += 1;
+  });
+  const gap = (server: string, gapMs: number) => ({
+    server,
+    gapMs,
+    targetMs: 100,
+  });
+  reports.recordGap(gap('a', 80));
+  reports.recordGap(gap('a', 120));
+  reports.recordGap(gap('a', 90));
+  reports.recordGap(gap('b', 30));
+  const prefilled = {server: 'a', requestId: 'r', prefillMs: 40};
+  reports.recordPrefilled(prefilled);
+  t.is(scheduled, 1);
+  t.deepEqual(reports.take(), {prefilled: [prefilled], gaps: [gap('a', 120)]});
+  t.deepEqual(reports.take(), {prefilled: [], gaps: []});
+});
--- a/packages/entry-host/src/context.ts
+++ b/packages/entry-host/src/context.ts
@@ -3,6 +3,7 @@
   FailureTallies,
   FleetLoad,
   Membership,
+  PromptReports,
   ServerOutliers,
   ServerTable,
   StoreViews,
@@ -28,6 +29,8 @@
   readonly tallies: FailureTallies;
   /** Servers excluded from selection because their failures stand out. */
   readonly outliers: ServerOutliers;
+  /** Prefilled prompts and long event gaps to be reported to issuers. */
+  readonly promptReports: PromptReports;
   /** Aborted when the host closes. */
   readonly signal: AbortSignal;
   /** Returns a random number in [0, 1). */
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -19,6 +19,7 @@
   AdapterVersions,
   adapterVersionRecordSchema,
   FailureTallies,
+  PromptReports,
   FairShares,
   FleetLoad,
   hostCapacity,
@@ -90,6 +91,12 @@
 /** Time over which releases for issuers are batched, milliseconds. */
 const RELEASE_DELAY_MS = 40;
 
+/**
+ * Delay of reports of prefilled prompts, milliseconds: short, as other prompts
+ * wait for them, but long enough to combine those of one engine step.
+ */
+const PROMPT_REPORT_DELAY_MS = 3;
+
 /** Interval of measurements of the event loop's lag, milliseconds. */
 const LOOP_LAG_PERIOD_MS = 1_000;
 
@@ -121,6 +128,7 @@
   private readonly healthCheckedAt = new Map<string, Instant>();
   private routes: RouteTable | undefined;
   private stopping = false;
+  private promptReportScheduled = false;
   private releaseScheduled = false;
 
   constructor(
@@ -160,6 +168,9 @@
       servers: new ServerTable(),
       fleetLoad: new FleetLoad(),
       tallies: new FailureTallies(),
+      promptReports: new PromptReports(() => {
+        this.schedulePromptReport();
+      }),
       outliers: new ServerOutliers(),
       signal: this.abortController.signal,
       random: overrides.random ?? Math.random,
@@ -468,6 +479,18 @@
     });
   }
 
+  /** Schedules a report to issuers of prefilled prompts. */
+  private schedulePromptReport(): void {
+    if (!this.promptReportScheduled) {
+      this.promptReportScheduled = true;
+      const {timers} = this.context;
+      timers.after('issuers/prompts', PROMPT_REPORT_DELAY_MS, () => {
+        this.promptReportScheduled = false;
+        this.broker.reportPrompts();
+      });
+    }
+  }
+
   /** Checks whether unreachable servers have recovered. */
   private checkUnhealthyServers(): void {
     const {servers, clock} = this.context;
--- a/packages/entry-host/src/front/caller-request.ts
+++ b/packages/entry-host/src/front/caller-request.ts
@@ -102,6 +102,10 @@
   readonly priority: number;
   /** Id of the last event that the caller received of a resumed stream. */
   readonly lastEventId: string | undefined;
+  /** Id under which its prompt was announced to the server's issuer. */
+  readonly announcedAs?: string | undefined;
+  /** Longest event gap with which a stream is still on time, milliseconds. */
+  readonly gapTargetMs?: number | undefined;
   /** Absent if the configuration defines no tenants. */
   readonly caller?: Caller;
 }
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -38,6 +38,11 @@
       readonly reason: string;
       /** Whether a permit was granted under the server's request rate limit. */
       readonly permitted: boolean;
+      /**
+       * Id under which its prompt was announced to the server's issuer;
+       * undefined if the prompts there are not limited.
+       */
+      readonly announcedAs?: string | undefined;
     }
   | {
       readonly type: 'none';
@@ -46,6 +51,8 @@
       readonly retryAfterMs: number;
     };
 
+type FoundServer = Selection & {readonly type: 'server'};
+
 /** A request for which a server is to be selected, and its progress. */
 export interface SelectionRequest {
   readonly request: CallerRequest;
@@ -132,6 +139,7 @@
             );
       }
       if (callerLeft()) {
+        this.withdrawPrompt(chosen);
         // A permit acquired after the caller left would be wasted.
         return none('its caller left', 0);
       }
@@ -142,6 +150,7 @@
       if (permit.granted || callerLeft()) {
         return {...chosen, permitted: limited && permit.granted};
       }
+      this.withdrawPrompt(chosen);
       const {retryAfterMs} = permit;
       logger.info('server skipped at its request rate limit', {
         requestId: request.id,
@@ -154,6 +163,17 @@
     }
   }
 
+  /** Reports that an announced prompt will not be sent. */
+  private withdrawPrompt({
+    server: {key: server},
+    announcedAs: requestId,
+  }: Pick<FoundServer, 'server' | 'announcedAs'>): void {
+    if (requestId !== undefined) {
+      const {promptReports} = this.context;
+      promptReports.recordPrefilled({server, requestId, prefillMs: undefined});
+    }
+  }
+
   /**
    * Adds the servers for which a permit was denied recently to `excluded`.
    * Returns the shortest time until one of them accepts requests again,
@@ -292,9 +312,11 @@
     let version = this.versions.get(name);
     const key = `${name.model}/${name.adapter}`;
     const ranking = rankByAffinity(key, modelServers, choice, this.rankings);
+    const promptTokens = this.pacedTokens(selection);
+    const {notSlowed, notOverloaded} = ranking;
     const leased =
-      this.selectLeased(name, version, ranking.notSlowed) ??
-      this.selectLeased(name, version, ranking.notOverloaded);
+      this.selectLeased(name, version, promptTokens, notSlowed) ??
+      this.selectLeased(name, version, promptTokens, notOverloaded);
     if (leased !== undefined) {
       return leased;
     }
@@ -330,13 +352,19 @@
         : Math.min(firstWaitMs, lastWaitMs);
       const prepare = {
         ...this.prepareRequest(selection, name, version, server, waitMs),
+        promptTokens,
         takesCrowded: lastAttempt,
         among: spread,
       };
       const answer = await this.requestLease(server, prepare, selection.signal);
       if (answer.outcome === 'resident') {
+        const announcedAs =
+          answer.paced === true && promptTokens > 0
+            ? prepare.requestId
+            : undefined;
         if (!this.context.servers.isOpen(server, this.context.clock.now())) {
           // The server stopped accepting requests while the adapter loaded.
+          this.withdrawPrompt({server, announcedAs});
           refusals.push({server, reason: 'server-gone', retryAfterMs: 0});
           continue;
         }
@@ -344,14 +372,12 @@
         if (newest > answer.version) {
           // A newer version was announced while the adapter loaded.
           version = newest;
+          this.withdrawPrompt({server, announcedAs});
           refusals.push({server, reason: 'older-version', retryAfterMs: 0});
           continue;
         }
-        return found(
-          server,
-          answer.version,
-          lastAttempt ? 'last choice' : 'prepared',
-        );
+        const reason = lastAttempt ? 'last choice' : 'prepared';
+        return {...found(server, answer.version, reason), announcedAs};
       }
       refusals.push({server, ...answer});
       if (lastAttempt) {
@@ -365,14 +391,31 @@
     return this.selectWithoutLease(selection, name, version, open, refusals);
   }
 
-  /** Selects the first server on which this host has a valid adapter lease. */
+  /**
+   * Prompt tokens of a request whose stream has a target for event gaps; 0 for
+   * others, whose prompts are not limited.
+   */
+  private pacedTokens({request, route}: SelectionRequest): number {
+    return route.eventGapMs === undefined
+      ? 0
+      : readPromptTokens(this.context, request);
+  }
+
+  /**
+   * Selects the first server on which this host has a valid adapter lease, and
+   * to which it may send the prompt without announcing it.
+   */
   private selectLeased(
     name: {model: string; adapter: string},
     version: number,
+    promptTokens: number,
     servers: readonly Server[],
   ): Selection | undefined {
     const at = this.context.clock.now();
     for (const server of servers) {
+      if (promptTokens > 0 && server.health.isPaced(at)) {
+        continue;
+      }
       const lease = this.residency.validLease(name, server.key, version, at);
       if (lease !== undefined) {
         lease.uses += 1;
@@ -438,7 +481,14 @@
     ranked: readonly Server[],
     refusals: readonly Refusal[],
   ): Selection {
-    const lastKnown = ranked.find((server) =>
+    const withoutQueue = ranked.filter(
+      (server) =>
+        !refusals.some(
+          (refusal) =>
+            refusal.server === server && refusal.reason === 'prompts-waiting',
+        ),
+    );
+    const lastKnown = withoutQueue.find((server) =>
       this.residency.lastKnownResident(name, server.key, version),
     );
     if (lastKnown !== undefined) {
@@ -483,6 +533,7 @@
       inFlight: server.health.inFlight,
       takesCrowded: false,
       among: 1,
+      promptTokens: 0,
     };
   }
 
@@ -559,6 +610,7 @@
   'no-place',
   'crowded',
   'held-back',
+  'prompts-waiting',
 ]);
 
 /** The server with the shortest expected wait among retryable refusals. */
@@ -577,7 +629,7 @@
   server: Server,
   version: number | undefined,
   reason: string,
-): Selection => ({
+): FoundServer => ({
   type: 'server',
   server,
   version: (version ?? 0) > FIRST_VERSION ? version : undefined,
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -26,6 +26,7 @@
   estimateSend,
   readPromptTokens,
 } from './send-estimate.js';
+import {StreamTiming, type StreamTimingLogFields} from './stream-timing.js';
 
 /** Receives the answer to a send once it is known to be from the server. */
 export interface SendObserver {
@@ -82,7 +83,8 @@
 }
 
 /** Log fields of a send: the state at its server's selection, and its delay. */
-export interface SendLogFields extends EstimateLogFields {
+export interface SendLogFields
+  extends EstimateLogFields, StreamTimingLogFields {
   /** Revision of the server's entry at the selection. */
   readonly entryRevision: number;
   /** Revision and age of the view of all servers at the selection. */
@@ -98,7 +100,7 @@
 export class ServerSend implements SendControl {
   private handle: ExchangeHandle | undefined;
   private headReceived = false;
-  private lastChunkAt: Instant | undefined;
+  private timing: StreamTiming | undefined;
   private mode: 'pending' | 'pass-on' | 'failure' | 'refused' = 'pending';
   private head: ResponseHead | undefined;
   private readonly bufferedChunks: Buffer[] = [];
@@ -135,13 +137,18 @@
     return {
       ...this.selectionLogFields,
       ...estimateLogFields(this.estimate),
+      ...this.timingLogFields,
       delayMs: this.delayMs,
     };
   }
 
+  get timingLogFields(): StreamTimingLogFields {
+    return this.timing?.logFields ?? {};
+  }
+
   /** Sends the request; resolves when its answer is complete or has failed. */
   run(request: CallerRequest, details: SendDetails): Promise<SendResult> {
-    const {platform, membership, clock} = this.context;
+    const {platform, membership, clock, promptReports} = this.context;
     const headerNames = platform.forwarding.headers;
     const {health} = this.server;
     const sentAt = clock.now();
@@ -149,9 +156,15 @@
     const connectionLimit =
       (this.maximumConnections * CONNECTION_SHARE) / hosts;
     this.estimate = estimateSend(this.context, this.server, request);
+    const {announcedAs, gapTargetMs} = details;
+    const observed = {server: this.server.key, announcedAs, gapTargetMs};
+    const timing = new StreamTiming(promptReports, observed, sentAt);
+    this.timing = timing;
     return new Promise((resolve) => {
       health.recordSent(sentAt);
       this.settle = (result) => {
+        timing.end();
+        this.recordLongestGap(timing);
         const attemptOutcome = this.classify(result);
         const at = clock.now();
         health.recordEnd(attemptOutcome, !this.headReceived, at);
@@ -179,10 +192,10 @@
           data: (chunk) => {
             const at = clock.now();
             health.recordActivity(at);
-            if (this.lastChunkAt !== undefined) {
-              health.recordGap(elapsedMs(this.lastChunkAt, at), at);
+            const gapMs = timing.recordChunk(at);
+            if (gapMs !== undefined) {
+              health.recordGap(gapMs, at);
             }
-            this.lastChunkAt = at;
             this.handleData(chunk);
           },
           end: () => {
@@ -202,8 +215,7 @@
   }
 
   pause(): void {
-    // The caller delays the next chunk, not the server: don't record that gap.
-    this.lastChunkAt = undefined;
+    this.timing?.pause();
     this.handle?.pause();
   }
 
@@ -345,6 +357,14 @@
     }
   }
 
+  private recordLongestGap({longestGapShare}: StreamTiming): void {
+    if (longestGapShare !== undefined) {
+      const {service} = this.server.entry;
+      const {longestGapRatio} = this.context.metrics;
+      longestGapRatio.observe({service}, longestGapShare);
+    }
+  }
+
   /** Whether a different server answered at this address. */
   private answeredByAnotherServer(): boolean {
     const {serverId} = this.context.platform.forwarding.headers;
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -141,6 +141,22 @@
     registers: [this.registry],
   });
 
+  readonly prefillWaitSeconds = new Histogram({
+    name: 'basilworks_prefill_wait_seconds',
+    help: 'Time that prompts waited until their server could take them.',
+    labelNames: ['service'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  readonly longestGapRatio = new Histogram({
+    name: 'basilworks_longest_gap_ratio',
+    help: 'Longest event gap of a stream against its target.',
+    labelNames: ['service'],
+    buckets: RATIO_BUCKETS,
+    registers: [this.registry],
+  });
+
   readonly estimateRatio = new Histogram({
     name: 'basilworks_estimate_ratio',
     help: 'Time to the head of a served answer against its estimate.',
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -5,6 +5,7 @@
   type ClaimState,
   type IssuerUpdate,
   LoadTimes,
+  PrefillPace,
   type PrepareAnswer,
   type PrepareRequest,
   ReportedRequests,
@@ -30,6 +31,7 @@
   private readonly claimStates = new Map<string, ClaimState>();
   private readonly loadTimes = new LoadTimes();
   private readonly ownRequests = new ReportedRequests();
+  private readonly paces = new Map<string, PrefillPace>();
 
   constructor(
     private readonly context: EntryHostContext,
@@ -111,6 +113,9 @@
     const answer = await this.requestFromIssuer(server, request, signal, late);
     const granted = answer.outcome === 'resident' ? 1 : 0;
     this.ownRequests.record(server.key, request.inFlight + granted);
+    if (answer.paced !== undefined) {
+      server.health.recordPaced(answer.paced, this.context.clock.now());
+    }
     if (answer.requests !== undefined) {
       const {requests, slowness} = answer;
       server.health.applyIssuerReport(
@@ -140,8 +145,8 @@
   }
 
   /**
-   * Reports to the issuers which adapters this host has released, and the
-   * servers at which its number of requests has changed.
+   * Reports to the issuers which adapters this host has released, the servers
+   * at which its number of requests has changed, and what it observed there.
    */
   release(releases: readonly AdapterRelease[]): void {
     const {servers} = this.context;
@@ -151,23 +156,42 @@
         requests: health.inFlight,
       })),
     );
-    this.sendUpdate({releases, requests});
+    const {promptReports} = this.context;
+    this.sendUpdate({releases, requests, ...promptReports.take()});
+  }
+
+  /** Reports prefilled prompts, for which others may wait, to the issuers. */
+  reportPrompts(): void {
+    const {promptReports} = this.context;
+    this.sendUpdate({releases: [], requests: [], ...promptReports.take()});
   }
 
   /** Applies the update of a host for servers whose orders this host issues. */
-  applyUpdate(host: string, {releases, requests}: IssuerUpdate): void {
+  applyUpdate(host: string, update: IssuerUpdate): void {
+    const {releases, requests, prefilled, gaps} = update;
     for (const {server, name} of releases) {
       this.issuers.get(server)?.release(host, name);
     }
     for (const {server, requests: count} of requests) {
       this.issuers.get(server)?.applyRequestCount(host, count);
     }
+    for (const {server, ...gap} of gaps) {
+      this.issuers.get(server)?.recordGap(host, gap);
+    }
+    for (const {server, requestId, prefillMs} of prefilled) {
+      this.issuers.get(server)?.recordPrefilled(requestId, prefillMs);
+    }
   }
 
   /** Splits an update by issuer and sends each its part. */
   private sendUpdate(update: IssuerUpdate): void {
     const {settings} = this.context;
-    const all = [...update.releases, ...update.requests];
+    const all = [
+      ...update.releases,
+      ...update.requests,
+      ...update.prefilled,
+      ...update.gaps,
+    ];
     const holders = new Set(all.map(({server}) => this.holderOf(server)));
     for (const holder of holders) {
       const isForHolder = ({server}: {readonly server: string}) =>
@@ -175,6 +199,8 @@
       const holderUpdate = {
         releases: update.releases.filter(isForHolder),
         requests: update.requests.filter(isForHolder),
+        prefilled: update.prefilled.filter(isForHolder),
+        gaps: update.gaps.filter(isForHolder),
       };
       if (holder === settings.host) {
         this.applyUpdate(settings.host, holderUpdate);
@@ -232,10 +258,18 @@
       this.permits,
       server,
       new AdapterSlots(this.loadTimes),
+      this.paceOf(server.entry.service),
     );
     this.issuers.set(server.key, issuer);
     return issuer;
   }
+
+  /** The prefill limit of a service, learned from all its servers. */
+  private paceOf(service: string): PrefillPace {
+    const known = this.paces.get(service) ?? new PrefillPace();
+    this.paces.set(service, known);
+    return known;
+  }
 }
 
 const NOT_ISSUER: PrepareAnswer = {
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -1,13 +1,17 @@
+import {elapsedMs} from '@basilworks/core';
 import {
   AdapterDemand,
   type AdapterName,
   type AdapterSlots,
   type AdapterSlotsEffect,
   type AdapterSlotsEvent,
+  type EventGap,
   LongTermSlowdown,
   type Order,
   type OrderOutcome,
   overloadThreshold,
+  type PrefillPace,
+  PrefillQueue,
   type PrepareAnswer,
   type PrepareRefusal,
   type PrepareRequest,
@@ -35,6 +39,12 @@
 /** Calls that a load needs: an unload, a load, a report and the request. */
 const CALLS_PER_LOAD = 4;
 
+/**
+ * Share of the time to a late first event that a prompt may be expected to wait
+ * at a server while others can be asked.
+ */
+const PREFILL_WAIT_SHARE = 0.5;
+
 /** Timeout of a request for a report. */
 const REPORT_TIMEOUT_MS = 500;
 
@@ -47,6 +57,9 @@
   private readonly demand = new ServerDemand();
   private readonly adapterDemand = new AdapterDemand();
   private readonly slowdown: LongTermSlowdown;
+  private readonly prompts: PrefillQueue;
+  /** Ends the wait of a prompt; by the id of its request. */
+  private readonly waitingPrompts = new Map<string, () => void>();
   private closed = false;
 
   constructor(
@@ -56,7 +69,9 @@
     private readonly permits: SendPermits,
     private readonly server: Server,
     private readonly slots: AdapterSlots,
+    private readonly pace: PrefillPace,
   ) {
+    this.prompts = new PrefillQueue(pace);
     this.slowdown = new LongTermSlowdown(server.health.speed.longTermSlowdown);
   }
 
@@ -101,12 +116,25 @@
         }
         timers.cancel(timer);
         signal.removeEventListener('abort', cancel);
-        resolve({
-          ...answer,
-          requests: this.requests(),
-          spread: this.spreadOf(request),
-          slowness: this.slowdown.current(),
-        });
+        const paced = this.pace.limitMs !== undefined;
+        const finish = () => {
+          resolve({
+            ...answer,
+            requests: this.requests(),
+            spread: this.spreadOf(request),
+            slowness: this.slowdown.current(),
+            paced,
+          });
+        };
+        if (
+          paced &&
+          answer.outcome === 'resident' &&
+          request.promptTokens > 0
+        ) {
+          this.waitForPrefill(request, signal, finish);
+        } else {
+          finish();
+        }
       };
       const refusal = this.refusal(request);
       if (refusal !== undefined) {
@@ -125,6 +153,30 @@
     this.demand.applyReport(host, requests, this.context.clock.now());
   }
 
+  /** Applies a host's report of a long gap between two events. */
+  recordGap(host: string, gap: EventGap): void {
+    const at = this.context.clock.now();
+    const {key: server} = this.server;
+    const pendingMs = this.prompts.recentPeakMs(at);
+    const before = this.pace.limitMs;
+    this.pace.recordGap(gap, {server, host, pendingMs}, at);
+    if (this.pace.limitMs !== before) {
+      this.context.logger.info('prefill limit changed', {
+        server: this.server.entry.id,
+        limitMs: this.pace.limitMs,
+        previousMs: before,
+        pendingMs,
+        ...gap,
+      });
+    }
+  }
+
+  /** Records that a prompt is no longer pending, which lets others go. */
+  recordPrefilled(requestId: string, prefillMs: number | undefined): void {
+    this.prompts.recordRead(requestId, prefillMs);
+    this.releasePrompts();
+  }
+
   /** Number of requests of all live hosts at the server. */
   requests(): number {
     const {membership, clock} = this.context;
@@ -134,6 +186,11 @@
   close(): void {
     this.closed = true;
     this.context.timers.cancel(this.wakeTimer);
+    this.context.timers.cancel(this.promptTimer);
+    // The hosts notice that the server is gone before they send.
+    for (const endWait of [...this.waitingPrompts.values()]) {
+      endWait();
+    }
     this.post({type: 'server-gone'});
   }
 
@@ -221,6 +278,55 @@
     });
   }
 
+  /**
+   * Calls back once the prompt of a request may be sent. A request whose caller
+   * leaves or whose time ends is called back at once, since its host holds the
+   * adapter by then.
+   */
+  private waitForPrefill(
+    request: PrepareRequest,
+    signal: AbortSignal,
+    done: () => void,
+  ): void {
+    const {timers, clock, metrics} = this.context;
+    const {requestId: id, promptTokens: tokens, priority} = request;
+    const {onTimeWithinMs, maximumWaitMs} = request;
+    const timer = `prompt/${this.server.key}/${id}`;
+    const since = clock.now();
+    const endWait = () => {
+      timers.cancel(timer);
+      signal.removeEventListener('abort', abandon);
+      this.waitingPrompts.delete(id);
+      const {service} = this.server.entry;
+      const waitedMs = elapsedMs(since, clock.now());
+      metrics.prefillWaitSeconds.observe({service}, waitedMs / 1_000);
+      done();
+    };
+    const abandon = () => {
+      this.prompts.withdraw(id);
+      endWait();
+    };
+    this.prompts.add({id, tokens, priority, onTimeWithinMs}, since);
+    this.waitingPrompts.set(id, endWait);
+    signal.addEventListener('abort', abandon, {once: true});
+    timers.after(timer, maximumWaitMs, abandon);
+    this.releasePrompts();
+  }
+
+  /** Lets the prompts go that may be sent now. */
+  private releasePrompts(): void {
+    const {timers, clock} = this.context;
+    for (const id of this.prompts.release(clock.now())) {
+      this.waitingPrompts.get(id)?.();
+    }
+    const nextMs = this.prompts.nextMs(clock.now());
+    if (nextMs !== undefined) {
+      timers.after(this.promptTimer, nextMs, () => {
+        this.releasePrompts();
+      });
+    }
+  }
+
   /** Returns a refusal that does not depend on free slots, if any applies. */
   private refusal(request: PrepareRequest): PrepareAnswer | undefined {
     const {notices} = this.server;
@@ -243,6 +349,19 @@
     ) {
       return refused('held-back', CALLS_PER_LOAD * limit.msPerRequest);
     }
+    const {maximumWaitMs, onTimeWithinMs, promptTokens} = request;
+    if (this.pace.limitMs !== undefined && promptTokens > 0) {
+      const waitMs = this.prompts.expectedWaitMs(
+        request,
+        this.context.clock.now(),
+      );
+      const acceptableMs = request.takesCrowded
+        ? maximumWaitMs
+        : Math.min(maximumWaitMs, onTimeWithinMs * PREFILL_WAIT_SHARE);
+      if (waitMs > acceptableMs) {
+        return refused('prompts-waiting', waitMs);
+      }
+    }
     const occupancy = this.requests() / this.effectiveSlots();
     return !request.takesCrowded && this.isOverloaded(occupancy)
       ? refused('crowded', occupancy * FULL_SERVER_WAIT_MS)
@@ -320,6 +439,10 @@
     });
   }
 
+  private get promptTimer(): string {
+    return `prompts/${this.server.key}`;
+  }
+
   private get wakeTimer(): string {
     return `orders/${this.server.key}`;
   }
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -115,7 +115,7 @@
     onLateAnswer: (answer: PrepareAnswer) => void,
   ): Promise<PrepareAnswer> {
     const {requestId, model, adapter, version, priority, uses} = request;
-    const {inFlight, takesCrowded, among, slowness} = request;
+    const {inFlight, takesCrowded, among, slowness, promptTokens} = request;
     const maximumWaitMs = Math.ceil(request.maximumWaitMs);
     const onTimeWithinMs = Math.max(0, Math.floor(request.onTimeWithinMs));
     const adapterFields = {
@@ -139,6 +139,7 @@
           takesCrowded,
           among,
           slowness,
+          promptTokens,
         },
       },
       maximumWaitMs + PREPARE_TRANSIT_MS,
@@ -178,14 +179,25 @@
     return response?.$case === 'quota' ? response.value : undefined;
   }
 
-  /** Reports released adapters and request counts to the peer, an issuer. */
-  release(fromHost: string, {releases, requests}: IssuerUpdate): void {
+  /** Reports what changed at servers to the peer, their issuer. */
+  release(fromHost: string, update: IssuerUpdate): void {
+    const {releases, requests, prefilled, gaps} = update;
     const value: fleet.ReleaseAdaptersRequest = {
       fromHost,
       requests: requests.map(({server, requests: count}) => ({
         serverRun: server,
         requests: count,
       })),
+      prefilled: prefilled.map(({server, requestId, prefillMs}) => ({
+        serverRun: server,
+        requestId,
+        prefillMs: prefillMs === undefined ? undefined : Math.ceil(prefillMs),
+      })),
+      gaps: gaps.map(({server, gapMs, targetMs}) => ({
+        serverRun: server,
+        gapMs: Math.ceil(gapMs),
+        targetMs: Math.ceil(targetMs),
+      })),
       releases: releases.map(({server, name}) => ({
         serverRun: server,
         model: name.model,
--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -127,7 +127,7 @@
     prepare: (serial, {fromHost, serverRun, requestId, ...rest}) => {
       const controller = new AbortController();
       this.prepares.set(serial, controller);
-      const id = `${fromHost}/${requestId}`;
+      const id = requestIdOf(fromHost, requestId);
       const request = {...rest, host: fromHost, requestId: id};
       void this.preparer
         .prepare(serverRun, request, controller.signal)
@@ -145,7 +145,7 @@
       const value = this.quotas.grant(request);
       this.call.write({serial, response: {$case: 'quota', value}});
     },
-    release: (_serial, {fromHost, releases, requests}) => {
+    release: (_serial, {fromHost, releases, requests, prefilled, gaps}) => {
       this.preparer.applyUpdate(fromHost, {
         releases: releases.map(({serverRun, model, adapter}) => ({
           server: serverRun,
@@ -155,6 +155,16 @@
           server: serverRun,
           requests: count,
         })),
+        prefilled: prefilled.map(({serverRun, requestId, prefillMs}) => ({
+          server: serverRun,
+          requestId: requestIdOf(fromHost, requestId),
+          prefillMs,
+        })),
+        gaps: gaps.map(({serverRun, gapMs, targetMs}) => ({
+          server: serverRun,
+          gapMs,
+          targetMs,
+        })),
       });
     },
     cancel: (_serial, cancelled) => {
@@ -163,3 +173,7 @@
     },
   };
 }
+
+/** Distinguishes the requests of different hosts. */
+const requestIdOf = (host: string, requestId: string): string =>
+  `${host}/${requestId}`;
--- a/packages/entry-host/src/peers/prepare-answer-codec.ts
+++ b/packages/entry-host/src/peers/prepare-answer-codec.ts
@@ -22,6 +22,7 @@
   requests,
   spread,
   slowness,
+  paced,
 }: fleet.PrepareAdapterResponse): PrepareAnswer => {
   if (answer?.$case === 'resident') {
     const {version, validMs} = answer.value;
@@ -32,6 +33,7 @@
       requests,
       spread,
       slowness,
+      paced,
     };
   }
   const reason = PREPARE_REFUSALS.find(
@@ -46,6 +48,7 @@
         requests,
         spread,
         slowness,
+        paced,
       };
 };
 
@@ -53,13 +56,14 @@
 export const encodePrepareAnswer = (
   answer: PrepareAnswer,
 ): fleet.PrepareAdapterResponse => {
-  const {requests, spread, slowness} = answer;
+  const {requests, spread, slowness, paced = false} = answer;
+  const state = {requests, spread, slowness, paced};
   if (answer.outcome === 'resident') {
     const {version, validMs} = answer;
     const value = {version, validMs: Math.floor(validMs)};
-    return {answer: {$case: 'resident', value}, requests, spread, slowness};
+    return {answer: {$case: 'resident', value}, ...state};
   }
   const {reason, retryAfterMs} = answer;
   const value = {reason, retryAfterMs: Math.ceil(retryAfterMs)};
-  return {answer: {$case: 'refused', value}, requests, spread, slowness};
+  return {answer: {$case: 'refused', value}, ...state};
 };
--- a/packages/entry-host/src/test/orders/claim-manager_test.ts
+++ b/packages/entry-host/src/test/orders/claim-manager_test.ts
@@ -1,6 +1,7 @@
 import {TimerService} from '@basilworks/daemon';
 import {
   FailureTallies,
+  PromptReports,
   FleetLoad,
   type HostEntry,
   Membership,
@@ -70,6 +71,7 @@
     servers: new ServerTable(),
     fleetLoad: new FleetLoad(),
     tallies: new FailureTallies(),
+    promptReports: new PromptReports(() => undefined),
     outliers: new ServerOutliers(),
     signal: new AbortController().signal,
     random: () => 0.5,
--- a/packages/entry-host/src/test/peers/peer-link_test.ts
+++ b/packages/entry-host/src/test/peers/peer-link_test.ts
@@ -18,6 +18,7 @@
   inFlight: 0,
   takesCrowded: false,
   among: 1,
+  promptTokens: 0,
 };
 
 const listen = (server: Server): Promise<number> =>
@@ -49,6 +50,7 @@
               $case: 'prepare',
               value: {
                 answer: {$case: 'resident', value: {version: 1, validMs: 30}},
+                paced: false,
               },
             },
           });
--- a/packages/entry-host/src/test/views/fleet-simulation.ts
+++ b/packages/entry-host/src/test/views/fleet-simulation.ts
@@ -2,6 +2,7 @@
 
 import {
   FailureTallies,
+  PromptReports,
   FleetLoad,
   type HostStatus,
   Membership,
@@ -117,6 +118,7 @@
       servers: new ServerTable(),
       fleetLoad: new FleetLoad(),
       tallies: new FailureTallies(),
+      promptReports: new PromptReports(() => undefined),
       outliers: new ServerOutliers(),
       signal: this.abortController.signal,
       random: () => 0.5,
