--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -59,6 +59,7 @@
   private bufferedBytes = 0;
   private bufferedHead: ResponseHead | undefined;
   private send: ServerSend | undefined;
+  private latestSend: ServerSend | undefined;
   private sends = 0;
   private runs = 0;
   private lastEventId: string | undefined;
@@ -165,6 +166,7 @@
     version,
     reason,
     permitted,
+    announcedAs,
   }: Selection & {type: 'server'}): Promise<SendResult> {
     const {context, pools} = this.parts;
     this.sends += 1;
@@ -193,6 +195,7 @@
       () => this.mayStillSend(),
     );
     this.send = send;
+    this.latestSend = send;
     this.parts.selector.requestStarted(this.request, server);
     const result = await send.run(this.request, {
       serverId: server.entry.id,
@@ -203,6 +206,8 @@
         context.platform.forwarding.lowestPriority,
       ),
       lastEventId: this.lastEventId,
+      announcedAs,
+      gapTargetMs: this.route.eventGapMs,
       caller: this.caller,
     });
     this.send = undefined;
@@ -438,7 +443,10 @@
     if (headMs !== undefined) {
       metrics.answerSeconds.observe({route: name}, headMs / 1_000);
     }
-    const late = (headMs ?? 0) > this.route.latencyTargetMs;
+    const timing = this.latestSend?.timingLogFields;
+    const late =
+      (headMs ?? 0) > this.route.latencyTargetMs ||
+      (timing?.longestGapMs ?? 0) > (this.route.eventGapMs ?? Infinity);
     const level = outcome === 'answered' && !late ? 'debug' : 'info';
     logger[level]('request ended', {
       requestId: this.request.id,
@@ -455,6 +463,8 @@
       chosen: this.lastSelectionReason,
       sentMs: this.lastSentMs,
       headMs,
+      targetMs: this.route.latencyTargetMs,
+      ...timing,
       elapsedMs: this.elapsedMs(),
     });
   }
