Bound the prefill work of a busy period instead of what is pending

The lines on the limit show busy work of 150 to 210 ms beside limits of 40 to 90 ms: one large prompt and, within the steps of the same event, the next ones.

Hypothesis: what makes a gap is all prefill work between two pauses of the engine that are long enough for an event, so that the sum over such a busy period is to be bounded, by most of the target, and not what is pending at a moment, by a third of it.

Change: a busy period ends when no prompt has been pending for 10 ms; the work released in it is bounded. The limit starts at 0.8 of the target.

--- a/packages/dispatch/src/prompts/prefill-pace.ts
+++ b/packages/dispatch/src/prompts/prefill-pace.ts
@@ -19,16 +19,13 @@
 /** Largest reduction of the limit at a time. */
 const MINIMUM_REDUCTION = 0.7;
 
-/**
- * First limit, as a share of the target. An engine reads prompts in each of the
- * steps that produce one event, which are a few.
- */
-const INITIAL_LIMIT_SHARE = 1 / 3;
+/** First limit, as a share of the target. */
+const INITIAL_LIMIT_SHARE = 0.8;
 
 /** Limit at which it is lifted, as a multiple of the target. */
 const LIFTED_LIMIT_SHARE = 3;
 
-/** Smallest limit, milliseconds: about one step of an engine with a prompt. */
+/** Smallest limit, milliseconds: about one small prompt. */
 const MINIMUM_LIMIT_MS = 20;
 
 /**
@@ -53,8 +50,8 @@
 const CONFIRMATION_MS = 1_000;
 
 /**
- * Time for which work that was pending may explain a gap, milliseconds: the gap
- * itself and the delay of its report.
+ * Time for which the work of a busy period may explain a gap, milliseconds: the
+ * gap itself and the delay of its report.
  */
 export const EXPLANATION_MS = 600;
 
@@ -76,8 +73,9 @@
 const MINIMUM_SAMPLE_TOKENS = 500;
 
 /**
- * How much prefill work the servers of one service may have pending, as learned
- * from the event gaps of their streams, and how fast they prefill.
+ * How much prefill work the servers of one service may be sent in one busy
+ * period, as learned from the event gaps of their streams, and how fast they
+ * prefill.
  *
  * The running streams of a batch produce no events while their engine prefills.
  * Prompts that arrive together therefore make every stream of the batch late,
@@ -98,7 +96,7 @@
     | {readonly server: string; readonly host: string; readonly at: Instant}
     | undefined;
 
-  /** Largest pending prefill work, milliseconds; undefined without a limit. */
+  /** Largest work of a busy period, milliseconds; undefined without a limit. */
   get limitMs(): number | undefined {
     return this.limit;
   }
@@ -109,12 +107,12 @@
   }
 
   /**
-   * Applies a long gap that a host observed on a server, where up to
-   * `pendingMs` of prefill work had recently been pending.
+   * Applies a long gap that a host observed on a server, where recent busy
+   * periods had up to `busyMs` of prefill work.
    */
   recordGap(
     {gapMs, targetMs}: EventGap,
-    observation: {server: string; host: string; pendingMs: number},
+    observation: {server: string; host: string; busyMs: number},
     at: Instant,
   ): void {
     const share = gapMs / targetMs;
@@ -129,7 +127,7 @@
     if (this.limit === undefined) {
       this.confirm(observation, at);
     } else if (
-      observation.pendingMs >= this.limit / 2 &&
+      observation.busyMs >= this.limit / 2 &&
       (this.reducedAt === undefined || elapsedMs(this.reducedAt, at) > targetMs)
     ) {
       // The streams of a batch all report the same gap: it counts once.
--- a/packages/dispatch/src/prompts/prefill-queue.ts
+++ b/packages/dispatch/src/prompts/prefill-queue.ts
@@ -34,16 +34,25 @@
 const PENDING_ALLOWANCE_MS = 50;
 
 /**
- * Releases prompts to one server so that the pending prefill work stays within
- * the limit of its service. A prompt that exceeds the limit is released alone.
- * Requests that can still be on time go before those that can't, then by
- * priority, then by the time that they have left.
+ * Time without pending prompts that ends a busy period, milliseconds: the
+ * steps in which the engine makes the events that were held up.
+ */
+const SETTLE_MS = 10;
+
+/**
+ * Releases prompts to one server so that the prefill work of each busy period
+ * stays within the limit of its service. A prompt that exceeds the limit is
+ * released alone. Requests that can still be on time go before those that
+ * can't, then by priority, then by the time that they have left.
  */
 export class PrefillQueue {
   private readonly pending = new Map<string, PendingPrompt>();
   private waiting: readonly WaitingPrompt[] = [];
-  /** Largest work that was pending of late, milliseconds, and when. */
-  private peak = {pendingMs: 0, at: {monotonicMs: 0, wallMs: 0}};
+  /** Prefill work released in the current busy period, milliseconds. */
+  private busyMs = 0;
+  private idleSince: Instant | undefined;
+  /** Largest work of a recent busy period, milliseconds, and when. */
+  private peak = {busyMs: 0, at: {monotonicMs: 0, wallMs: 0}};
 
   constructor(private readonly pace: PrefillPace) {}
 
@@ -61,35 +70,40 @@
     const {limitMs = Infinity} = this.pace;
     const ordered = this.byUrgency(at);
     const released: string[] = [];
-    let pendingMs = this.sumPendingMs();
+    if (this.idleSince !== undefined && this.settleMs(at) <= 0) {
+      this.busyMs = 0;
+    }
+    let aheadMs = this.sumPendingMs();
     for (const {id, tokens} of ordered) {
       const prefillMs = this.pace.prefillMs(tokens);
-      if (pendingMs > 0 && pendingMs + prefillMs > limitMs) {
+      if (this.busyMs > 0 && this.busyMs + prefillMs > limitMs) {
         this.pace.recordWait(at);
         break;
       }
-      this.pending.set(id, {tokens, at, aheadMs: pendingMs});
-      pendingMs += prefillMs;
+      this.pending.set(id, {tokens, at, aheadMs});
+      aheadMs += prefillMs;
+      this.busyMs += prefillMs;
+      this.idleSince = undefined;
       released.push(id);
     }
     this.waiting = ordered.slice(released.length);
-    this.recordPeak(pendingMs, at);
+    this.recordPeak(at);
     return released;
   }
 
   /** Removes a prompt that is no longer to be sent. */
-  withdraw(id: string): void {
+  withdraw(id: string, at: Instant): void {
     this.waiting = this.waiting.filter((prompt) => prompt.id !== id);
-    this.pending.delete(id);
+    this.endPending(id, at);
   }
 
   /**
    * Records that a prompt is no longer pending: its first event arrived
    * `prefillMs` after its send, or its request ended without one.
    */
-  recordRead(id: string, prefillMs: number | undefined): void {
+  recordRead(id: string, prefillMs: number | undefined, at: Instant): void {
     const prompt = this.pending.get(id);
-    this.pending.delete(id);
+    this.endPending(id, at);
     if (prompt?.aheadMs === 0 && prefillMs !== undefined) {
       this.pace.recordPrefill(prompt.tokens, prefillMs);
     }
@@ -103,7 +117,10 @@
     const dueMs = [...this.pending.values()].map(
       (prompt) => this.maximumPendingMs(prompt) - elapsedMs(prompt.at, at),
     );
-    return Math.max(1, Math.min(...dueMs));
+    return Math.max(
+      1,
+      this.idleSince === undefined ? Math.min(...dueMs) : this.settleMs(at),
+    );
   }
 
   /**
@@ -130,11 +147,11 @@
     );
   }
 
-  /** Largest work that was pending while a gap reported now arose. */
-  recentPeakMs(at: Instant): number {
+  /** Largest work of a busy period in which a gap reported now may have begun. */
+  recentBusyMs(at: Instant): number {
     return elapsedMs(this.peak.at, at) > EXPLANATION_MS
-      ? this.sumPendingMs()
-      : this.peak.pendingMs;
+      ? this.busyMs
+      : this.peak.busyMs;
   }
 
   private byUrgency(at: Instant): readonly WaitingPrompt[] {
@@ -165,15 +182,28 @@
   private expire(at: Instant): void {
     for (const [id, prompt] of this.pending) {
       if (elapsedMs(prompt.at, at) >= this.maximumPendingMs(prompt)) {
-        this.pending.delete(id);
+        this.endPending(id, at);
       }
     }
   }
 
-  private recordPeak(pendingMs: number, at: Instant): void {
+  private endPending(id: string, at: Instant): void {
+    if (this.pending.delete(id) && this.pending.size === 0) {
+      this.idleSince = at;
+    }
+  }
+
+  /** Time until the busy period ends, while no prompt is pending. */
+  private settleMs(at: Instant): number {
+    return this.idleSince === undefined
+      ? 0
+      : SETTLE_MS - elapsedMs(this.idleSince, at);
+  }
+
+  private recordPeak(at: Instant): void {
     const expired = elapsedMs(this.peak.at, at) > EXPLANATION_MS;
-    if (expired || pendingMs >= this.peak.pendingMs) {
-      this.peak = {pendingMs, at};
+    if (expired || this.busyMs >= this.peak.busyMs) {
+      this.peak = {busyMs: this.busyMs, at};
     }
   }
 }
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -157,15 +157,15 @@
   recordGap(host: string, gap: EventGap): void {
     const at = this.context.clock.now();
     const {key: server} = this.server;
-    const pendingMs = this.prompts.recentPeakMs(at);
+    const busyMs = this.prompts.recentBusyMs(at);
     const before = this.pace.limitMs;
-    this.pace.recordGap(gap, {server, host, pendingMs}, at);
+    this.pace.recordGap(gap, {server, host, busyMs}, at);
     if (this.pace.limitMs !== before) {
       this.context.logger.info('prefill limit changed', {
         server: this.server.entry.id,
         limitMs: this.pace.limitMs,
         previousMs: before,
-        pendingMs,
+        busyMs,
         ...gap,
       });
     }
@@ -173,7 +173,7 @@
 
   /** Records that a prompt is no longer pending, which lets others go. */
   recordPrefilled(requestId: string, prefillMs: number | undefined): void {
-    this.prompts.recordRead(requestId, prefillMs);
+    this.prompts.recordRead(requestId, prefillMs, this.context.clock.now());
     this.releasePrompts();
   }
 
@@ -303,7 +303,7 @@
       done();
     };
     const abandon = () => {
-      this.prompts.withdraw(id);
+      this.prompts.withdraw(id, clock.now());
       endWait();
     };
     this.prompts.add({id, tokens, priority, onTimeWithinMs}, since);
