Bound waits by callers' patience, and base the prefill limit on the work of a gap

Hypothesis: refused after half of the time for which the caller waits for an event, a request comes back or is given up without being held. Change: routes have the time after which callers abandon a stream, decoded by the platform; no attempt waits for more than half of it.

Change: a long gap reduces the limit to the work of the busy period that explains it, if that is three fifths of the gap or more.

Hypothesis: a fifth of the gaps fall into the first seconds of each host, while it learns. Change: issuers tell their limit with each answer, and a host without one adopts it, unless it lifted its own within 30 s.

The answer of an issuer also says how long the prompt waited; the request's log line and explain-losses.mjs tell that from the wait for an adapter.

--- a/packages/dispatch/src/adapters/adapter-slots-events.ts
+++ b/packages/dispatch/src/adapters/adapter-slots-events.ts
@@ -1,3 +1,4 @@
+import type {PrefillLimit} from '../prompts/index.js';
 import type {AdapterName} from './adapter-key.js';
 
 /** A load or unload order to one server. */
@@ -84,10 +85,12 @@
   /** Long-term slowdown of the server, used by all hosts; if known. */
   readonly slowness?: number | undefined;
   /**
-   * Whether the issuer limits the prompts that are pending at the server, so
-   * that each has to be announced.
+   * Limit of the prefill work at the server, with which each prompt has to be
+   * announced to the issuer; undefined without a limit.
    */
-  readonly paced?: boolean | undefined;
+  readonly prefillLimit?: PrefillLimit | undefined;
+  /** Time that the prompt waited until it could be sent, milliseconds. */
+  readonly promptWaitMs?: number | undefined;
 };
 
 /** Whether the adapter is resident for the request. */
--- a/packages/dispatch/src/configuration/configuration.ts
+++ b/packages/dispatch/src/configuration/configuration.ts
@@ -33,6 +33,10 @@
   latencyTargetMs: z.number().positive(),
   /** Maximum time between two events of a stream, milliseconds. */
   eventGapMs: z.number().positive().optional(),
+  /**
+   * Time without an event after which callers abandon a stream, milliseconds.
+   */
+  abandonMs: z.number().positive().optional(),
   /** Priority among the requests of a service; 0 is the highest. */
   priority: z.number().int().nonnegative(),
   /** Maximum number of servers on which a request may be attempted. */
--- a/packages/dispatch/src/prompts/prefill-pace.ts
+++ b/packages/dispatch/src/prompts/prefill-pace.ts
@@ -1,5 +1,11 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 
+/** A limit on prefill work, and the target for event gaps that it keeps. */
+export interface PrefillLimit {
+  readonly limitMs: number;
+  readonly targetMs: number;
+}
+
 /** The longest recent gap between two events of a stream on a server. */
 export interface EventGap {
   readonly gapMs: number;
@@ -14,7 +20,13 @@
 const LONG_GAP_SHARE = 0.9;
 
 /** Share of the target that gaps should reach after a reduction. */
-const AIMED_GAP_SHARE = 0.85;
+const AIMED_GAP_SHARE = 0.9;
+
+/**
+ * Share of a gap that the work of a busy period has to account for to explain
+ * it. A gap with less work has another cause, as a slow link or server.
+ */
+const EXPLAINED_SHARE = 0.6;
 
 /** Largest reduction of the limit at a time. */
 const MINIMUM_REDUCTION = 0.7;
@@ -32,7 +44,7 @@
  * Growth of the limit for each second without a close gap. It compounds, so
  * that a limit that isn't needed is lifted within some seconds.
  */
-const GROWTH_PER_QUIET_SECOND = 1.1;
+const GROWTH_PER_QUIET_SECOND = 1.05;
 
 /** Interval between two growths, milliseconds. */
 const GROWTH_INTERVAL_MS = 1_000;
@@ -43,6 +55,12 @@
  */
 const REDUCTION_MEMORY_MS = 30_000;
 
+/**
+ * Time after the limit was lifted for which none is adopted, milliseconds: until
+ * the other hosts have lifted theirs.
+ */
+const LIFTED_MEMORY_MS = 30_000;
+
 /**
  * Time within which two hosts must report long gaps on one server for the limit
  * to be set, milliseconds. A gap that a single host sees may be due to its link.
@@ -90,6 +108,7 @@
   private reducedAt: Instant | undefined;
   private closeAt: Instant | undefined;
   private grownAt: Instant | undefined;
+  private liftedAt: Instant | undefined;
   /** The limit after its latest reduction, milliseconds. */
   private reducedTo = Infinity;
   private unconfirmed:
@@ -101,6 +120,27 @@
     return this.limit;
   }
 
+  /** The limit as told to other hosts; undefined without a limit. */
+  get prefillLimit(): PrefillLimit | undefined {
+    const {limit: limitMs, targetMs} = this;
+    return limitMs === undefined ? undefined : {limitMs, targetMs};
+  }
+
+  /**
+   * Adopts the limit that another host learned from other servers of the
+   * service, unless this host has one or found recently that it needs none.
+   */
+  adopt({limitMs, targetMs}: PrefillLimit, at: Instant): void {
+    const lifted =
+      this.liftedAt !== undefined &&
+      elapsedMs(this.liftedAt, at) <= LIFTED_MEMORY_MS;
+    if (this.limit === undefined && !lifted) {
+      this.limit = limitMs;
+      this.targetMs = targetMs;
+      this.closeAt = at;
+    }
+  }
+
   /** Estimated time to prefill a prompt, milliseconds. */
   prefillMs(tokens: number): number {
     return tokens / this.tokensPerMs;
@@ -126,17 +166,8 @@
     }
     if (this.limit === undefined) {
       this.confirm(observation, at);
-    } else if (
-      observation.busyMs >= this.limit / 2 &&
-      (this.reducedAt === undefined || elapsedMs(this.reducedAt, at) > targetMs)
-    ) {
-      // The streams of a batch all report the same gap: it counts once.
-      this.reducedAt = at;
-      this.limit = Math.max(
-        MINIMUM_LIMIT_MS,
-        this.limit * Math.max(MINIMUM_REDUCTION, AIMED_GAP_SHARE / share),
-      );
-      this.reducedTo = this.limit;
+    } else if (observation.busyMs >= gapMs * EXPLAINED_SHARE) {
+      this.reduce((observation.busyMs * AIMED_GAP_SHARE) / share, at);
     }
   }
 
@@ -162,6 +193,7 @@
     );
     if (this.limit > this.targetMs * LIFTED_LIMIT_SHARE) {
       this.limit = undefined;
+      this.liftedAt = at;
     }
   }
 
@@ -188,6 +220,22 @@
       : this.reducedTo;
   }
 
+  /**
+   * Reduces the limit to work that keeps the target. A single prompt above the
+   * limit doesn't reduce it, as a smaller limit would not change its gap.
+   */
+  private reduce(toMs: number, at: Instant): void {
+    if (this.limit !== undefined && toMs < this.limit) {
+      this.reducedAt = at;
+      this.limit = Math.max(
+        MINIMUM_LIMIT_MS,
+        toMs,
+        this.limit * MINIMUM_REDUCTION,
+      );
+      this.reducedTo = this.limit;
+    }
+  }
+
   /** Sets the limit once a second host reports a long gap on the server. */
   private confirm(
     {server, host}: {server: string; host: string},
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -67,6 +67,7 @@
   private lastServer: string | undefined;
   private lastSelectionReason: string | undefined;
   private lastSentMs: number | undefined;
+  private lastPromptWaitMs: number | undefined;
   private finished = false;
   private abandoned = false;
   private possiblyRan = false;
@@ -154,6 +155,7 @@
       route: this.route,
       service: this.service,
       remainingMs: this.remainingMs(),
+      patienceMs: this.patienceMs(elapsed),
       latencyBudgetMs: this.route.latencyTargetMs - elapsed,
       tried: this.tried,
       firstSend: this.sends === 0,
@@ -167,12 +169,14 @@
     reason,
     permitted,
     announcedAs,
+    promptWaitMs,
   }: Selection & {type: 'server'}): Promise<SendResult> {
     const {context, pools} = this.parts;
     this.sends += 1;
     this.lastServer = server.entry.id;
     this.lastSelectionReason = reason;
     this.lastSentMs = this.elapsedMs();
+    this.lastPromptWaitMs = promptWaitMs;
     this.tried.add(server.key);
     this.splitter.reset();
     this.bufferedChunks.length = 0;
@@ -462,6 +466,7 @@
       server: this.lastServer,
       chosen: this.lastSelectionReason,
       sentMs: this.lastSentMs,
+      promptWaitMs: this.lastPromptWaitMs,
       headMs,
       targetMs: this.route.latencyTargetMs,
       ...timing,
@@ -474,6 +479,16 @@
     return Math.round(elapsedMs(this.request.arrivedAt, clock.now()));
   }
 
+  /** Time left until the caller abandons a stream without events. */
+  private patienceMs(elapsed: number): number {
+    const {abandonMs = Infinity} = this.route;
+    // A resumed stream has sent events until now.
+    const patienceMs = this.answer.headersSent
+      ? abandonMs
+      : abandonMs - elapsed;
+    return Math.max(0, Math.min(this.remainingMs(), patienceMs));
+  }
+
   private remainingMs(): number {
     const {clock} = this.parts.context;
     const limit = Math.min(
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -43,6 +43,8 @@
        * undefined if the prompts there are not limited.
        */
       readonly announcedAs?: string | undefined;
+      /** Time that the prompt waited until it could be sent, milliseconds. */
+      readonly promptWaitMs?: number | undefined;
     }
   | {
       readonly type: 'none';
@@ -60,6 +62,11 @@
   readonly service: Service;
   /** Time left until the request times out, milliseconds. */
   readonly remainingMs: number;
+  /**
+   * Time left until the caller abandons the request unless it gets an event,
+   * milliseconds.
+   */
+  readonly patienceMs: number;
   /** Time left of the route's latency target, milliseconds. */
   readonly latencyBudgetMs: number;
   /** Keys of servers to skip, as the request has been sent to them before. */
@@ -85,7 +92,7 @@
  */
 const PREPARE_SHARE = 0.75;
 
-/** Share of the time until the timeout that the last attempt may wait. */
+/** Share of the caller's patience that the last attempt may wait. */
 const LAST_PREPARE_SHARE = 0.5;
 
 /**
@@ -325,8 +332,8 @@
     );
     const refusals: Refusal[] = [];
     const queried = new Set<Server>();
-    const {remainingMs, latencyBudgetMs} = selection;
-    const lastWaitMs = remainingMs * LAST_PREPARE_SHARE;
+    const {patienceMs, latencyBudgetMs} = selection;
+    const lastWaitMs = patienceMs * LAST_PREPARE_SHARE;
     const firstWaitMs = Math.max(
       MINIMUM_PREPARE_MS,
       latencyBudgetMs * PREPARE_SHARE,
@@ -359,7 +366,7 @@
       const answer = await this.requestLease(server, prepare, selection.signal);
       if (answer.outcome === 'resident') {
         const announcedAs =
-          answer.paced === true && promptTokens > 0
+          answer.prefillLimit !== undefined && promptTokens > 0
             ? prepare.requestId
             : undefined;
         if (!this.context.servers.isOpen(server, this.context.clock.now())) {
@@ -377,7 +384,9 @@
           continue;
         }
         const reason = lastAttempt ? 'last choice' : 'prepared';
-        return {...found(server, answer.version, reason), announcedAs};
+        const {promptWaitMs} = answer;
+        const selected = found(server, answer.version, reason);
+        return {...selected, announcedAs, promptWaitMs};
       }
       refusals.push({server, ...answer});
       if (lastAttempt) {
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -5,6 +5,7 @@
   type ClaimState,
   type IssuerUpdate,
   LoadTimes,
+  type PrefillLimit,
   PrefillPace,
   type PrepareAnswer,
   type PrepareRequest,
@@ -113,11 +114,9 @@
     const answer = await this.requestFromIssuer(server, request, signal, late);
     const granted = answer.outcome === 'resident' ? 1 : 0;
     this.ownRequests.record(server.key, request.inFlight + granted);
-    if (answer.paced !== undefined) {
-      server.health.recordPaced(answer.paced, this.context.clock.now());
-    }
     if (answer.requests !== undefined) {
-      const {requests, slowness} = answer;
+      const {requests, slowness, prefillLimit} = answer;
+      this.applyPrefillLimit(server, prefillLimit);
       server.health.applyIssuerReport(
         requests,
         this.context.clock.now(),
@@ -127,6 +126,17 @@
     return answer;
   }
 
+  private applyPrefillLimit(
+    {entry, health}: Server,
+    limit: PrefillLimit | undefined,
+  ): void {
+    const at = this.context.clock.now();
+    health.recordPaced(limit !== undefined, at);
+    if (limit !== undefined) {
+      this.paceOf(entry.service).adopt(limit, at);
+    }
+  }
+
   private requestFromIssuer(
     server: Server,
     request: PrepareRequest,
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -117,13 +117,14 @@
         timers.cancel(timer);
         signal.removeEventListener('abort', cancel);
         const paced = this.pace.limitMs !== undefined;
-        const finish = () => {
+        const finish = (promptWaitMs?: number) => {
           resolve({
             ...answer,
             requests: this.requests(),
             spread: this.spreadOf(request),
             slowness: this.slowdown.current(),
-            paced,
+            prefillLimit: this.pace.prefillLimit,
+            promptWaitMs,
           });
         };
         if (
@@ -286,7 +287,7 @@
   private waitForPrefill(
     request: PrepareRequest,
     signal: AbortSignal,
-    done: () => void,
+    done: (waitedMs: number) => void,
   ): void {
     const {timers, clock, metrics} = this.context;
     const {requestId: id, promptTokens: tokens, priority} = request;
@@ -300,7 +301,7 @@
       const {service} = this.server.entry;
       const waitedMs = elapsedMs(since, clock.now());
       metrics.prefillWaitSeconds.observe({service}, waitedMs / 1_000);
-      done();
+      done(waitedMs);
     };
     const abandon = () => {
       this.prompts.withdraw(id, clock.now());
--- a/packages/entry-host/src/peers/prepare-answer-codec.ts
+++ b/packages/entry-host/src/peers/prepare-answer-codec.ts
@@ -22,7 +22,8 @@
   requests,
   spread,
   slowness,
-  paced,
+  prefillLimit,
+  promptWaitMs,
 }: fleet.PrepareAdapterResponse): PrepareAnswer => {
   if (answer?.$case === 'resident') {
     const {version, validMs} = answer.value;
@@ -33,7 +34,8 @@
       requests,
       spread,
       slowness,
-      paced,
+      prefillLimit,
+      promptWaitMs,
     };
   }
   const reason = PREPARE_REFUSALS.find(
@@ -48,7 +50,7 @@
         requests,
         spread,
         slowness,
-        paced,
+        prefillLimit,
       };
 };
 
@@ -56,8 +58,12 @@
 export const encodePrepareAnswer = (
   answer: PrepareAnswer,
 ): fleet.PrepareAdapterResponse => {
-  const {requests, spread, slowness, paced = false} = answer;
-  const state = {requests, spread, slowness, paced};
+  const {requests, spread, slowness, prefillLimit} = answer;
+  const promptWaitMs =
+    answer.promptWaitMs === undefined
+      ? undefined
+      : Math.round(answer.promptWaitMs);
+  const state = {requests, spread, slowness, prefillLimit, promptWaitMs};
   if (answer.outcome === 'resident') {
     const {version, validMs} = answer;
     const value = {version, validMs: Math.floor(validMs)};
--- a/scripts/explain-losses.mjs
+++ b/scripts/explain-losses.mjs
@@ -17,6 +17,10 @@
 /** Causes with the test that assigns a request to them; the first match wins. */
 const CAUSES = [
   ['refused', ({outcome}) => outcome === 'refused'],
+  [
+    'caller left before its request was sent',
+    ({outcome, sends}) => outcome === 'abandoned' && sends === 0,
+  ],
   ['caller left', ({outcome}) => outcome === 'abandoned'],
   ['timeout', ({status}) => status === 504],
   ['failed by its server', ({outcome}) => outcome === 'failed by its server'],
@@ -26,7 +30,12 @@
   ],
   ['failed without an answer', ({outcome}) => outcome === 'failed'],
   [
-    'first event late: waited for an adapter, a prompt or a permit',
+    'first event late: waited for other prompts',
+    ({headMs, targetMs, promptWaitMs}) =>
+      headMs > targetMs && promptWaitMs > targetMs / 2,
+  ],
+  [
+    'first event late: waited for an adapter or a permit',
     ({headMs, targetMs, sentMs}) => headMs > targetMs && sentMs > targetMs / 2,
   ],
   [
