Try unidentified peers again at once while hosts start together

Hypothesis: discovery within some hundred milliseconds gives the claims, and with them the adapters, back that much earlier.

Change: in the first 3 s a host tries an unidentified peer that does not answer within 150 ms again after 50 ms, on a new connection, as connecting to a machine that starts may hang.

--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -30,6 +30,18 @@
 /** Tolerance for rounds that start early, milliseconds. */
 const EARLY_TOLERANCE_MS = 50;
 
+/**
+ * Time after start-up in which an unreachable peer that isn't identified yet is
+ * tried again between the rounds, milliseconds, and the interval. Hosts that
+ * start together must discover each other before they can use the claims that
+ * others hold.
+ */
+const DISCOVERY_MS = 3_000;
+const DISCOVERY_RETRY_MS = 50;
+
+/** Timeout of an exchange with such a peer, milliseconds. */
+const DISCOVERY_TIMEOUT_MS = 150;
+
 /** Store readers that each host of a group queries. */
 const READERS_QUERIED = 2;
 
@@ -99,6 +111,7 @@
   private round = 0;
   private readersQueriedAt: Instant | undefined;
   private malformedLoggedAt: number | undefined;
+  private readonly startedAt: Instant;
 
   constructor(
     private readonly context: EntryHostContext,
@@ -109,6 +122,7 @@
     private readonly sources: ExchangeSources = NO_SOURCES,
   ) {
     this.groupReports = new GroupReports(context, sources);
+    this.startedAt = context.clock.now();
   }
 
   start(): void {
@@ -292,11 +306,8 @@
       .map((address) => ({address, host: undefined, wantsViews: true}));
   }
 
-  private async exchangeWith({
-    address,
-    host,
-    wantsViews,
-  }: Target): Promise<void> {
+  private async exchangeWith(target: Target): Promise<void> {
+    const {address, host, wantsViews} = target;
     const {membership, views, clock} = this.context;
     if (this.pending.has(address)) {
       return;
@@ -304,7 +315,10 @@
     this.pending.add(address);
     const requestedAt = clock.now();
     const link = this.openLink(address);
-    const response = await link.connection.exchange({
+    const discovering =
+      host === undefined &&
+      elapsedMs(this.startedAt, requestedAt) < DISCOVERY_MS;
+    const request: fleet.ExchangeRequest = {
       sender: encodeHost(membership.self()),
       known: wantsViews ? knownRevisions(views) : [],
       digests: membership.digests(),
@@ -317,13 +331,19 @@
       // Views are requested from readers only, so the target is a reader.
       ...this.groupReports.report(wantsViews, requestedAt),
       words: encodeServerStatuses(this.context),
-    });
+    };
+    const response = await link.connection.exchange(
+      request,
+      discovering ? DISCOVERY_TIMEOUT_MS : undefined,
+    );
     this.pending.delete(address);
     const at = clock.now();
     link.digests = response?.digests;
     if (response === undefined) {
       if (host !== undefined) {
         membership.recordMiss(host, at);
+      } else if (discovering) {
+        this.retryDiscovery(target, link);
       }
       return;
     }
@@ -344,6 +364,22 @@
     }
   }
 
+  /** Tries an unidentified peer again, on a new connection. */
+  private retryDiscovery(target: Target, {connection}: OpenLink): void {
+    const {address} = target;
+    if (this.links.get(address)?.connection === connection) {
+      // Connecting to a machine that is starting may hang for a second.
+      connection.close();
+      this.links.delete(address);
+    }
+    const {timers} = this.context;
+    timers.after(`peers/discovery/${address}`, DISCOVERY_RETRY_MS, () => {
+      if (this.unknownPeers().some((peer) => peer.address === address)) {
+        void this.exchangeWith(target);
+      }
+    });
+  }
+
   private recordContact(
     status: fleet.HostStatus | undefined,
     recordsRevision: number,
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -96,9 +96,10 @@
   /** Exchanges state; undefined if no response arrives in time. */
   async exchange(
     value: fleet.ExchangeRequest,
+    timeoutMs = EXCHANGE_TIMEOUT_MS,
   ): Promise<fleet.ExchangeResponse | undefined> {
     const request: Request = {$case: 'exchange', value};
-    const response = await this.call(request, EXCHANGE_TIMEOUT_MS);
+    const response = await this.call(request, timeoutMs);
     return response?.$case === 'exchange' ? response.value : undefined;
   }
 
--- a/packages/entry-host/src/test/views/fleet-simulation.ts
+++ b/packages/entry-host/src/test/views/fleet-simulation.ts
@@ -133,8 +133,8 @@
       this.exchange.queryReaders();
     });
     this.exchange = new PeerExchange(this.context, onNewer, (to) => ({
-      exchange: (request) =>
-        simulation.exchange(this, to, request, whenRunning),
+      exchange: (request, timeoutMs) =>
+        simulation.exchange(this, to, request, whenRunning, timeoutMs),
       prepare: () => Promise.reject(new Error('not part of this simulation')),
       permit: (request) => simulation.permit(this, to, request, whenRunning),
       quota: () => Promise.reject(new Error('not part of this simulation')),
@@ -324,6 +324,7 @@
     to: string,
     request: fleet.ExchangeRequest,
     whenRunning: (run: () => void) => void,
+    timeoutMs = EXCHANGE_TIMEOUT_MS,
   ): Promise<fleet.ExchangeResponse | undefined> {
     const requestBytes = fleet.ExchangeRequest.encode(request).finish().length;
     const answer = (peer: SimulatedHost) => {
@@ -336,7 +337,7 @@
       }
       return response;
     };
-    return this.call(from, to, EXCHANGE_TIMEOUT_MS, answer, whenRunning);
+    return this.call(from, to, timeoutMs, answer, whenRunning);
   }
 
   permit(
--- a/packages/entry-host/src/test/views/fleet-sizes_test.ts
+++ b/packages/entry-host/src/test/views/fleet-sizes_test.ts
@@ -143,6 +143,22 @@
   fleet.close();
 });
 
+// All hosts lost power, and the seeds came back last: the others tried them again
+// only a second later, and knew none of the claims that others held. Streams of
+// callers that wait meanwhile are late after a second.
+test('hosts that start together discover each other within a second', async (t) => {
+  const fleet = new FleetSimulation(9, {zones: 3, largeHostsPerZone: 0});
+  for (const name of [...fleet.names].reverse()) {
+    fleet.startHost(name);
+    await fleet.time.advance(fleet.time.nowMs + 50);
+  }
+  while (wrongMembershipViews(fleet).length > 0) {
+    await fleet.time.advance(fleet.time.nowMs + 10);
+  }
+  t.true(fleet.time.nowMs < 1_000, `${fleet.time.nowMs} ms`);
+  fleet.close();
+});
+
 test('hosts that are killed together are removed, and added again on restart', async (t) => {
   const fleet = await startFleet(195, 5);
   const killed = fleet.names.filter((_name, index) => index % 9 < 5);
