--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -176,7 +176,8 @@
     this.lastServer = server.entry.id;
     this.lastSelectionReason = reason;
     this.lastSentMs = this.elapsedMs();
-    this.lastPromptWaitMs = promptWaitMs;
+    this.lastPromptWaitMs =
+      promptWaitMs === undefined ? undefined : Math.round(promptWaitMs);
     this.tried.add(server.key);
     this.splitter.reset();
     this.bufferedChunks.length = 0;
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -164,10 +164,11 @@
     if (this.pace.limitMs !== before) {
       this.context.logger.info('prefill limit changed', {
         server: this.server.entry.id,
-        limitMs: this.pace.limitMs,
-        previousMs: before,
-        busyMs,
-        ...gap,
+        limitMs: Math.round(this.pace.limitMs ?? 0),
+        previousMs: before === undefined ? undefined : Math.round(before),
+        busyMs: Math.round(busyMs),
+        gapMs: Math.round(gap.gapMs),
+        targetMs: Math.round(gap.targetMs),
       });
     }
   }
