Name the unused collaborators of the issuer's tests

Cause: the linter refuses an object literal in place of an instance of a class.

Change: one constant of unknown type stands for both.

--- a/packages/entry-host/src/test/orders/prompt-waits_test.ts
+++ b/packages/entry-host/src/test/orders/prompt-waits_test.ts
@@ -32,6 +32,9 @@
   usage: () => ({}),
 } as unknown as AdapterSlots;
 
+/** Collaborators for orders, which these tests don't issue. */
+const UNUSED: unknown = undefined;
+
 const PERMITS = {capacity: () => undefined} as unknown as SendPermits;
 
 /** An issuer that limits prompts to 100 ms, or 2,000 tokens, at a time. */
@@ -50,8 +53,8 @@
   pace.adopt(LIMIT, at);
   const issuer = new OrderIssuer(
     context,
-    {} as ClaimManager,
-    {} as ServerCaller,
+    UNUSED as ClaimManager,
+    UNUSED as ServerCaller,
     PERMITS,
     server,
     RESIDENT_SLOTS,
