Bound a prompt's wait by the time of its request, and confirm gaps by server

Found by reading the change: a prompt waited for up to the request's maximum after the adapter had become resident, and so twice as long as its host waits for the answer; two such answers in a row close the connection to the issuer, and its servers are passed over for 1.5 s. A long gap on another server in between made an issuer forget the one that a second host was about to confirm, which matters where a host issues for many servers. Work of an earlier busy period could explain a later gap.

Change: the wait ends with the request's maximum, adapter included; unconfirmed gaps are kept by server; work counts for 600 ms, or while prompts are pending. A test of each that fails before.

--- a/packages/dispatch/src/prompts/prefill-pace.ts
+++ b/packages/dispatch/src/prompts/prefill-pace.ts
@@ -111,9 +111,11 @@
   private liftedAt: Instant | undefined;
   /** The limit after its latest reduction, milliseconds. */
   private reducedTo = Infinity;
-  private unconfirmed:
-    | {readonly server: string; readonly host: string; readonly at: Instant}
-    | undefined;
+  /** Latest long gap of each server that no second host has reported yet. */
+  private readonly unconfirmed = new Map<
+    string,
+    {readonly host: string; readonly at: Instant}
+  >();
 
   /** Largest work of a busy period, milliseconds; undefined without a limit. */
   get limitMs(): number | undefined {
@@ -241,13 +243,14 @@
     {server, host}: {server: string; host: string},
     at: Instant,
   ): void {
-    const known = this.unconfirmed;
-    const confirmed =
-      known?.server === server &&
-      known.host !== host &&
-      elapsedMs(known.at, at) <= CONFIRMATION_MS;
-    if (confirmed) {
-      this.unconfirmed = undefined;
+    for (const [key, gap] of this.unconfirmed) {
+      if (elapsedMs(gap.at, at) > CONFIRMATION_MS) {
+        this.unconfirmed.delete(key);
+      }
+    }
+    const known = this.unconfirmed.get(server);
+    if (known !== undefined && known.host !== host) {
+      this.unconfirmed.clear();
       this.reducedAt = at;
       this.reducedTo = Infinity;
       this.limit = Math.max(
@@ -255,7 +258,7 @@
         this.targetMs * INITIAL_LIMIT_SHARE,
       );
     } else {
-      this.unconfirmed = {server, host, at};
+      this.unconfirmed.set(server, {host, at});
     }
   }
 }
--- a/packages/dispatch/src/prompts/prefill-queue.ts
+++ b/packages/dispatch/src/prompts/prefill-queue.ts
@@ -149,9 +149,10 @@
 
   /** Largest work of a busy period in which a gap reported now may have begun. */
   recentBusyMs(at: Instant): number {
-    return elapsedMs(this.peak.at, at) > EXPLANATION_MS
-      ? this.busyMs
-      : this.peak.busyMs;
+    if (elapsedMs(this.peak.at, at) <= EXPLANATION_MS) {
+      return this.peak.busyMs;
+    }
+    return this.pending.size > 0 ? this.busyMs : 0;
   }
 
   private byUrgency(at: Instant): readonly WaitingPrompt[] {
--- a/packages/dispatch/src/test/prompts/prefill-queue_test.ts
+++ b/packages/dispatch/src/test/prompts/prefill-queue_test.ts
@@ -150,6 +150,29 @@
   t.is(pace.limitMs, undefined);
 });
 
+test('gaps on other servers in between do not delay the limit', (t) => {
+  const pace = new PrefillPace();
+  const gap = {gapMs: 150, targetMs: 125};
+  const observe = (server: string, host: string, ms: number) => {
+    pace.recordGap(gap, {server, host, busyMs: 0}, at(ms));
+  };
+  observe('s', 'a', 0);
+  observe('other', 'c', 10);
+  t.is(pace.limitMs, undefined);
+  observe('s', 'b', 20);
+  t.is(pace.limitMs, 100);
+});
+
+test('work of an earlier busy period explains no later gap', (t) => {
+  const queue = new PrefillQueue(limitedPace());
+  queue.add(prompt('a', 1_900), at(0));
+  queue.release(at(0));
+  t.is(queue.recentBusyMs(at(100)), 95);
+  queue.recordRead('a', 110, at(110));
+  t.is(queue.recentBusyMs(at(300)), 95);
+  t.is(queue.recentBusyMs(at(2_000)), 0);
+});
+
 test('gaps that prompts do not explain leave the limit', (t) => {
   const pace = limitedPace();
   const long = {gapMs: 150, targetMs: 125};
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -1,4 +1,4 @@
-import {elapsedMs} from '@basilworks/core';
+import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   AdapterDemand,
   type AdapterName,
@@ -94,6 +94,7 @@
   ): Promise<PrepareAnswer> {
     const {timers, clock} = this.context;
     const {among, uses, slowness} = request;
+    const requestedAt = clock.now();
     if (slowness !== undefined) {
       this.slowdown.applyReport(slowness);
     }
@@ -132,7 +133,7 @@
           answer.outcome === 'resident' &&
           request.promptTokens > 0
         ) {
-          this.waitForPrefill(request, signal, finish);
+          this.waitForPrefill(request, requestedAt, signal, finish);
         } else {
           finish();
         }
@@ -281,12 +282,14 @@
   }
 
   /**
-   * Calls back once the prompt of a request may be sent. A request whose caller
-   * leaves or whose time ends is called back at once, since its host holds the
-   * adapter by then.
+   * Calls back once the prompt of a request may be sent, or when the request has
+   * waited for its maximum since `requestedAt`, adapter included: its host would
+   * take this one for unresponsive. A request whose caller leaves is called back
+   * at once, since its host holds the adapter by then.
    */
   private waitForPrefill(
     request: PrepareRequest,
+    requestedAt: Instant,
     signal: AbortSignal,
     done: (waitedMs: number) => void,
   ): void {
@@ -311,7 +314,8 @@
     this.prompts.add({id, tokens, priority, onTimeWithinMs}, since);
     this.waitingPrompts.set(id, endWait);
     signal.addEventListener('abort', abandon, {once: true});
-    timers.after(timer, maximumWaitMs, abandon);
+    const leftMs = maximumWaitMs - elapsedMs(requestedAt, since);
+    timers.after(timer, Math.max(1, leftMs), abandon);
     this.releasePrompts();
   }
 
--- a/packages/entry-host/src/test/orders/prompt-waits_test.ts
+++ b/packages/entry-host/src/test/orders/prompt-waits_test.ts
@@ -16,21 +16,29 @@
 
 const LIMIT = {limitMs: 100, targetMs: 125};
 
-/** Slots in which every adapter is resident. */
-const RESIDENT_SLOTS = {
-  reduce: (event: AdapterSlotsEvent) =>
-    event.type === 'prepare-requested'
-      ? [
-          {
+/**
+ * Slots in which every adapter is resident, at once or when `woken` is posted.
+ */
+const createSlots = (atOnce: boolean): AdapterSlots => {
+  const waiting: string[] = [];
+  const slots = {
+    reduce: (event: AdapterSlotsEvent) => {
+      if (event.type === 'prepare-requested') {
+        waiting.push(event.request.requestId);
+      }
+      return atOnce || event.type === 'woken'
+        ? waiting.splice(0).map((requestId) => ({
             type: 'answer-prepare',
-            requestId: event.request.requestId,
+            requestId,
             answer: {outcome: 'resident', version: 1, validMs: 30},
-          },
-        ]
-      : [],
-  isResident: () => true,
-  usage: () => ({}),
-} as unknown as AdapterSlots;
+          }))
+        : [];
+    },
+    isResident: () => true,
+    usage: () => ({}),
+  };
+  return slots as unknown as AdapterSlots;
+};
 
 /** Collaborators for orders, which these tests don't issue. */
 const UNUSED: unknown = undefined;
@@ -38,7 +46,7 @@
 const PERMITS = {capacity: () => undefined} as unknown as SendPermits;
 
 /** An issuer that limits prompts to 100 ms, or 2,000 tokens, at a time. */
-const startIssuer = () => {
+const startIssuer = (slots = createSlots(true)) => {
   const fleet = new FleetSimulation(1);
   fleet.putServer('s');
   const {context} = fleet.startHost('h0');
@@ -57,7 +65,7 @@
     UNUSED as ServerCaller,
     PERMITS,
     server,
-    RESIDENT_SLOTS,
+    slots,
     pace,
   );
   const answers = new Map<string, PrepareAnswer>();
@@ -133,6 +141,23 @@
   fleet.close();
 });
 
+// The host would take its issuer for unresponsive, and pass over all servers that
+// it issues orders for.
+test('a prompt waits no longer than its host waits for an answer', async (t) => {
+  const {issuer, prepare, answers, advance, fleet} = startIssuer(
+    createSlots(false),
+  );
+  prepare('first', 1_800);
+  prepare('second', 1_800, {maximumWaitMs: 150});
+  await advance(100);
+  issuer.post({type: 'woken'});
+  await advance(49);
+  t.deepEqual([...answers.keys()], ['first']);
+  await advance(2);
+  t.like(answers.get('second'), {outcome: 'resident'});
+  fleet.close();
+});
+
 // Its host has a reference on the adapter by then, which it must learn of to
 // release it.
 test('a waiting prompt whose caller leaves is answered at once', async (t) => {
