Name the prompt limit alike in queue, server and selection

Cause: the limit was also called pace, and a prefilled prompt read.

Change: renames of methods, a constant and locals that are not serialised or logged.

--- a/packages/dispatch/src/prompts/prefill-queue.ts
+++ b/packages/dispatch/src/prompts/prefill-queue.ts
@@ -101,7 +101,11 @@
    * Records that a prompt is no longer pending: its first event arrived
    * `prefillMs` after its send, or its request ended without one.
    */
-  recordRead(id: string, prefillMs: number | undefined, at: Instant): void {
+  recordPrefilled(
+    id: string,
+    prefillMs: number | undefined,
+    at: Instant,
+  ): void {
     const prompt = this.pending.get(id);
     this.endPending(id, at);
     if (prompt?.aheadMs === 0 && prefillMs !== undefined) {
--- a/packages/dispatch/src/servers/server-health.ts
+++ b/packages/dispatch/src/servers/server-health.ts
@@ -47,7 +47,7 @@
  * Validity of the issuer's word that prompts are limited, milliseconds: longer
  * than any adapter lease, with which requests need no answer of the issuer.
  */
-const PACED_VALIDITY_MS = 2_000;
+const PROMPT_LIMIT_VALIDITY_MS = 2_000;
 
 /** First and longest pause after a server was unreachable, milliseconds. */
 const INITIAL_PAUSE_MS = 500;
@@ -68,7 +68,7 @@
   /** Speed of the server, where it reports its slowness. */
   readonly speed = new ServerSpeed();
 
-  private pacedAt: Instant | undefined;
+  private promptLimitAt: Instant | undefined;
   private gaps = {meanMs: 0, count: 0};
   private lastGapAt: Instant | undefined;
   private reported: (ReportedLoad & {at: Instant}) | undefined;
@@ -152,15 +152,15 @@
   }
 
   /** Records whether the server's issuer limits its pending prompts. */
-  recordPaced(paced: boolean, at: Instant): void {
-    this.pacedAt = paced ? at : undefined;
+  recordPromptLimit(limited: boolean, at: Instant): void {
+    this.promptLimitAt = limited ? at : undefined;
   }
 
   /** Whether prompts for the server have to be announced to its issuer. */
-  isPaced(at: Instant): boolean {
+  limitsPrompts(at: Instant): boolean {
     return (
-      this.pacedAt !== undefined &&
-      elapsedMs(this.pacedAt, at) <= PACED_VALIDITY_MS
+      this.promptLimitAt !== undefined &&
+      elapsedMs(this.promptLimitAt, at) <= PROMPT_LIMIT_VALIDITY_MS
     );
   }
 
--- a/packages/dispatch/src/test/prompts/engine-simulation.ts
+++ b/packages/dispatch/src/test/prompts/engine-simulation.ts
@@ -50,7 +50,7 @@
 export const simulateEngine = (
   engine: EngineSpeed,
   load: PromptLoad,
-  paced: boolean,
+  limited: boolean,
   seed: number,
 ): SimulatedStreams => {
   const generator = xoroshiro128plus(seed);
@@ -127,7 +127,7 @@
       stream.firstEventMs = now - stream.arrivedAt;
       const prefillMs = now - sentAt;
       const apply = (appliedAt: number) => {
-        queue.recordRead(id, prefillMs, at(appliedAt));
+        queue.recordPrefilled(id, prefillMs, at(appliedAt));
       };
       reports.push({dueAt: now + REPORT_DELAY_MS, apply});
     } else {
@@ -140,7 +140,7 @@
         const gap = {gapMs, targetMs: load.gapTargetMs};
         pace.recordGap(gap, {server: 'server', host, busyMs}, instant);
       };
-      if (paced) {
+      if (limited) {
         reports.push({dueAt: now + REPORT_DELAY_MS, apply});
       }
     }
--- a/packages/dispatch/src/test/prompts/prefill-queue_test.ts
+++ b/packages/dispatch/src/test/prompts/prefill-queue_test.ts
@@ -41,9 +41,9 @@
   t.deepEqual(queue.release(at(0)), ['a', 'b']);
   t.deepEqual(queue.release(at(20)), []);
   t.is(queue.expectedWaitMs({priority: 0}, at(20)), 35);
-  queue.recordRead('a', 60, at(60));
+  queue.recordPrefilled('a', 60, at(60));
   t.deepEqual(queue.release(at(60)), []);
-  queue.recordRead('b', 90, at(90));
+  queue.recordPrefilled('b', 90, at(90));
   t.deepEqual(queue.release(at(90)), []);
   t.is(queue.nextMs(at(90)), 10);
   t.deepEqual(queue.release(at(100)), ['c']);
@@ -54,7 +54,7 @@
   queue.add(prompt('large', 9_000), at(0));
   queue.add(prompt('small', 100), at(0));
   t.deepEqual(queue.release(at(0)), ['large']);
-  queue.recordRead('large', 450, at(450));
+  queue.recordPrefilled('large', 450, at(450));
   t.deepEqual(queue.release(at(460)), ['small']);
 });
 
@@ -68,7 +68,7 @@
   queue.add(prompt('urgent', 2_000, {onTimeWithinMs: 500}), at(0));
   const order: string[] = [];
   ['busy', 'urgent', 'relaxed', 'lower'].forEach((id, index) => {
-    queue.recordRead(id, 100, at(20 * index + 20));
+    queue.recordPrefilled(id, 100, at(20 * index + 20));
     order.push(...queue.release(at(20 * index + 30)));
   });
   t.deepEqual(order, ['urgent', 'relaxed', 'lower', 'late']);
@@ -117,7 +117,7 @@
           released.push(...ids);
           for (const id of ids) {
             if (arrivals[Number(id)]?.read === true) {
-              queue.recordRead(id, 10, at(now));
+              queue.recordPrefilled(id, 10, at(now));
             }
           }
         };
@@ -168,7 +168,7 @@
   queue.add(prompt('a', 1_900), at(0));
   queue.release(at(0));
   t.is(queue.recentBusyMs(at(100)), 95);
-  queue.recordRead('a', 110, at(110));
+  queue.recordPrefilled('a', 110, at(110));
   t.is(queue.recentBusyMs(at(300)), 95);
   t.is(queue.recentBusyMs(at(2_000)), 0);
 });
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -319,7 +319,7 @@
     let version = this.versions.get(name);
     const key = `${name.model}/${name.adapter}`;
     const ranking = rankByAffinity(key, modelServers, choice, this.rankings);
-    const promptTokens = this.pacedTokens(selection);
+    const promptTokens = this.limitedPromptTokens(selection);
     const {notSlowed, notOverloaded} = ranking;
     const leased =
       this.selectLeased(name, version, promptTokens, notSlowed) ??
@@ -404,7 +404,7 @@
    * Prompt tokens of a request whose stream has a target for event gaps; 0 for
    * others, whose prompts are not limited.
    */
-  private pacedTokens({request, route}: SelectionRequest): number {
+  private limitedPromptTokens({request, route}: SelectionRequest): number {
     return route.eventGapMs === undefined
       ? 0
       : readPromptTokens(this.context, request);
@@ -422,7 +422,7 @@
   ): Selection | undefined {
     const at = this.context.clock.now();
     for (const server of servers) {
-      if (promptTokens > 0 && server.health.isPaced(at)) {
+      if (promptTokens > 0 && server.health.limitsPrompts(at)) {
         continue;
       }
       const lease = this.residency.validLease(name, server.key, version, at);
--- a/packages/entry-host/src/orders/adapter-broker.ts
+++ b/packages/entry-host/src/orders/adapter-broker.ts
@@ -131,7 +131,7 @@
     limit: PrefillLimit | undefined,
   ): void {
     const at = this.context.clock.now();
-    health.recordPaced(limit !== undefined, at);
+    health.recordPromptLimit(limit !== undefined, at);
     if (limit !== undefined) {
       this.paceOf(entry.service).adopt(limit, at);
     }
--- a/packages/entry-host/src/orders/order-issuer.ts
+++ b/packages/entry-host/src/orders/order-issuer.ts
@@ -117,7 +117,7 @@
         }
         timers.cancel(timer);
         signal.removeEventListener('abort', cancel);
-        const paced = this.pace.limitMs !== undefined;
+        const limited = this.pace.limitMs !== undefined;
         const finish = (promptWaitMs?: number) => {
           resolve({
             ...answer,
@@ -129,7 +129,7 @@
           });
         };
         if (
-          paced &&
+          limited &&
           answer.outcome === 'resident' &&
           request.promptTokens > 0
         ) {
@@ -176,7 +176,11 @@
 
   /** Records that a prompt is no longer pending, which lets others go. */
   recordPrefilled(requestId: string, prefillMs: number | undefined): void {
-    this.prompts.recordRead(requestId, prefillMs, this.context.clock.now());
+    this.prompts.recordPrefilled(
+      requestId,
+      prefillMs,
+      this.context.clock.now(),
+    );
     this.releasePrompts();
   }
 
