Log crashes of servers with the prompt parts of the sends lost

An interrupted answer was logged once per send, without the parts of its prompt, and nothing told a crashed server from a reset connection. Hosts now try a connection after an interruption; if it is refused, the server has crashed, and one line names the lost sends and their parts. No decision uses it yet.

--- /dev/null
+++ b/packages/entry-host/src/crashes/crash-detector.ts
@@ -0,0 +1,150 @@
+import type {Instant} from '@basilworks/core';
+import type {Server} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+import {
+  probeConnection,
+  type ProbeResult,
+  type UpstreamAddress,
+} from '../upstream/index.js';
+
+/** A send that was in progress at a server when that crashed. */
+export interface LostSend {
+  readonly requestId: string;
+  /** Parts of its prompt that other requests share. */
+  readonly promptParts: readonly string[];
+  readonly sentAt: Instant;
+}
+
+/** A server that has crashed and this host's sends that were lost with it. */
+export interface ServerCrash {
+  readonly server: Server;
+  /** When the first of the sends was lost. */
+  readonly at: Instant;
+  readonly sends: readonly LostSend[];
+}
+
+/** Receives a crash, and again with all lost sends if more are found. */
+export type CrashObserver = (crash: ServerCrash) => void;
+
+/** Attempts a connection to a server. */
+export type Probe = (address: UpstreamAddress) => Promise<ProbeResult>;
+
+/**
+ * Delay before the first connection attempt, milliseconds: a process that ends
+ * closes its connections and its listener in any order.
+ */
+const FIRST_PROBE_DELAY_MS = 30;
+
+/** Delay before the second and last attempt, milliseconds. */
+const SECOND_PROBE_DELAY_MS = 200;
+
+/** Time-out of a connection attempt, milliseconds. */
+const PROBE_TIMEOUT_MS = 300;
+
+/**
+ * Time after which a crash is reported, milliseconds: enough to read the loss
+ * of all connections of the server.
+ */
+const REPORT_DELAY_MS = 50;
+
+/** How long lost sends of one server belong together, milliseconds. */
+const CRASH_WINDOW_MS = 2_000;
+
+/** The interrupted sends of one server instance. */
+interface Interruption {
+  readonly server: Server;
+  readonly at: Instant;
+  readonly sends: LostSend[];
+  crashed: boolean;
+  reportScheduled: boolean;
+}
+
+/**
+ * Detects servers that have crashed with requests in progress. An interrupted
+ * answer alone does not show a crash: one connection may have been reset, or
+ * the link cut. A server has crashed if its port is closed afterwards.
+ */
+export class CrashDetector {
+  private readonly interruptions = new Map<string, Interruption>();
+
+  constructor(
+    private readonly context: EntryHostContext,
+    private readonly onCrash: CrashObserver,
+    private readonly probe: Probe = (address) =>
+      probeConnection(address, context.timers, PROBE_TIMEOUT_MS),
+  ) {}
+
+  /** Records a send that its server interrupted. */
+  recordInterrupted(server: Server, send: LostSend): void {
+    const known = this.interruptions.get(server.key);
+    if (known !== undefined) {
+      known.sends.push(send);
+      if (known.crashed) {
+        this.scheduleReport(known);
+      }
+      return;
+    }
+    const {clock, timers} = this.context;
+    const interruption: Interruption = {
+      server,
+      at: clock.now(),
+      sends: [send],
+      crashed: false,
+      reportScheduled: false,
+    };
+    this.interruptions.set(server.key, interruption);
+    timers.after(`crashes/window/${server.key}`, CRASH_WINDOW_MS, () => {
+      this.interruptions.delete(server.key);
+    });
+    this.scheduleProbe(interruption, FIRST_PROBE_DELAY_MS, () => {
+      this.scheduleProbe(interruption, SECOND_PROBE_DELAY_MS);
+    });
+  }
+
+  private scheduleProbe(
+    interruption: Interruption,
+    delayMs: number,
+    onOpen: () => void = () => undefined,
+  ): void {
+    const {timers, signal} = this.context;
+    const {key, entry} = interruption.server;
+    const {host, port} = entry;
+    timers.after(`crashes/probe/${key}`, delayMs, () => {
+      void this.probe({host, port}).then((result) => {
+        if (signal.aborted) {
+          return;
+        }
+        if (result === 'refused') {
+          this.confirm(interruption);
+        } else if (result === 'open') {
+          onOpen();
+        }
+      });
+    });
+  }
+
+  private confirm(interruption: Interruption): void {
+    const {entry, notices} = interruption.server;
+    if (entry.leaving || notices.leaving) {
+      // Its planned end is no crash.
+      return;
+    }
+    interruption.crashed = true;
+    this.context.metrics.serverCrashes.inc({service: entry.service});
+    this.scheduleReport(interruption);
+  }
+
+  private scheduleReport(interruption: Interruption): void {
+    if (interruption.reportScheduled) {
+      return;
+    }
+    interruption.reportScheduled = true;
+    const {server, at, sends} = interruption;
+    const {timers} = this.context;
+    timers.after(`crashes/report/${server.key}`, REPORT_DELAY_MS, () => {
+      interruption.reportScheduled = false;
+      this.onCrash({server, at, sends: [...sends]});
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry-host/src/crashes/index.ts
@@ -0,0 +1,4 @@
+export * from './crash-detector.js';
+export * from './crash-guard.js';
+export * from './crash-log.js';
+export * from './prompt-parts.js';
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -40,6 +40,7 @@
 import {ok, type Result} from 'neverthrow';
 
 import type {EntryHostContext} from './context.js';
+import {CrashDetector, logCrash} from './crashes/index.js';
 import {FrontListener, ServerSelector, TenantShares} from './front/index.js';
 import {RateLimitedLogger} from './lib/rate-limited-logger.js';
 import {createRouteListener} from './lib/route-listener.js';
@@ -243,12 +244,16 @@
         this.scheduleRelease();
       },
     );
+    const crashes = new CrashDetector(this.context, (crash) => {
+      logCrash(this.context, crash);
+    });
     this.front = new FrontListener(
       this.context,
       this.pools,
       selector,
       new TenantShares(this.context, fairShares),
       this.quotas,
+      crashes,
     );
   }
 
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -27,6 +27,7 @@
 import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
+import {type CrashGuard, NO_CRASH_GUARD} from '../crashes/index.js';
 import {type Admission, NO_QUOTAS, type QuotaGate} from '../tenants/index.js';
 import {headerValue, type UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
@@ -81,6 +82,7 @@
     private readonly selector: ServerSelector,
     private readonly shares: TenantShares,
     private readonly quotas: QuotaGate = NO_QUOTAS,
+    private readonly crashes: CrashGuard = NO_CRASH_GUARD,
   ) {
     this.authenticator = new CallerAuthenticator(context);
     this.server = createServer(
@@ -300,9 +302,10 @@
     answer: CallerAnswer,
     buffers: RequestBufferTracker,
   ): Promise<boolean> {
-    const {context, pools, selector, authenticator: gate} = this;
+    const {context, pools, selector, crashes, authenticator: gate} = this;
     const budget = this.retryBudgetFor(service.name);
-    const parts = {context, pools, selector, budget, authenticator: gate};
+    const shared = {context, pools, selector, crashes};
+    const parts = {...shared, budget, authenticator: gate};
     const handler = new RequestHandler(
       parts,
       request,
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -12,6 +12,7 @@
 } from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
+import {type CrashGuard, sharedPromptParts} from '../crashes/index.js';
 import type {ResponseHead, UpstreamPools} from '../upstream/index.js';
 import type {CallerAnswer} from './caller-answer.js';
 import {
@@ -30,6 +31,7 @@
   readonly pools: UpstreamPools;
   readonly selector: ServerSelector;
   readonly budget: RetryBudget;
+  readonly crashes: CrashGuard;
   readonly authenticator: Pick<CallerAuthenticator, 'mayStillSend'>;
 }
 
@@ -202,6 +204,7 @@
     this.send = send;
     this.latestSend = send;
     this.parts.selector.requestStarted(this.request, server);
+    const sentAt = context.clock.now();
     const result = await send.run(this.request, {
       serverId: server.entry.id,
       remainingMs: this.remainingMs(),
@@ -219,6 +222,18 @@
     this.buffers.clearSource();
     this.parts.selector.requestEnded(this.request, server);
     const end = result.type === 'no-answer' ? result.outcome : result.type;
+    const interrupted =
+      result.type === 'no-answer' &&
+      result.outcome === 'unknown' &&
+      result.failure === 'interrupted';
+    const promptParts = interrupted
+      ? sharedPromptParts(context.platform, this.request)
+      : undefined;
+    if (promptParts !== undefined) {
+      const requestId = this.request.id;
+      const lost = {requestId, promptParts, sentAt};
+      this.parts.crashes.recordInterrupted(server, lost);
+    }
     context.metrics.sends.inc({service: this.service.name, end});
     context.logger.info('send ended', {
       requestId: this.request.id,
@@ -229,6 +244,7 @@
       end,
       status: statusOf(result),
       detail: result.type === 'no-answer' ? result.detail : undefined,
+      promptParts: promptParts?.join(','),
       elapsedMs: this.elapsedMs(),
     });
     return result;
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -22,9 +22,9 @@
 } from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
+import {sharedPromptParts} from '../crashes/index.js';
 import type {AdapterBroker} from '../orders/index.js';
 import type {SendPermits} from '../permits/index.js';
-import {headerValue} from '../upstream/index.js';
 import type {CallerRequest} from './caller-request.js';
 import {estimateLogFields, readPromptTokens} from './send-estimate.js';
 
@@ -288,17 +288,11 @@
     modelServers: readonly Server[],
     choice: ChoiceContext,
   ): Selection {
-    const {forwarding} = this.context.platform;
-    const promptParts = headerValue(
-      request.rawHeaders,
-      forwarding.headers.promptParts.toLowerCase(),
-    );
     // Requests with common prompt parts go to the same server, which has those
     // parts in its cache.
-    const sharedParts = forwarding
-      .parseSharedParts(promptParts ?? '')
-      .join(',');
-    const key = `${request.model ?? ''} ${sharedParts}`;
+    const {platform} = this.context;
+    const promptParts = sharedPromptParts(platform, request).join(',');
+    const key = `${request.model ?? ''} ${promptParts}`;
     const [server] = rankByAffinity(
       key,
       modelServers,
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -9,6 +9,7 @@
 import type {EntryHostContext} from '../context.js';
 import {
   applyServerNotice,
+  type ExchangeFailure,
   type ExchangeHandle,
   headerValue,
   type ResponseHead,
@@ -42,6 +43,8 @@
       readonly detail: string;
       /** Status of a "not run" answer, if there was one. */
       readonly status: number | undefined;
+      /** Why the exchange failed; undefined for a "not run" answer. */
+      readonly failure?: ExchangeFailure;
     }
   /** The server ran the request and answered with a failure. */
   | {
@@ -316,7 +319,8 @@
         ? 'not-run'
         : 'unknown';
     const status = this.head?.status;
-    this.settle({type: 'no-answer', outcome, detail, status});
+    const {reason: failure} = error;
+    this.settle({type: 'no-answer', outcome, detail, status, failure});
   }
 
   private classify(result: SendResult): AttemptOutcome {
--- a/packages/entry-host/src/index.ts
+++ b/packages/entry-host/src/index.ts
@@ -1,4 +1,5 @@
 export * from './context.js';
+export * from './crashes/index.js';
 export * from './entry-host.js';
 export * from './front/index.js';
 export * from './metrics.js';
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -46,6 +46,12 @@
     ['service', 'end'],
   );
 
+  readonly serverCrashes = this.counter(
+    'basilworks_server_crashes_total',
+    'Crashes of servers that interrupted requests of this host, by service.',
+    ['service'],
+  );
+
   readonly orders = this.counter(
     'basilworks_orders_total',
     'Load and unload orders by operation and how they ended.',
--- a/packages/entry-host/src/test/front/slow-callers_test.ts
+++ b/packages/entry-host/src/test/front/slow-callers_test.ts
@@ -12,6 +12,7 @@
 import test from 'ava';
 
 import type {EntryHostContext} from '../../context.js';
+import {NO_CRASH_GUARD} from '../../crashes/index.js';
 import {CallerAnswer} from '../../front/caller-answer.js';
 import {RequestBufferTracker} from '../../front/request-buffer-tracker.js';
 import {
@@ -182,6 +183,7 @@
         deposit: () => undefined,
         withdraw: () => false,
       } as unknown as RequestHandlerParts['budget'],
+      crashes: NO_CRASH_GUARD,
       authenticator: {mayStillSend: () => true},
     };
   }
