Keep prompt parts that crash servers from all servers

Cause: nothing relates a crash to what the server was running, on one host or over all. The next request with the part is sent like any other.

Change: hosts report the sends that a crash interrupted to two investigators. A key, here a shared part of a prompt, is put in quarantine after three crashes in turn under requests with it, unless any host has completed one within a minute. The key is announced to all hosts and recorded in the store, so that hosts which start know it. Its requests are refused at once; those that have run are not called not run.

Evidence: the test of the issue's kind failed before and passes now.

Why it works: crashes, presence and completions are taken over the whole fleet, and a part that sound requests share has completions.

--- /dev/null
+++ b/packages/dispatch/src/crashes/index.ts
@@ -0,0 +1,3 @@
+export * from './completions.js';
+export * from './crash-evidence.js';
+export * from './quarantine.js';
--- a/packages/dispatch/src/fleet/records.ts
+++ b/packages/dispatch/src/fleet/records.ts
@@ -1,3 +1,5 @@
+import {createHash} from 'node:crypto';
+
 import {z} from 'zod';
 
 /** Addresses of an entry host; changes only when they do. */
@@ -28,12 +30,25 @@
 });
 export type ClaimRecord = z.infer<typeof claimRecordSchema>;
 
+/** A key whose requests crash servers and are therefore not sent to any. */
+export const quarantineRecordSchema = z.object({
+  type: z.literal('quarantine'),
+  key: z.string(),
+  /** Crashes that are attributed to it. */
+  crashes: z.number().int().positive(),
+});
+export type QuarantineRecord = z.infer<typeof quarantineRecordSchema>;
+
 /** Records that entry hosts keep in the platform's store. */
 export const fleetRecordSchema = z.discriminatedUnion('type', [
   hostRecordSchema,
   claimRecordSchema,
+  quarantineRecordSchema,
 ]);
 export type FleetRecord = z.infer<typeof fleetRecordSchema>;
 
+/** Name of a record; keys may have characters that names may not. */
+export const quarantineRecordName = (key: string): string =>
+  `quarantine.${createHash('sha256').update(key).digest('hex').slice(0, 32)}`;
 export const hostRecordName = (host: string): string => `host.${host}`;
 export const claimRecordName = (server: string): string => `claim.${server}`;
--- a/packages/entry-host/src/crashes/crash-detector.ts
+++ b/packages/entry-host/src/crashes/crash-detector.ts
@@ -11,8 +11,8 @@
 /** A send that was in progress at a server when that crashed. */
 export interface LostSend {
   readonly requestId: string;
-  /** Parts of its prompt that other requests share. */
-  readonly promptParts: readonly string[];
+  /** What it has in common with other requests; see `requestKeys`. */
+  readonly keys: readonly string[];
   readonly sentAt: Instant;
 }
 
@@ -24,8 +24,13 @@
   readonly sends: readonly LostSend[];
 }
 
-/** Receives a crash, and again with all lost sends if more are found. */
-export type CrashObserver = (crash: ServerCrash) => void;
+/** Receives what the ends of sends turn out to mean. */
+export interface CrashObserver {
+  /** A server has crashed; again with all lost sends if more are found. */
+  crashed(crash: ServerCrash): void;
+  /** An answer that ended with its connection was complete. */
+  completed(send: LostSend): void;
+}
 
 /** Attempts a connection to a server. */
 export type Probe = (address: UpstreamAddress) => Promise<ProbeResult>;
@@ -51,11 +56,19 @@
 /** How long lost sends of one server belong together, milliseconds. */
 const CRASH_WINDOW_MS = 2_000;
 
+/**
+ * Time after which an answer that ended with its connection counts as complete
+ * unless its server has crashed, milliseconds.
+ */
+const CLOSE_WINDOW_MS = 1_000;
+
 /** The interrupted sends of one server instance. */
 interface Interruption {
   readonly server: Server;
   readonly at: Instant;
   readonly sends: LostSend[];
+  /** Sends whose answers ended with their connections. */
+  readonly closed: Set<LostSend>;
   crashed: boolean;
   reportScheduled: boolean;
 }
@@ -70,26 +83,61 @@
 
   constructor(
     private readonly context: EntryHostContext,
-    private readonly onCrash: CrashObserver,
+    private readonly observer: CrashObserver,
     private readonly probe: Probe = (address) =>
       probeConnection(address, context.timers, PROBE_TIMEOUT_MS),
   ) {}
 
   /** Records a send that its server interrupted. */
   recordInterrupted(server: Server, send: LostSend): void {
+    const interruption = this.interruptionOf(server);
+    interruption.sends.push(send);
+    if (interruption.crashed) {
+      this.scheduleReport(interruption);
+    } else if (interruption.sends.length === 1) {
+      this.scheduleProbe(interruption, FIRST_PROBE_DELAY_MS, () => {
+        this.scheduleProbe(interruption, SECOND_PROBE_DELAY_MS);
+      });
+    }
+  }
+
+  /**
+   * Records an answer that ended with its connection. It is complete unless its
+   * server has crashed: the end of a process closes its connections as well.
+   */
+  recordClosed(server: Server, send: LostSend): void {
+    const interruption = this.interruptionOf(server);
+    interruption.closed.add(send);
+    if (interruption.crashed) {
+      this.scheduleReport(interruption);
+    }
+    const {timers} = this.context;
+    timers.after(`crashes/closed/${send.requestId}`, CLOSE_WINDOW_MS, () => {
+      if (interruption.closed.delete(send)) {
+        this.observer.completed(send);
+      }
+    });
+  }
+
+  /** Records that a connection to a server was refused. */
+  recordUnreachable(server: Server): void {
+    const interruption = this.interruptions.get(server.key);
+    if (interruption !== undefined) {
+      this.confirm(interruption);
+    }
+  }
+
+  private interruptionOf(server: Server): Interruption {
     const known = this.interruptions.get(server.key);
     if (known !== undefined) {
-      known.sends.push(send);
-      if (known.crashed) {
-        this.scheduleReport(known);
-      }
-      return;
+      return known;
     }
     const {clock, timers} = this.context;
     const interruption: Interruption = {
       server,
       at: clock.now(),
-      sends: [send],
+      sends: [],
+      closed: new Set(),
       crashed: false,
       reportScheduled: false,
     };
@@ -97,9 +145,7 @@
     timers.after(`crashes/window/${server.key}`, CRASH_WINDOW_MS, () => {
       this.interruptions.delete(server.key);
     });
-    this.scheduleProbe(interruption, FIRST_PROBE_DELAY_MS, () => {
-      this.scheduleProbe(interruption, SECOND_PROBE_DELAY_MS);
-    });
+    return interruption;
   }
 
   private scheduleProbe(
@@ -126,8 +172,8 @@
 
   private confirm(interruption: Interruption): void {
     const {entry, notices} = interruption.server;
-    if (entry.leaving || notices.leaving) {
-      // Its planned end is no crash.
+    if (interruption.crashed || entry.leaving || notices.leaving) {
+      // The planned end of a server is no crash.
       return;
     }
     interruption.crashed = true;
@@ -140,11 +186,13 @@
       return;
     }
     interruption.reportScheduled = true;
-    const {server, at, sends} = interruption;
+    const {server, at, sends, closed} = interruption;
     const {timers} = this.context;
     timers.after(`crashes/report/${server.key}`, REPORT_DELAY_MS, () => {
       interruption.reportScheduled = false;
-      this.onCrash({server, at, sends: [...sends]});
+      sends.push(...closed);
+      closed.clear();
+      this.observer.crashed({server, at, sends: [...sends]});
     });
   }
 }
--- /dev/null
+++ b/packages/entry-host/src/crashes/quarantine-records.ts
@@ -0,0 +1,114 @@
+import {
+  type Quarantine,
+  quarantineRecordName,
+  type QuarantineRecord,
+  quarantineRecordSchema,
+} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+
+/**
+ * Interval at which records are written that the store has not taken yet, and
+ * expired ones removed, milliseconds.
+ */
+const REVIEW_PERIOD_MS = 500;
+
+/**
+ * The quarantine in the metadata store, from which hosts that start, all of
+ * them included, learn it. A record that an operator deletes releases its key.
+ */
+export class QuarantineRecords {
+  /** Records that this host has yet to write. */
+  private readonly unwritten = new Map<string, QuarantineRecord>();
+  private readonly pending = new Set<string>();
+  /** Names and revisions of the records in the store by their keys. */
+  private stored = new Map<string, {name: string; revision: number}>();
+
+  constructor(
+    private readonly context: EntryHostContext,
+    private readonly quarantine: Quarantine,
+    /** Whether this host removes expired records. */
+    private readonly removesExpired: () => boolean,
+    /** Called with keys that have been released. */
+    private readonly onReleased: (keys: readonly string[]) => void,
+  ) {}
+
+  start(): void {
+    const {timers, signal} = this.context;
+    timers.every(
+      'crashes/records',
+      REVIEW_PERIOD_MS,
+      () => {
+        this.review();
+      },
+      {signal},
+    );
+  }
+
+  /** Writes the record of a key. */
+  add(key: string, crashes: number): void {
+    this.unwritten.set(key, {type: 'quarantine', key, crashes});
+    this.review();
+  }
+
+  /** Applies the latest view of the records in the store. */
+  applyRecords(): void {
+    const {views, clock, logger} = this.context;
+    const items = views.get('records')?.snapshot.items ?? [];
+    this.stored = new Map(
+      items.flatMap(({name, revision, value}) => {
+        const record = quarantineRecordSchema.safeParse(value).data;
+        return record === undefined ? [] : [[record.key, {name, revision}]];
+      }),
+    );
+    const keys = [...this.stored.keys()];
+    const released = this.quarantine.applyRecorded(keys, clock.now());
+    if (released.length > 0) {
+      logger.info('keys released from quarantine', {keys: released.join(',')});
+      this.onReleased(released);
+    }
+  }
+
+  private review(): void {
+    for (const [key, record] of this.unwritten) {
+      void this.write(key, record);
+    }
+    if (this.removesExpired()) {
+      for (const key of this.quarantine.expired(this.context.clock.now())) {
+        void this.remove(key);
+      }
+    }
+  }
+
+  private async write(key: string, record: QuarantineRecord): Promise<void> {
+    if (this.pending.has(key)) {
+      return;
+    }
+    this.pending.add(key);
+    const {platform, metrics, clock} = this.context;
+    const name = quarantineRecordName(key);
+    const result = await platform.store.write(name, record, undefined);
+    this.pending.delete(key);
+    const end = result.isOk() ? result.value.type : result.error.failure;
+    metrics.storeCalls.inc({operation: 'create', end});
+    if (result.isOk()) {
+      // Written now or, on a conflict, before by another host.
+      this.unwritten.delete(key);
+    } else {
+      this.quarantine.announce(key, clock.now());
+    }
+  }
+
+  private async remove(key: string): Promise<void> {
+    const stored = this.stored.get(key);
+    if (stored === undefined || this.pending.has(key)) {
+      return;
+    }
+    this.pending.add(key);
+    const {platform, metrics} = this.context;
+    const result = await platform.store.remove(stored.name, stored.revision);
+    this.pending.delete(key);
+    const end = result.isOk() ? 'removed' : result.error.failure;
+    metrics.storeCalls.inc({operation: 'remove', end});
+  }
+}
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -40,7 +40,7 @@
 import {ok, type Result} from 'neverthrow';
 
 import type {EntryHostContext} from './context.js';
-import {CrashDetector, logCrash} from './crashes/index.js';
+import {CrashMonitor} from './crashes/index.js';
 import {FrontListener, ServerSelector, TenantShares} from './front/index.js';
 import {RateLimitedLogger} from './lib/rate-limited-logger.js';
 import {createRouteListener} from './lib/route-listener.js';
@@ -124,6 +124,7 @@
   private readonly permits: SendPermits;
   private readonly broker: AdapterBroker;
   private readonly quotas: TenantQuotas;
+  private readonly crashes: CrashMonitor;
   private readonly peerService: FleetPeerService;
   private readonly front: FrontListener;
   private readonly healthCheckedAt = new Map<string, Instant>();
@@ -228,11 +229,13 @@
       linkTo,
     );
     this.quotas = new TenantQuotas(this.context, linkTo);
+    this.crashes = new CrashMonitor(this.context, linkTo);
     this.peerService = new FleetPeerService(
       this.exchange,
       this.broker,
       this.permits,
       this.quotas,
+      this.crashes,
     );
     const selector = new ServerSelector(
       this.context,
@@ -244,16 +247,13 @@
         this.scheduleRelease();
       },
     );
-    const crashes = new CrashDetector(this.context, (crash) => {
-      logCrash(this.context, crash);
-    });
     this.front = new FrontListener(
       this.context,
       this.pools,
       selector,
       new TenantShares(this.context, fairShares),
       this.quotas,
-      crashes,
+      this.crashes,
     );
   }
 
@@ -262,6 +262,7 @@
     return (
       !this.stopping &&
       this.routes !== undefined &&
+      this.crashes.isReady() &&
       this.context.servers.all().length > 0
     );
   }
@@ -293,6 +294,7 @@
     this.claims.start();
     this.broker.start();
     this.quotas.start();
+    this.crashes.start();
     this.startMaintenance();
     this.context.logger.info('started', {
       incarnation: this.context.membership.self().incarnation,
@@ -424,6 +426,7 @@
   /** Applies the latest view of the fleet records. */
   applyRecords(): void {
     this.claims.applyRecords();
+    this.crashes.applyRecords();
   }
 
   private hostStatus(incarnation: string): HostStatus {
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -234,6 +234,10 @@
       reject(503, 'no configuration is known yet');
       return;
     }
+    if (!this.crashes.isReady()) {
+      reject(503, 'it is not known yet which requests crash servers');
+      return;
+    }
     if (request.id === '') {
       reject(400, 'the request has no identity');
       return;
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -3,6 +3,7 @@
   type Caller,
   isRepeatable,
   nextStep,
+  QUARANTINE_MS,
   retryAfterS,
   type RetryBudget,
   type Route,
@@ -12,7 +13,7 @@
 } from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
-import {type CrashGuard, sharedPromptParts} from '../crashes/index.js';
+import {type CrashGuard, requestKeys} from '../crashes/index.js';
 import type {ResponseHead, UpstreamPools} from '../upstream/index.js';
 import type {CallerAnswer} from './caller-answer.js';
 import {
@@ -75,6 +76,7 @@
   private possiblyRan = false;
   private outcome = 'open';
   private headAt: Instant | undefined;
+  private requestKeys: readonly string[] | undefined;
 
   constructor(
     private readonly parts: RequestHandlerParts,
@@ -108,7 +110,15 @@
     timers.after(this.timer, this.remainingMs(), () => {
       this.handleTimeout();
     });
+    const unsubscribe = this.parts.crashes.onQuarantine(() => {
+      this.handleQuarantine();
+    });
     while (!this.finished) {
+      const key = this.quarantinedKey();
+      if (key !== undefined) {
+        this.endWithoutServer(inQuarantine(key));
+        break;
+      }
       if (!this.mayStillSend()) {
         this.countUnconfirmed();
         this.endWithoutServer(KEY_UNCONFIRMED);
@@ -129,6 +139,7 @@
       }
       this.handleResult(result, selection.server);
     }
+    unsubscribe();
     timers.cancel(this.timer);
     this.buffers.recordRequestEnd();
   }
@@ -199,7 +210,7 @@
           this.handleData(chunk);
         },
       },
-      () => this.mayStillSend(),
+      () => this.mayStillSend() && this.quarantinedKey() === undefined,
     );
     this.send = send;
     this.latestSend = send;
@@ -222,18 +233,7 @@
     this.buffers.clearSource();
     this.parts.selector.requestEnded(this.request, server);
     const end = result.type === 'no-answer' ? result.outcome : result.type;
-    const interrupted =
-      result.type === 'no-answer' &&
-      result.outcome === 'unknown' &&
-      result.failure === 'interrupted';
-    const promptParts = interrupted
-      ? sharedPromptParts(context.platform, this.request)
-      : undefined;
-    if (promptParts !== undefined) {
-      const requestId = this.request.id;
-      const lost = {requestId, promptParts, sentAt};
-      this.parts.crashes.recordInterrupted(server, lost);
-    }
+    this.recordEvidence(result, send, server, sentAt);
     context.metrics.sends.inc({service: this.service.name, end});
     context.logger.info('send ended', {
       requestId: this.request.id,
@@ -244,12 +244,52 @@
       end,
       status: statusOf(result),
       detail: result.type === 'no-answer' ? result.detail : undefined,
-      promptParts: promptParts?.join(','),
+      keys: isInterrupted(result) ? this.keys().join(',') : undefined,
       elapsedMs: this.elapsedMs(),
     });
     return result;
   }
 
+  /** Records what the end of a send shows of crashes and their causes. */
+  private recordEvidence(
+    result: SendResult,
+    send: ServerSend,
+    server: Server,
+    sentAt: Instant,
+  ): void {
+    const {crashes} = this.parts;
+    const details = {requestId: this.request.id, keys: this.keys(), sentAt};
+    if (isInterrupted(result)) {
+      crashes.recordInterrupted(server, details);
+    } else if (result.type === 'no-answer') {
+      if (result.error?.connectionRefused === true) {
+        crashes.recordUnreachable(server);
+      }
+    } else if (send.endedWithConnection) {
+      crashes.recordClosed(server, details);
+    } else {
+      crashes.recordCompleted(details.keys);
+    }
+  }
+
+  private keys(): readonly string[] {
+    this.requestKeys ??= requestKeys(this.parts.context.platform, this.request);
+    return this.requestKeys;
+  }
+
+  private quarantinedKey(): string | undefined {
+    return this.parts.crashes.quarantined(() => this.keys());
+  }
+
+  /** Refuses the request if it waits for a server and must not be sent. */
+  private handleQuarantine(): void {
+    const key = this.quarantinedKey();
+    if (!this.finished && this.send === undefined && key !== undefined) {
+      this.endWithoutServer(inQuarantine(key));
+      this.abort.abort();
+    }
+  }
+
   private handleResult(result: SendResult, server: Server): void {
     if (result.type === 'answered') {
       this.complete();
@@ -521,6 +561,19 @@
   result.outcome === 'failed' ||
   result.outcome === 'unknown';
 
+const isInterrupted = (result: SendResult): boolean =>
+  result.type === 'no-answer' &&
+  result.outcome === 'unknown' &&
+  result.error?.reason === 'interrupted';
+
+/** Refuses a request that must not be sent to any server. */
+const inQuarantine = (key: string) =>
+  ({
+    type: 'none',
+    reason: `${key} crashes servers`,
+    retryAfterMs: QUARANTINE_MS,
+  }) as const;
+
 /** Status of an answer other than a success, for the log. */
 const statusOf = (result: SendResult): number | undefined =>
   result.type === 'failure'
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -9,7 +9,6 @@
 import type {EntryHostContext} from '../context.js';
 import {
   applyServerNotice,
-  type ExchangeFailure,
   type ExchangeHandle,
   headerValue,
   type ResponseHead,
@@ -44,7 +43,7 @@
       /** Status of a "not run" answer, if there was one. */
       readonly status: number | undefined;
       /** Why the exchange failed; undefined for a "not run" answer. */
-      readonly failure?: ExchangeFailure;
+      readonly error?: UpstreamError;
     }
   /** The server ran the request and answered with a failure. */
   | {
@@ -145,6 +144,11 @@
     };
   }
 
+  /** Whether only the end of the connection marked the end of the answer. */
+  get endedWithConnection(): boolean {
+    return this.head?.endsWithConnection ?? false;
+  }
+
   get timingLogFields(): StreamTimingLogFields {
     return this.timing?.logFields ?? {};
   }
@@ -319,8 +323,7 @@
         ? 'not-run'
         : 'unknown';
     const status = this.head?.status;
-    const {reason: failure} = error;
-    this.settle({type: 'no-answer', outcome, detail, status, failure});
+    this.settle({type: 'no-answer', outcome, detail, status, error});
   }
 
   private classify(result: SendResult): AttemptOutcome {
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -52,6 +52,12 @@
     ['service'],
   );
 
+  readonly quarantines = this.counter(
+    'basilworks_quarantined_keys_total',
+    'Keys of requests that this host put in quarantine.',
+    [],
+  );
+
   readonly orders = this.counter(
     'basilworks_orders_total',
     'Load and unload orders by operation and how they ended.',
--- a/packages/entry-host/src/orders/claim-manager.ts
+++ b/packages/entry-host/src/orders/claim-manager.ts
@@ -89,7 +89,7 @@
         });
       } else if (record.type === 'claim') {
         this.claims.set(record.server, {record, revision: item.revision});
-      } else {
+      } else if (record.type === 'host') {
         this.hosts.set(record.host, item);
       }
     }
--- a/packages/entry-host/src/peers/index.ts
+++ b/packages/entry-host/src/peers/index.ts
@@ -1,3 +1,4 @@
+export * from './crash-codec.js';
 export * from './host-codec.js';
 export * from './peer-exchange.js';
 export * from './peer-link.js';
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -65,6 +65,9 @@
   | 'permit'
   | 'quota'
   | 'release'
+  | 'reportCrashes'
+  | 'queryCompletions'
+  | 'announceQuarantine'
   | 'isUnresponsive'
   | 'close'
 >;
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -1,6 +1,7 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 import type {Clock, TimerService} from '@basilworks/daemon';
 import type {
+  CrashReport,
   IssuerUpdate,
   PrepareAnswer,
   PrepareRequest,
@@ -8,6 +9,7 @@
 import {fleet} from '@basilworks/protocol';
 import {type ClientDuplexStream, credentials} from '@grpc/grpc-js';
 
+import {encodeCrashReports, type KeyCompletion} from './crash-codec.js';
 import {
   decodePrepareAnswer,
   UNREACHABLE_ANSWER,
@@ -25,6 +27,9 @@
  */
 const PERMIT_TIMEOUT_MS = 120;
 
+/** Time-out of calls about crashes of servers, milliseconds. */
+const CRASH_TIMEOUT_MS = 400;
+
 /** How long after an abandoned call its response is accepted, milliseconds. */
 const LATE_RESPONSE_WINDOW_MS = 5_000;
 
@@ -180,6 +185,44 @@
     return response?.$case === 'quota' ? response.value : undefined;
   }
 
+  /** Reports crashes of servers; false if the peer did not confirm. */
+  async reportCrashes(
+    fromHost: string,
+    reports: readonly CrashReport[],
+  ): Promise<boolean> {
+    const crashes = encodeCrashReports(reports);
+    const response = await this.call(
+      {$case: 'crashReport', value: {fromHost, crashes}},
+      CRASH_TIMEOUT_MS,
+    );
+    return response?.$case === 'crashReport';
+  }
+
+  /**
+   * Asks when requests with the keys were last completed at the peer; undefined
+   * if no response arrives in time.
+   */
+  async queryCompletions(
+    keys: readonly string[],
+  ): Promise<readonly KeyCompletion[] | undefined> {
+    const response = await this.call(
+      {$case: 'completions', value: {keys: [...keys]}},
+      CRASH_TIMEOUT_MS,
+    );
+    return response?.$case === 'completions'
+      ? response.value.completions
+      : undefined;
+  }
+
+  /** Announces keys in quarantine; false if the peer did not confirm. */
+  async announceQuarantine(keys: readonly string[]): Promise<boolean> {
+    const response = await this.call(
+      {$case: 'quarantine', value: {keys: [...keys]}},
+      CRASH_TIMEOUT_MS,
+    );
+    return response?.$case === 'quarantine';
+  }
+
   /** Reports what changed at servers to the peer, their issuer. */
   release(fromHost: string, update: IssuerUpdate): void {
     const {releases, requests, prefilled, gaps} = update;
--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -1,5 +1,6 @@
 import {ListenError} from '@basilworks/daemon';
 import type {
+  CrashReport,
   IssuerUpdate,
   PrepareAnswer,
   PrepareRequest,
@@ -12,6 +13,11 @@
 } from '@grpc/grpc-js';
 import {ResultAsync} from 'neverthrow';
 
+import {
+  decodeCrashReports,
+  encodeCompletions,
+  type KeyCompletion,
+} from './crash-codec.js';
 import {encodePrepareAnswer} from './prepare-answer-codec.js';
 import type {PeerExchange} from './peer-exchange.js';
 import {PEER_CHANNEL_OPTIONS} from './peer-link.js';
@@ -37,6 +43,13 @@
   grant(request: fleet.QuotaRequest): fleet.QuotaResponse;
 }
 
+/** Takes part in finding requests that crash servers. */
+export interface CrashParticipant {
+  applyReports(host: string, reports: readonly CrashReport[]): void;
+  completionsOf(keys: readonly string[]): readonly KeyCompletion[];
+  announce(keys: readonly string[]): void;
+}
+
 type Conversation = ServerDuplexStream<fleet.PeerRequest, fleet.PeerResponse>;
 
 /** The gRPC server for other entry hosts. */
@@ -48,10 +61,17 @@
     preparer: AdapterPreparer,
     granter: PermitGranter,
     quotas: QuotaGranter,
+    crashes: CrashParticipant,
   ) {
     const service: fleet.FleetServiceServer = {
       converse: (call) => {
-        const handlers = [exchange, preparer, granter, quotas] as const;
+        const handlers = [
+          exchange,
+          preparer,
+          granter,
+          quotas,
+          crashes,
+        ] as const;
         new PeerConversation(call, ...handlers).start();
       },
     };
@@ -98,6 +118,7 @@
     private readonly preparer: AdapterPreparer,
     private readonly granter: PermitGranter,
     private readonly quotas: QuotaGranter,
+    private readonly crashes: CrashParticipant,
   ) {}
 
   start(): void {
@@ -145,6 +166,19 @@
       const value = this.quotas.grant(request);
       this.call.write({serial, response: {$case: 'quota', value}});
     },
+    crashReport: (serial, {fromHost, crashes}) => {
+      this.crashes.applyReports(fromHost, decodeCrashReports(crashes));
+      this.call.write({serial, response: {$case: 'crashReport', value: {}}});
+    },
+    completions: (serial, {keys}) => {
+      const completions = encodeCompletions(this.crashes.completionsOf(keys));
+      const value = {completions};
+      this.call.write({serial, response: {$case: 'completions', value}});
+    },
+    quarantine: (serial, {keys}) => {
+      this.crashes.announce(keys);
+      this.call.write({serial, response: {$case: 'quarantine', value: {}}});
+    },
     release: (_serial, {fromHost, releases, requests, prefilled, gaps}) => {
       this.preparer.applyUpdate(fromHost, {
         releases: releases.map(({serverRun, model, adapter}) => ({
--- /dev/null
+++ b/packages/entry-host/src/test/crashes/crash-detector_test.ts
@@ -0,0 +1,84 @@
+import {ServerHealth, ServerNotices, type Server} from '@basilworks/dispatch';
+import test from 'ava';
+
+import {CrashDetector, type ServerCrash} from '../../crashes/index.js';
+import type {ProbeResult} from '../../upstream/index.js';
+import {FleetSimulation, serverEntry} from '../views/fleet-simulation.js';
+
+const AFTERWARDS_MS = 3_000;
+
+const createServer = (leaving = false): Server => ({
+  key: 'server',
+  entry: {...serverEntry('server'), leaving},
+  revision: 1,
+  health: new ServerHealth(),
+  notices: new ServerNotices(),
+  outageEndedAt: undefined,
+});
+
+/** A detector whose connection attempts all have the same result. */
+const createDetector = (result: ProbeResult) => {
+  const fleet = new FleetSimulation(1);
+  const {context} = fleet.startHost('h0');
+  const crashes: ServerCrash[] = [];
+  const completed: string[] = [];
+  const detector = new CrashDetector(
+    context,
+    {
+      crashed: (crash) => crashes.push(crash),
+      completed: ({requestId}) => completed.push(requestId),
+    },
+    () => Promise.resolve(result),
+  );
+  const {clock} = context;
+  const send = (requestId: string) => ({
+    requestId,
+    keys: ['part/a'],
+    sentAt: clock.now(),
+  });
+  const finish = async () => {
+    await fleet.time.advance(fleet.time.nowMs + AFTERWARDS_MS);
+    fleet.close();
+    const lost = crashes.map(({sends}) => sends.map(({requestId: id}) => id));
+    return {lost, completed};
+  };
+  return {detector, send, finish};
+};
+
+test('a server that refuses connections after it interrupted sends has crashed', async (t) => {
+  const {detector, send, finish} = createDetector('refused');
+  const server = createServer();
+  detector.recordInterrupted(server, send('1'));
+  detector.recordInterrupted(server, send('2'));
+  t.deepEqual(await finish(), {lost: [['1', '2']], completed: []});
+});
+
+// Guards against blaming requests for connections that were reset, links that
+// were cut and servers that ended as planned.
+for (const [result, leaving] of [
+  ['open', false],
+  ['silent', false],
+  ['refused', true],
+] as const) {
+  test(`an interrupted send is no crash: ${result}${leaving ? ', leaving' : ''}`, async (t) => {
+    const {detector, send, finish} = createDetector(result);
+    detector.recordInterrupted(createServer(leaving), send('1'));
+    t.deepEqual((await finish()).lost, []);
+  });
+}
+
+// Guards against taking the end of a crashed process for the end of an answer
+// that has neither a length nor chunks.
+test('an answer that ends with its connection is lost if its server crashed', async (t) => {
+  const {detector, send, finish} = createDetector('open');
+  const server = createServer();
+  detector.recordClosed(server, send('1'));
+  detector.recordUnreachable(server);
+  t.deepEqual(await finish(), {lost: [['1']], completed: []});
+});
+
+test('an answer that ends with its connection is complete otherwise', async (t) => {
+  const {detector, send, finish} = createDetector('open');
+  detector.recordClosed(createServer(), send('1'));
+  t.deepEqual(await finish(), {lost: [], completed: ['1']});
+});
--- a/packages/entry-host/src/test/views/fleet-simulation.ts
+++ b/packages/entry-host/src/test/views/fleet-simulation.ts
@@ -17,11 +17,14 @@
 
 import {
   type ClaimManager,
+  CrashMonitor,
   type EntryHostContext,
   EntryHostMetrics,
   entryHostSettingsSchema,
+  type KeyCompletion,
   PeerExchange,
   type PlatformProtocol,
+  type ProbeResult,
   SendPermits,
   ServerTableUpdater,
   StoreReader,
@@ -35,6 +38,7 @@
 /** Timeouts of requests to peers, milliseconds. */
 const EXCHANGE_TIMEOUT_MS = 700;
 const PERMIT_TIMEOUT_MS = 120;
+const CRASH_TIMEOUT_MS = 400;
 
 /** Interval of removals of expired servers as in `EntryHost`, milliseconds. */
 const MAINTENANCE_PERIOD_MS = 250;
@@ -48,6 +52,7 @@
   readonly storeConnection: StoreConnection;
   readonly exchange: PeerExchange;
   readonly permits: SendPermits;
+  readonly crashes: CrashMonitor;
   /** Whether the host is cut off from all other hosts. */
   partitioned = false;
   /** Whether the host has stopped for good. */
@@ -127,6 +132,8 @@
     const onNewer = (kind: string) => {
       if (kind === 'servers') {
         serverTableUpdater.applyLatestView();
+      } else if (kind === 'records') {
+        this.crashes.applyRecords();
       }
     };
     this.storeReader = new StoreReader(this.context, onNewer, () => {
@@ -139,6 +146,24 @@
       permit: (request) => simulation.permit(this, to, request, whenRunning),
       quota: () => Promise.reject(new Error('not part of this simulation')),
       release: ignore,
+      reportCrashes: (from, reports) =>
+        simulation.callPeer(this, to, whenRunning, false, (peer) => {
+          peer.crashes.applyReports(from, reports);
+          return true;
+        }),
+      queryCompletions: (keys) =>
+        simulation.callPeer<readonly KeyCompletion[] | undefined>(
+          this,
+          to,
+          whenRunning,
+          undefined,
+          (peer) => peer.crashes.completionsOf(keys),
+        ),
+      announceQuarantine: (keys) =>
+        simulation.callPeer(this, to, whenRunning, false, (peer) => {
+          peer.crashes.announce(keys);
+          return true;
+        }),
       isUnresponsive: false,
       close: ignore,
     }));
@@ -156,7 +181,13 @@
       () => routes as unknown as RouteTable,
       (host) => this.exchange.linkTo(host),
     );
+    this.crashes = new CrashMonitor(
+      this.context,
+      (host) => this.exchange.linkTo(host),
+      ({port}) => Promise.resolve(simulation.probe(port)),
+    );
     this.storeReader.start();
+    this.crashes.start();
     this.exchange.start();
     this.context.timers.every('maintenance', MAINTENANCE_PERIOD_MS, () => {
       serverTableUpdater.expire();
@@ -231,6 +262,8 @@
   readonly hosts = new Map<string, SimulatedHost>();
   /** Issuer of each server; if not empty, every server has an engine. */
   readonly issuers = new Map<string, string>();
+  /** Ports at which no server listens. */
+  readonly closedPorts = new Set<number>();
   private incarnations = 0;
 
   constructor(
@@ -240,6 +273,11 @@
     this.names = Array.from({length: count}, (_unused, index) => `h${index}`);
   }
 
+  /** What an attempt to connect to a server shows. */
+  probe(port: number): ProbeResult {
+    return this.closedPorts.has(port) ? 'refused' : 'open';
+  }
+
   zoneOf(name: string): string {
     return `z${hostIndex(name) % this.layout.zones}`;
   }
@@ -350,6 +388,20 @@
     return this.call(from, to, PERMIT_TIMEOUT_MS, answer, whenRunning);
   }
 
+  /** Calls a peer; resolves to `missed` if no response arrives in time. */
+  async callPeer<Answer>(
+    from: SimulatedHost,
+    to: string,
+    whenRunning: (run: () => void) => void,
+    missed: Answer,
+    answer: (peer: SimulatedHost) => Answer,
+  ): Promise<Answer> {
+    return (
+      (await this.call(from, to, CRASH_TIMEOUT_MS, answer, whenRunning)) ??
+      missed
+    );
+  }
+
   /** Delivers a request to a host and its response, if both are reachable. */
   private call<Answer>(
     from: SimulatedHost,
--- a/packages/entry-host/src/test/views/store-model.ts
+++ b/packages/entry-host/src/test/views/store-model.ts
@@ -1,16 +1,25 @@
-import type {Snapshot, StoredItem, StoreKind} from '@basilworks/dispatch';
+import type {
+  FleetRecord,
+  Snapshot,
+  StoredItem,
+  StoreKind,
+} from '@basilworks/dispatch';
 import {err, ok, type Result, ResultAsync} from 'neverthrow';
 
 import {
   type MetadataStore,
   type StoreChanges,
   StoreError,
+  type WriteOutcome,
 } from '../../index.js';
 import type {VirtualTime} from './virtual-time.js';
 
 /** Fault of the store, or of a connection to it: no response, or a refusal. */
 export type StoreFault = 'none' | 'silent' | 'refuse';
 
+/** Time-out of a write, milliseconds. */
+const WRITE_TIMEOUT_MS = 800;
+
 interface Change {
   readonly kind: StoreKind;
   readonly revision: number;
@@ -42,6 +51,16 @@
     this.append({kind, revision: this.latestRevision, name, item});
   }
 
+  /** Creates an object unless there is one. */
+  create(kind: StoreKind, name: string, value: unknown): WriteOutcome {
+    const known = this.items.get(`${kind}/${name}`);
+    if (known === undefined) {
+      this.put(kind, name, value);
+    }
+    const item = known ?? {name, revision: this.latestRevision, value};
+    return {type: known === undefined ? 'written' : 'conflict', item};
+  }
+
   remove(kind: StoreKind, name: string): void {
     if (this.items.delete(`${kind}/${name}`)) {
       this.latestRevision += 1;
@@ -154,8 +173,14 @@
     );
   }
 
-  write(): ResultAsync<never, StoreError> {
-    return new ResultAsync(Promise.resolve(err(refusedError())));
+  /** Creates a record; none is replaced in simulations. */
+  write(
+    name: string,
+    record: FleetRecord,
+  ): ResultAsync<WriteOutcome, StoreError> {
+    return this.call(WRITE_TIMEOUT_MS, () =>
+      Promise.resolve(ok(this.store.create('records', name, record))),
+    );
   }
 
   remove(): ResultAsync<void, StoreError> {
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -34,6 +34,8 @@
     readonly sent: boolean,
     readonly reason: ExchangeFailure,
     detail: string,
+    /** Whether no process listens at the server's address. */
+    readonly connectionRefused = false,
   ) {
     super(detail);
   }
@@ -112,8 +114,9 @@
     this.socket.on('end', () => {
       this.handlePeerEnd();
     });
-    this.socket.on('error', (error) => {
-      this.fail(this.connected ? 'interrupted' : 'unreachable', error.message);
+    this.socket.on('error', ({message, code}: NodeJS.ErrnoException) => {
+      const reason = this.connected ? 'interrupted' : 'unreachable';
+      this.fail(reason, message, code === 'ECONNREFUSED');
     });
     this.socket.on('close', () => {
       this.fail('interrupted', 'closed by the server');
@@ -268,7 +271,11 @@
     }
   }
 
-  private fail(reason: ExchangeFailure, detail: string): void {
+  private fail(
+    reason: ExchangeFailure,
+    detail: string,
+    connectionRefused = false,
+  ): void {
     if (this.ended) {
       return;
     }
@@ -278,7 +285,7 @@
     this.exchange = undefined;
     this.observer.closed(this);
     exchange?.observer.failed(
-      new UpstreamError(exchange.written, reason, detail),
+      new UpstreamError(exchange.written, reason, detail, connectionRefused),
     );
   }
 }
