--- a/packages/entry-host/src/test/crashes/crash-simulation.ts
+++ b/packages/entry-host/src/test/crashes/crash-simulation.ts
@@ -93,10 +93,18 @@
     });
   }
 
-  /** Sends requests with a key that crashes servers until `untilMs`. */
-  sendCrashing(key: string, perSecond: number, untilMs: number): void {
+  /**
+   * Sends requests with a key that crashes servers until `untilMs`. They have
+   * `keys` as well.
+   */
+  sendCrashing(
+    key: string,
+    perSecond: number,
+    untilMs: number,
+    keys: readonly string[] = [RARE_KEY],
+  ): void {
     this.sendAtRate(perSecond, untilMs, () => {
-      this.send([RARE_KEY, key], true);
+      this.send([...keys, key], true);
     });
   }
 
