Send a repeated request on a connection that has not carried it

Callers would see: 'not run, try again' for a request that a server is running, or a second run elsewhere (REFUSED, TWICE).

Cause: responses on a kept connection are matched by the id of the request. A request that is refused and sent to the same server again, as after 421, has the same id there, so that a refusal which the server writes once more counts as the answer.

Change: the pool leaves connections that have carried the id. Duplicates of other requests' refusals were skipped by their ids before, and still are.

Evidence: the test failed before (the second send ended with 503) and passes.

--- a/packages/entry-host/src/test/upstream/connection_test.ts
+++ b/packages/entry-host/src/test/upstream/connection_test.ts
@@ -156,6 +156,30 @@
   server.close();
 });
 
+// Guards against reporting a request as not run while a server runs it: a
+// refusal that is written once more bears the id of a request that is sent
+// again.
+test('a duplicate of its own refusal is not taken for the answer to a request', async (t) => {
+  const requests = new Map<Socket, number>();
+  const refusal = (id: string) =>
+    `HTTP/1.1 503 Full\r\n${ID_HEADER}: ${id}\r\nContent-Length: 0\r\n\r\n`;
+  let refused = false;
+  const {server, pool} = await serve((request, socket) => {
+    const id = idOf(request);
+    const count = (requests.get(socket) ?? 0) + 1;
+    requests.set(socket, count);
+    if (!refused) {
+      refused = true;
+      return refusal(id);
+    }
+    return count > 1 ? refusal(id) + responseTo(id) : responseTo(id);
+  });
+  t.like(await send(pool, 'one'), {status: 503});
+  t.like(await send(pool, 'one'), {status: 200, body: 'one'});
+  pool.close();
+  server.close();
+});
+
 test('rejects a response to another request', async (t) => {
   const {server, pool} = await serve(() => responseTo('someone-else'));
   const result = await send(pool, 'one');
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -133,6 +133,11 @@
     return !this.ended && this.reusable && this.exchange === undefined;
   }
 
+  /** Whether an exchange with this request id has ended on the connection. */
+  hasCarried(requestId: string): boolean {
+    return this.earlierIds.has(requestId);
+  }
+
   /** Starts an exchange; `connectTimeoutMs` bounds the time to connect. */
   start(
     request: UpstreamRequest,
--- a/packages/entry-host/src/upstream/pool.ts
+++ b/packages/entry-host/src/upstream/pool.ts
@@ -40,7 +40,7 @@
     maximum: number,
     observer: ExchangeObserver,
   ): ExchangeHandle | UpstreamError {
-    const connection = this.takeIdle() ?? this.open(maximum);
+    const connection = this.takeIdle(request.requestId) ?? this.open(maximum);
     if (connection === undefined) {
       return new UpstreamError(
         false,
@@ -66,13 +66,19 @@
     }
   }
 
-  private takeIdle(): UpstreamConnection | undefined {
-    for (
-      let connection = this.idle.pop();
-      connection !== undefined;
-      connection = this.idle.pop()
-    ) {
-      if (connection.available) {
+  /**
+   * Takes the connection that was used last. One that has carried a request
+   * with the same id is left: a server may write its response to that once
+   * more, which could not be told from the response to this request.
+   */
+  private takeIdle(requestId = ''): UpstreamConnection | undefined {
+    for (let index = this.idle.length - 1; index >= 0; index -= 1) {
+      const connection = this.idle[index];
+      if (connection?.hasCarried(requestId) === true && connection.available) {
+        continue;
+      }
+      this.idle.splice(index, 1);
+      if (connection?.available === true) {
         return connection;
       }
     }
