--- a/packages/entry-host/src/test/upstream/response-parser_test.ts
+++ b/packages/entry-host/src/test/upstream/response-parser_test.ts
@@ -79,6 +79,22 @@
   t.false(parse(CHUNKED.slice(0, -2), [], {closes: true}).ended);
 });
 
+// Guards against a success with an empty or short body: a server stopped in the
+// middle of the head of its answer and closed the connection.
+for (const [framing, response] of [
+  ['a length', FIXED],
+  ['chunks', CHUNKED],
+  ['neither', 'HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n'],
+] as const) {
+  test(`a response with ${framing} that ends within its head is not complete`, (t) => {
+    const headBytes = response.indexOf('\r\n\r\n') + 4;
+    for (let bytes = 0; bytes < headBytes; bytes += 1) {
+      const parsed = parse(response.slice(0, bytes), [], {closes: true});
+      t.deepEqual(parsed, {heads: [], body: '', ended: false, rest: ''});
+    }
+  });
+}
+
 test('skips informational responses', (t) => {
   const parsed = parse(`HTTP/1.1 100 Continue\r\n\r\n${FIXED}`);
   t.deepEqual(
