Take an error in answer to a resumed stream for a failure

Cause: the answers 3xx and 4xx of a server are passed on as they arrive, and the head of a resumed stream is ignored, so that the body of such an answer went on as events.

Change: once a stream has begun, every answer but a success is a failure. Its body is kept from the caller, and the stream is aborted, which shows that it is incomplete.

--- a/packages/entry-host/src/front/caller-request.ts
+++ b/packages/entry-host/src/front/caller-request.ts
@@ -102,6 +102,8 @@
   readonly priority: number;
   /** Id of the last event that the caller received of a resumed stream. */
   readonly lastEventId: string | undefined;
+  /** Whether the caller has received the head of a stream. */
+  readonly answerStarted?: boolean;
   /** Id under which its prompt was announced to the server's issuer. */
   readonly announcedAs?: string | undefined;
   /** Longest event gap with which a stream is still on time, milliseconds. */
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -225,6 +225,7 @@
         context.platform.forwarding.lowestPriority,
       ),
       lastEventId: this.lastEventId,
+      answerStarted: this.answer.headersSent,
       announcedAs,
       gapTargetMs: this.route.eventGapMs,
       caller: this.caller,
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -108,6 +108,7 @@
   private readonly bufferedChunks: Buffer[] = [];
   private bufferedBytes = 0;
   private cancelled = false;
+  private answerStarted = false;
   private settle: (result: SendResult) => void = () => undefined;
   private readonly selectedAt: Instant;
   private readonly selectionLogFields: Omit<SendLogFields, 'delayMs'>;
@@ -163,6 +164,7 @@
     const connectionLimit =
       (this.maximumConnections * CONNECTION_SHARE) / hosts;
     this.estimate = estimateSend(this.context, this.server, request);
+    this.answerStarted = details.answerStarted ?? false;
     const {announcedAs, gapTargetMs} = details;
     const observed = {server: this.server.key, announcedAs, gapTargetMs};
     const timing = new StreamTiming(promptReports, observed, sentAt);
@@ -265,7 +267,7 @@
     const success = head.status >= 200 && head.status < 300;
     if (value(headers.notRun) !== undefined || head.status === 421) {
       this.mode = 'refused';
-    } else if (success || (head.status >= 300 && head.status < 500)) {
+    } else if (success || (head.status < 500 && !this.answerStarted)) {
       const fromServer =
         value(headers.signature) !== undefined &&
         value('content-encoding') === undefined;
