Treat a stream that ends within an event as broken off

Cause: the end of the connection is the end of such an answer, and nobody asked whether an event was half there.

Change: a stream that ends with its connection within an event has an unknown outcome: it is resumed where the route allows, else aborted. Its send counts as interrupted, so that it is evidence of a crash as any other.

--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -14,7 +14,11 @@
 
 import type {EntryHostContext} from '../context.js';
 import {type CrashGuard, requestKeys} from '../crashes/index.js';
-import type {ResponseHead, UpstreamPools} from '../upstream/index.js';
+import {
+  type ResponseHead,
+  UpstreamError,
+  type UpstreamPools,
+} from '../upstream/index.js';
 import type {CallerAnswer} from './caller-answer.js';
 import {
   type CallerAuthenticator,
@@ -216,7 +220,7 @@
     this.latestSend = send;
     this.parts.selector.requestStarted(this.request, server);
     const sentAt = context.clock.now();
-    const result = await send.run(this.request, {
+    const end = await send.run(this.request, {
       serverId: server.entry.id,
       remainingMs: this.remainingMs(),
       version,
@@ -230,19 +234,20 @@
       gapTargetMs: this.route.eventGapMs,
       caller: this.caller,
     });
+    const result = this.brokeWithinEvent(end, send) ? WITHIN_EVENT : end;
     this.send = undefined;
     this.buffers.clearSource();
     this.parts.selector.requestEnded(this.request, server);
-    const end = result.type === 'no-answer' ? result.outcome : result.type;
+    const outcome = result.type === 'no-answer' ? result.outcome : result.type;
     this.recordEvidence(result, send, server, sentAt);
-    context.metrics.sends.inc({service: this.service.name, end});
+    context.metrics.sends.inc({service: this.service.name, end: outcome});
     context.logger.info('send ended', {
       requestId: this.request.id,
       server: server.entry.id,
       chosen: reason,
       ...send.logFields,
       load: server.health.load(context.clock.now()),
-      end,
+      end: outcome,
       status: statusOf(result),
       detail: result.type === 'no-answer' ? result.detail : undefined,
       keys: isInterrupted(result) ? this.keys().join(',') : undefined,
@@ -251,6 +256,19 @@
     return result;
   }
 
+  /**
+   * Whether a stream that ends with its connection ended within an event: the
+   * connection broke off, as the end of an event is all that it shows.
+   */
+  private brokeWithinEvent({type}: SendResult, send: ServerSend): boolean {
+    return (
+      type === 'answered' &&
+      this.route.kind === 'stream' &&
+      send.endedWithConnection &&
+      this.splitter.pendingBytes > 0
+    );
+  }
+
   /** Records what the end of a send shows of crashes and their causes. */
   private recordEvidence(
     result: SendResult,
@@ -367,6 +385,10 @@
         this.writeToCaller(bytes);
       }
     } else {
+      if (this.send?.endedWithConnection === true) {
+        // Shows whether the stream ends within an event.
+        this.splitter.feed(chunk);
+      }
       this.writeToCaller(chunk);
     }
   }
@@ -562,6 +584,15 @@
   result.outcome === 'failed' ||
   result.outcome === 'unknown';
 
+/** Result of a stream whose connection ended within an event. */
+const WITHIN_EVENT: SendResult = {
+  type: 'no-answer',
+  outcome: 'unknown',
+  detail: 'the stream ended within an event',
+  status: undefined,
+  error: new UpstreamError(true, 'interrupted', 'ended within an event'),
+};
+
 const isInterrupted = (result: SendResult): boolean =>
   result.type === 'no-answer' &&
   result.outcome === 'unknown' &&
--- a/packages/entry-host/src/test/front/caller-request_test.ts
+++ b/packages/entry-host/src/test/front/caller-request_test.ts
@@ -92,3 +92,17 @@
   splitter.reset();
   t.is(splitter.pendingBytes, 0);
 });
+
+test('events whose lines end in CR LF are split, however they arrive', (t) => {
+  const stream = 'id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\nid: 3\r\n';
+  for (let size = 1; size <= stream.length; size += 1) {
+    const splitter = new EventSplitter();
+    const ids: (string | undefined)[] = [];
+    for (let start = 0; start < stream.length; start += size) {
+      const chunk = Buffer.from(stream.slice(start, start + size));
+      ids.push(...splitter.feed(chunk).map(({id}) => id));
+    }
+    t.deepEqual(ids, ['1', '2']);
+    t.is(splitter.pendingBytes, 'id: 3\r\n'.length);
+  }
+});
