Probe a server again for each interruption after a probe

Callers would see a cause of crashes found late: a crash within two seconds after a connection of the same server was reset was only found if a send failed to connect.

Cause: a server was probed once for all interruptions of two seconds. Change: an interruption that comes after the probes starts them again.

Evidence: the test failed before and passes.

--- a/packages/entry-host/src/crashes/crash-detector.ts
+++ b/packages/entry-host/src/crashes/crash-detector.ts
@@ -69,6 +69,8 @@
   readonly sends: LostSend[];
   /** Sends whose answers ended with their connections. */
   readonly closed: Set<LostSend>;
+  /** Whether connection attempts are under way. */
+  probing: boolean;
   crashed: boolean;
   reportScheduled: boolean;
 }
@@ -94,7 +96,8 @@
     interruption.sends.push(send);
     if (interruption.crashed) {
       this.scheduleReport(interruption);
-    } else if (interruption.sends.length === 1) {
+    } else if (!interruption.probing) {
+      interruption.probing = true;
       this.scheduleProbe(interruption, FIRST_PROBE_DELAY_MS, () => {
         this.scheduleProbe(interruption, SECOND_PROBE_DELAY_MS);
       });
@@ -138,6 +141,7 @@
       at: clock.now(),
       sends: [],
       closed: new Set(),
+      probing: false,
       crashed: false,
       reportScheduled: false,
     };
@@ -151,7 +155,7 @@
   private scheduleProbe(
     interruption: Interruption,
     delayMs: number,
-    onOpen: () => void = () => undefined,
+    onOpen?: () => void,
   ): void {
     const {timers, signal} = this.context;
     const {key, entry} = interruption.server;
@@ -161,10 +165,13 @@
         if (signal.aborted) {
           return;
         }
+        if (result === 'open' && onOpen !== undefined) {
+          onOpen();
+          return;
+        }
+        interruption.probing = false;
         if (result === 'refused') {
           this.confirm(interruption);
-        } else if (result === 'open') {
-          onOpen();
         }
       });
     });
@@ -172,7 +179,11 @@
 
   private confirm(interruption: Interruption): void {
     const {entry, notices} = interruption.server;
-    if (interruption.crashed || entry.leaving || notices.leaving) {
+    const {crashed, sends, closed} = interruption;
+    if (crashed || sends.length + closed.size === 0) {
+      return;
+    }
+    if (entry.leaving || notices.leaving) {
       // The planned end of a server is no crash.
       return;
     }
--- a/packages/entry-host/src/test/crashes/crash-detector_test.ts
+++ b/packages/entry-host/src/test/crashes/crash-detector_test.ts
@@ -16,8 +16,8 @@
   outageEndedAt: undefined,
 });
 
-/** A detector whose connection attempts all have the same result. */
-const createDetector = (result: ProbeResult) => {
+/** A detector and the results of its connection attempts, the last repeated. */
+const createDetector = (...results: ProbeResult[]) => {
   const fleet = new FleetSimulation(1);
   const {context} = fleet.startHost('h0');
   const crashes: ServerCrash[] = [];
@@ -28,7 +28,13 @@
       crashed: (crash) => crashes.push(crash),
       completed: ({requestId}) => completed.push(requestId),
     },
-    () => Promise.resolve(result),
+    () => {
+      const [first = 'open'] = results;
+      if (results.length > 1) {
+        results.shift();
+      }
+      return Promise.resolve(first);
+    },
   );
   const {clock} = context;
   const send = (requestId: string) => ({
@@ -42,7 +48,7 @@
     const lost = crashes.map(({sends}) => sends.map(({requestId: id}) => id));
     return {lost, completed};
   };
-  return {detector, send, finish};
+  return {detector, send, finish, time: fleet.time};
 };
 
 test('a server that refuses connections after it interrupted sends has crashed', async (t) => {
@@ -82,3 +88,18 @@
   detector.recordClosed(createServer(), send('1'));
   t.deepEqual(await finish(), {lost: [], completed: ['1']});
 });
+
+// Guards against a crash that is missed because a connection of the server was
+// reset shortly before.
+test('a crash after a reset connection is detected', async (t) => {
+  const {detector, send, finish, time} = createDetector(
+    'open',
+    'open',
+    'refused',
+  );
+  const server = createServer();
+  detector.recordInterrupted(server, send('1'));
+  await time.advance(time.nowMs + 1_000);
+  detector.recordInterrupted(server, send('2'));
+  t.deepEqual((await finish()).lost, [['1', '2']]);
+});
