Announce a key again while the store takes no record of it

Callers would see servers crash again half a minute after a quarantine, while the store is away: the announcement lasts 30 s, and only the host that had made it renewed it, for itself.

Change: the investigator announces the key to all live hosts every 10 s until the store has its record, so that hosts which were cut off learn it, too.

Evidence: the test failed before and passes.

--- a/packages/entry-host/src/crashes/crash-investigator.ts
+++ b/packages/entry-host/src/crashes/crash-investigator.ts
@@ -46,6 +46,14 @@
     this.schedule();
   }
 
+  /** Announces a key in quarantine to all live hosts, this one included. */
+  announce(key: string): void {
+    this.quarantine.announce(key, this.context.clock.now());
+    for (const host of this.otherHosts()) {
+      void this.linkTo(host)?.announceQuarantine([key]);
+    }
+  }
+
   /** Discards the evidence on keys that have been released. */
   forget(keys: readonly string[]): void {
     for (const key of keys) {
@@ -94,16 +102,15 @@
 
   /** Asks all live hosts, this one included, for completions of the keys. */
   private async queryCompletions(keys: readonly string[]): Promise<void> {
-    const {clock, membership, settings} = this.context;
+    const {clock} = this.context;
     for (const key of keys) {
       const completedAt = this.completions.latest(key);
       if (completedAt !== undefined) {
         this.evidence.recordCompletion(key, completedAt);
       }
     }
-    const others = this.otherHosts(membership.live(), settings.host);
     await Promise.all(
-      others.map(async (host) => {
+      this.otherHosts().map(async (host) => {
         const requestedAt = clock.now();
         const found = (await this.linkTo(host)?.queryCompletions(keys)) ?? [];
         for (const {key, ageMs} of found) {
@@ -115,24 +122,20 @@
   }
 
   private putInQuarantine({key, crashes, presence}: Suspect): void {
-    const {clock, logger, metrics, membership, settings} = this.context;
+    const {logger, metrics} = this.context;
     metrics.quarantines.inc();
     logger.warn('requests with a key crash servers and are refused', {
       key,
       crashes,
       presence: Math.round(presence * 100) / 100,
     });
-    this.quarantine.announce(key, clock.now());
-    for (const host of this.otherHosts(membership.live(), settings.host)) {
-      void this.linkTo(host)?.announceQuarantine([key]);
-    }
+    this.announce(key);
     this.records.add(key, crashes);
   }
 
-  private otherHosts(
-    live: readonly {readonly host: string}[],
-    self: string,
-  ): readonly string[] {
-    return live.map(({host}) => host).filter((host) => host !== self);
+  private otherHosts(): readonly string[] {
+    const {membership, settings} = this.context;
+    const hosts = membership.live().map(({host}) => host);
+    return hosts.filter((host) => host !== settings.host);
   }
 }
--- a/packages/entry-host/src/crashes/crash-monitor.ts
+++ b/packages/entry-host/src/crashes/crash-monitor.ts
@@ -36,6 +36,9 @@
       context,
       this.quarantine,
       () => this.reporter.investigators()[0] === context.settings.host,
+      (key) => {
+        this.investigator.announce(key);
+      },
       (keys) => {
         this.investigator.forget(keys);
       },
--- a/packages/entry-host/src/crashes/quarantine-records.ts
+++ b/packages/entry-host/src/crashes/quarantine-records.ts
@@ -1,4 +1,6 @@
+import {elapsedMs, type Instant} from '@basilworks/core';
 import {
+  ANNOUNCEMENT_MS,
   type Quarantine,
   quarantineRecordName,
   type QuarantineRecord,
@@ -13,6 +15,9 @@
  */
 const REVIEW_PERIOD_MS = 500;
 
+/** Interval between announcements of a key without a record, milliseconds. */
+const ANNOUNCEMENT_PERIOD_MS = ANNOUNCEMENT_MS / 3;
+
 /**
  * The quarantine in the metadata store, from which hosts that start, all of
  * them included, learn it. A record that an operator deletes releases its key.
@@ -20,6 +25,8 @@
 export class QuarantineRecords {
   /** Records that this host has yet to write. */
   private readonly unwritten = new Map<string, QuarantineRecord>();
+  /** When keys without a record were last announced. */
+  private readonly announcedAt = new Map<string, Instant>();
   private readonly pending = new Set<string>();
   /** Names and revisions of the records in the store by their keys. */
   private stored = new Map<string, {name: string; revision: number}>();
@@ -29,6 +36,8 @@
     private readonly quarantine: Quarantine,
     /** Whether this host removes expired records. */
     private readonly removesExpired: () => boolean,
+    /** Announces a key to all hosts. */
+    private readonly announce: (key: string) => void,
     /** Called with keys that have been released. */
     private readonly onReleased: (keys: readonly string[]) => void,
   ) {}
@@ -85,7 +94,7 @@
       return;
     }
     this.pending.add(key);
-    const {platform, metrics, clock} = this.context;
+    const {platform, metrics} = this.context;
     const name = quarantineRecordName(key);
     const result = await platform.store.write(name, record, undefined);
     this.pending.delete(key);
@@ -94,9 +103,28 @@
     if (result.isOk()) {
       // Written now or, on a conflict, before by another host.
       this.unwritten.delete(key);
-    } else {
-      this.quarantine.announce(key, clock.now());
+      this.announcedAt.delete(key);
+    } else if (this.isAnnouncementDue(key)) {
+      this.announce(key);
+    }
+  }
+
+  /**
+   * Whether a key without a record has to be announced again. The announcement
+   * that came before its record is the first.
+   */
+  private isAnnouncementDue(key: string): boolean {
+    const at = this.context.clock.now();
+    const announcedAt = this.announcedAt.get(key);
+    if (announcedAt === undefined) {
+      this.announcedAt.set(key, at);
+      return false;
+    }
+    if (elapsedMs(announcedAt, at) < ANNOUNCEMENT_PERIOD_MS) {
+      return false;
     }
+    this.announcedAt.set(key, at);
+    return true;
   }
 
   private async remove(key: string): Promise<void> {
--- a/packages/entry-host/src/test/crashes/crashing-parts_test.ts
+++ b/packages/entry-host/src/test/crashes/crashing-parts_test.ts
@@ -111,6 +111,21 @@
   simulation.fleet.close();
 });
 
+// Guards against a quarantine that ends because the store takes no record.
+test('a quarantine holds while the store is away', async (t) => {
+  const simulation = await startSimulation(7, 1);
+  const {time, store} = simulation.fleet;
+  simulation.sendSound(SOUND_PER_SECOND, time.nowMs + 60_000);
+  await time.advance(time.nowMs + 3_000);
+  store.fault = 'refuse';
+  simulation.sendCrashing('part/deadly', 5, time.nowMs + 60_000);
+  await time.advance(time.nowMs + 8_000);
+  const before = simulation.arrivals.length;
+  await time.advance(time.nowMs + 45_000);
+  t.is(simulation.arrivals.length, before);
+  simulation.fleet.close();
+});
+
 // Guards against evidence that is lost with the hosts that collect it.
 test('the cause is found although hosts are killed meanwhile', async (t) => {
   for (const seed of SEEDS) {
