Tolerate peers that don't answer calls about crashes, and hash less

A host of an older build ignores these calls. Two in a row without an answer closed its connection, which all other calls use; they no longer count as missed.

--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -277,17 +277,21 @@
     sentAt: Instant,
   ): void {
     const {crashes} = this.parts;
-    const details = {requestId: this.request.id, keys: this.keys(), sentAt};
+    const details = () => ({
+      requestId: this.request.id,
+      keys: this.keys(),
+      sentAt,
+    });
     if (isInterrupted(result)) {
-      crashes.recordInterrupted(server, details);
+      crashes.recordInterrupted(server, details());
     } else if (result.type === 'no-answer') {
       if (result.error?.connectionRefused === true) {
         crashes.recordUnreachable(server);
       }
     } else if (send.endedWithConnection) {
-      crashes.recordClosed(server, details);
+      crashes.recordClosed(server, details());
     } else {
-      crashes.recordCompleted(details.keys);
+      crashes.recordCompleted(this.keys());
     }
   }
 
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -69,6 +69,9 @@
   readonly toleratesMiss?: boolean;
 }
 
+/** A host of an older build does not answer these calls. */
+const CRASH_CALL_OPTIONS: CallOptions = {toleratesMiss: true};
+
 /** Number of links created, which makes their timer names unique. */
 let linkCount = 0;
 
@@ -194,6 +197,7 @@
     const response = await this.call(
       {$case: 'crashReport', value: {fromHost, crashes}},
       CRASH_TIMEOUT_MS,
+      CRASH_CALL_OPTIONS,
     );
     return response?.$case === 'crashReport';
   }
@@ -208,6 +212,7 @@
     const response = await this.call(
       {$case: 'completions', value: {keys: [...keys]}},
       CRASH_TIMEOUT_MS,
+      CRASH_CALL_OPTIONS,
     );
     return response?.$case === 'completions'
       ? response.value.completions
@@ -219,6 +224,7 @@
     const response = await this.call(
       {$case: 'quarantine', value: {keys: [...keys]}},
       CRASH_TIMEOUT_MS,
+      CRASH_CALL_OPTIONS,
     );
     return response?.$case === 'quarantine';
   }
