--- a/packages/entry-host/src/crashes/crash-investigator.ts
+++ b/packages/entry-host/src/crashes/crash-investigator.ts
@@ -17,12 +17,13 @@
  */
 const INVESTIGATION_DELAY_MS = 60;
 
+/** Name of the timer of the next investigation. */
 const TIMER = 'crashes/investigate';
 
 /**
  * Finds the keys of requests that crash servers, from the reports of all hosts.
  * Before it puts a key in quarantine, it asks all hosts whether requests with
- * it have been completed since: a host that has lost none reports nothing.
+ * it have been completed: a host that has lost none reports nothing.
  */
 export class CrashInvestigator {
   private readonly evidence = new CrashEvidence();
