Deny a route only by a configuration that is known to be current

Callers saw: 404 for a route that had been added 3.3 s before, where changes are in force within 3 s, from a host that had fallen behind.

Cause: the listener answered by the route table that it held, however old. The age of the view was logged and decided nothing. Class: a host acts on what it can't vouch for.

Change: a request that arrives when the configuration was not confirmed within the bound waits for a read that all such requests share, 300 ms at most and one in half a second. After it, known routes are served, unknown ones get 404 if the configuration is confirmed, otherwise 503 with Retry-After. Nothing waits once reads have failed for 0.6 s, so that an outage of the store delays no request.

Why it works: a read that started within the bound before the request arrived includes every change that had to be in force by then.

--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -254,6 +254,10 @@
       new TenantShares(this.context, fairShares),
       this.quotas,
       this.crashes,
+      {
+        refresh: () => this.reader.refresh('configuration'),
+        failingMs: () => this.reader.failingMs('configuration'),
+      },
     );
   }
 
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -37,6 +37,11 @@
   withTenantPriority,
 } from './caller-authenticator.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
+import {
+  ConfigurationGate,
+  type ConfigurationSource,
+  NO_CONFIGURATION_SOURCE,
+} from './configuration-gate.js';
 import {expectedBodyBytes, readBody} from './request-body.js';
 import {RequestBufferTracker} from './request-buffer-tracker.js';
 import {RequestHandler} from './request-handler.js';
@@ -71,6 +76,7 @@
   private readonly usedSockets = new WeakSet<Socket>();
   private readonly bufferBudget: BufferBudget;
   private readonly authenticator: CallerAuthenticator;
+  private readonly configurationGate: ConfigurationGate;
   private routes: RouteTable | undefined;
   private limits = DEFAULT_LIMITS;
   private inProgress = 0;
@@ -83,8 +89,14 @@
     private readonly shares: TenantShares,
     private readonly quotas: QuotaGate = NO_QUOTAS,
     private readonly crashes: CrashGuard = NO_CRASH_GUARD,
+    configurationSource: ConfigurationSource = NO_CONFIGURATION_SOURCE,
   ) {
     this.authenticator = new CallerAuthenticator(context);
+    this.configurationGate = new ConfigurationGate(
+      context,
+      () => this.authenticator.confirmedAgeMs(),
+      configurationSource,
+    );
     this.server = createServer(
       {
         maxHeaderSize: MAXIMUM_PARSED_HEAD_BYTES,
@@ -242,9 +254,14 @@
       reject(400, 'the request has no identity');
       return;
     }
+    const confirmed = await this.configurationGate.confirm(arrivedAt);
     const route = this.routes.match(request.host, request.target);
     if (route === undefined) {
-      reject(404, 'no route');
+      if (confirmed) {
+        reject(404, 'no route');
+      } else {
+        this.rejectUnconfirmed(message, answer);
+      }
       return;
     }
     const caller = this.authenticator.identify(rawHeaders, route);
@@ -368,6 +385,16 @@
     }
   }
 
+  /** Rejects a request for a route that may have been added since. */
+  private rejectUnconfirmed(
+    message: IncomingMessage,
+    answer: CallerAnswer,
+  ): void {
+    const reason = 'no route in a configuration that may be outdated';
+    const retryAfter = this.jitteredRetryAfterS(UNCONFIRMED_RETRY_MS);
+    this.reject(message, answer, {status: 503, reason, retryAfter});
+  }
+
   private rejectUnauthenticated(
     message: IncomingMessage,
     answer: CallerAnswer,
--- a/packages/entry-host/src/front/index.ts
+++ b/packages/entry-host/src/front/index.ts
@@ -1,6 +1,7 @@
 export * from './caller-answer.js';
 export * from './caller-authenticator.js';
 export * from './caller-request.js';
+export * from './configuration-gate.js';
 export * from './event-splitter.js';
 export * from './front-listener.js';
 export * from './request-handler.js';
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -88,6 +88,36 @@
     return this.failing.size === 0;
   }
 
+  /** Time for which reads of a kind have been failing, ms; 0 if they work. */
+  failingMs(kind: StoreKind): number {
+    const since = this.failing.get(kind);
+    return since === undefined ? 0 : elapsedMs(since, this.context.clock.now());
+  }
+
+  /** Reads a kind once, outside the plan; whether that succeeded. */
+  async refresh(kind: StoreKind): Promise<boolean> {
+    const {clock, views, signal} = this.context;
+    const startedAt = clock.now();
+    const base = views.get(kind)?.snapshot;
+    const timeoutMs = INITIAL_RESPONSE_TIMEOUT_MS;
+    const watched = await this.read(
+      kind,
+      base,
+      base?.revision ?? 0,
+      0,
+      timeoutMs,
+    );
+    const result =
+      watched instanceof Error && watched.failure === 'history-gone'
+        ? await this.read(kind, undefined, 0, 0, timeoutMs)
+        : watched;
+    if (signal.aborted || result instanceof Error) {
+      return false;
+    }
+    this.publish(result.snapshot, startedAt);
+    return true;
+  }
+
   /** Reads all kinds until the context's signal is aborted. */
   start(): void {
     this.checkIdleKinds();
--- a/packages/entry-host/src/test/front/simulated-listener.ts
+++ b/packages/entry-host/src/test/front/simulated-listener.ts
@@ -5,11 +5,13 @@
   FairShares,
   type KeyRing,
   RouteTable,
+  type ServingConfiguration,
   ServerTable,
   StoreViews,
 } from '@basilworks/dispatch';
 import type {EntryHostContext} from '../../context.js';
 import {
+  type ConfigurationSource,
   FrontListener,
   type ServerSelector,
   TenantShares,
@@ -22,7 +24,7 @@
 import {HEADER_NAMES} from './header-names.js';
 import {FleetSimulation, serverEntry} from '../views/fleet-simulation.js';
 
-const route = (name: string, open: boolean) => ({
+export const route = (name: string, open: boolean) => ({
   name,
   host: 'h',
   pathPrefix: `/${name}/`,
@@ -56,6 +58,7 @@
   beforeFirstByte: (world: {
     at: {monotonicMs: number; wallMs: number};
   }) => void = () => undefined,
+  configurationSource?: ConfigurationSource,
 ) => {
   const fleet = new FleetSimulation(1);
   const {context: hostContext} = fleet.startHost('h0');
@@ -130,9 +133,16 @@
     pools,
     selector as unknown as ServerSelector,
     new TenantShares(context, shares),
+    undefined,
+    undefined,
+    configurationSource,
   );
-  const applyConfiguration = (keyRing: KeyRing | undefined, revision = 1) => {
-    front.applyConfiguration(new RouteTable(CONFIGURATION), keyRing, revision);
+  const applyConfiguration = (
+    keyRing: KeyRing | undefined,
+    revision = 1,
+    configuration: ServingConfiguration = CONFIGURATION,
+  ) => {
+    front.applyConfiguration(new RouteTable(configuration), keyRing, revision);
   };
   confirm();
   applyConfiguration(keyRing);
