Log which hosts read the store, and what they send and wait for

The incident of the stale configuration has three hypotheses that logs and metrics could not tell apart. A line names each change of a reader, a counter has the bytes of views that a host sent by kind, and a line tells when the event loop was blocked for more than 0.2 s. No decision changes.

--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -101,6 +101,9 @@
 /** Interval of measurements of the event loop's lag, milliseconds. */
 const LOOP_LAG_PERIOD_MS = 1_000;
 
+/** Lag of the event loop that is logged: delays every answer, milliseconds. */
+const LOGGED_LOOP_LAG_MS = 200;
+
 /** Dependencies that tests replace. */
 export interface EntryHostOverrides {
   readonly clock?: Clock;
@@ -448,7 +451,7 @@
   }
 
   private startMaintenance(): void {
-    const {timers, signal, clock, metrics} = this.context;
+    const {timers, signal, clock, metrics, logger} = this.context;
     timers.every(
       'maintenance',
       MAINTENANCE_PERIOD_MS,
@@ -464,7 +467,11 @@
       LOOP_LAG_PERIOD_MS,
       () => {
         const now = clock.now().monotonicMs;
-        metrics.loopLagSeconds.set(Math.max(0, now - expected) / 1_000);
+        const lagMs = Math.max(0, now - expected);
+        metrics.loopLagSeconds.set(lagMs / 1_000);
+        if (lagMs > LOGGED_LOOP_LAG_MS) {
+          logger.warn('event loop was blocked', {lagMs: Math.round(lagMs)});
+        }
         expected = now + LOOP_LAG_PERIOD_MS;
       },
       {signal},
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -100,6 +100,12 @@
     ['operation', 'end'],
   );
 
+  readonly viewBytes = this.counter(
+    'basilworks_view_bytes_total',
+    'Bytes of store views that this host sent to others, by kind.',
+    ['kind'],
+  );
+
   readonly connections = this.counter(
     'basilworks_upstream_connections_total',
     'New connections to servers by service.',
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -149,7 +149,7 @@
 
   /** Handles a peer's exchange request. */
   handleRequest(request: fleet.ExchangeRequest): fleet.ExchangeResponse {
-    const {membership, views, clock} = this.context;
+    const {membership, views, clock, metrics} = this.context;
     const {sender, known, digests, wantsViews, recordsRevision} = request;
     const at = clock.now();
     this.recordContact(sender, recordsRevision, at);
@@ -162,9 +162,15 @@
     for (const status of request.words) {
       applyServerStatus(this.context, status, requestReadWindow(at));
     }
+    const sentViews = wantsViews
+      ? encodeViews(views, known, this.snapshotJson, at)
+      : [];
+    for (const {kind, items = ''} of sentViews) {
+      metrics.viewBytes.inc({kind}, items.length);
+    }
     return {
       responder: encodeHost(membership.self()),
-      views: wantsViews ? encodeViews(views, known, this.snapshotJson, at) : [],
+      views: sentViews,
       hosts: membership.differences(digests, at).map(encodeHost),
       recordsRevision: views.revision('records'),
       digests: membership.digests(),
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -307,7 +307,7 @@
 
   /** Whether this host is one of `count` readers; cached for a short time. */
   private isReader(count: number): boolean {
-    const {membership, clock} = this.context;
+    const {membership, clock, logger} = this.context;
     const at = clock.now();
     const known = this.readerChecks.get(count);
     if (
@@ -317,6 +317,15 @@
       return known.reads;
     }
     const reads = membership.isReader(count);
+    if (reads !== (known?.reads ?? false)) {
+      const {name: group, hosts} = membership.readerGroup();
+      logger.info('store reader changed', {
+        reads,
+        readers: count,
+        group,
+        hosts: hosts.length,
+      });
+    }
     this.readerChecks.set(count, {reads, at});
     return reads;
   }
