Compress store views between hosts and batch configurations

Callers saw: in a storm of configurations single hosts answered nothing for two or three seconds, and one of them went on by a version that had been replaced 3.2 s before.

That the three hosts of the record were readers follows from their zones and moments; no log showed it.

Readers pause for 200 ms between two reads of the configuration in place of 20, so that versions that follow each other closely are taken together.

Why it works: the bytes of a change no longer come near the capacity of a small link, and the number of versions that are taken in a second has a bound.

--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -21,7 +21,7 @@
   applyViews,
   encodeViews,
   knownRevisions,
-  SnapshotJsonCache,
+  SnapshotCache,
 } from './view-codec.js';
 
 /** Interval between two rounds of exchanges, milliseconds. */
@@ -108,7 +108,7 @@
  */
 export class PeerExchange {
   private readonly links = new Map<string, OpenLink>();
-  private readonly snapshotJson = new SnapshotJsonCache();
+  private readonly snapshots = new SnapshotCache();
   private readonly pending = new Set<string>();
   private readonly groupReports: GroupReports;
   private round = 0;
@@ -150,7 +150,7 @@
   /** Handles a peer's exchange request. */
   handleRequest(request: fleet.ExchangeRequest): fleet.ExchangeResponse {
     const {membership, views, clock, metrics} = this.context;
-    const {sender, known, digests, wantsViews, recordsRevision} = request;
+    const {sender, digests, wantsViews, recordsRevision} = request;
     const at = clock.now();
     this.recordContact(sender, recordsRevision, at);
     for (const status of request.hosts) {
@@ -163,10 +163,10 @@
       applyServerStatus(this.context, status, requestReadWindow(at));
     }
     const sentViews = wantsViews
-      ? encodeViews(views, known, this.snapshotJson, at)
+      ? encodeViews(views, request, this.snapshots, at)
       : [];
-    for (const {kind, items = ''} of sentViews) {
-      metrics.viewBytes.inc({kind}, items.length);
+    for (const {kind, items = '', deflatedItems = []} of sentViews) {
+      metrics.viewBytes.inc({kind}, items.length + deflatedItems.length);
     }
     return {
       responder: encodeHost(membership.self()),
@@ -330,6 +330,7 @@
     const request: fleet.ExchangeRequest = {
       sender: encodeHost(membership.self()),
       known: wantsViews ? knownRevisions(views) : [],
+      acceptsDeflate: true,
       digests: membership.digests(),
       wantsViews,
       recordsRevision: views.revision('records'),
--- a/packages/entry-host/src/peers/view-codec.ts
+++ b/packages/entry-host/src/peers/view-codec.ts
@@ -1,3 +1,5 @@
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
+
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {parseJson} from '@basilworks/daemon';
 import {
@@ -7,6 +9,7 @@
   type StoreViews,
 } from '@basilworks/dispatch';
 import type {fleet} from '@basilworks/protocol';
+import {Result} from 'neverthrow';
 import {z} from 'zod';
 
 const itemsSchema = z.array(
@@ -18,26 +21,65 @@
 );
 const kindSchema = z.enum(STORE_KINDS);
 
-/** Caches serialised snapshots, as each is sent to many hosts. */
-export class SnapshotJsonCache {
-  private readonly entries = new WeakMap<Snapshot, string>();
+/** Compression level: higher ones take longer for a few bytes less. */
+const DEFLATE_LEVEL = 1;
 
-  get(snapshot: Snapshot): string {
-    const cached = this.entries.get(snapshot);
-    if (cached !== undefined) {
-      return cached;
-    }
-    const text = JSON.stringify(snapshot.items);
-    this.entries.set(snapshot, text);
-    return text;
+/** Largest snapshot that is decompressed, bytes of JSON. */
+const MAXIMUM_SNAPSHOT_BYTES = 64 * 1_048_576;
+
+/** The items of a snapshot as a peer reads them. */
+type EncodedItems = Pick<fleet.ViewSnapshot, 'items' | 'deflatedItems'>;
+
+/** Caches encoded snapshots, as each is sent to many hosts. */
+export class SnapshotCache {
+  private readonly json = new WeakMap<Snapshot, string>();
+  private readonly deflated = new WeakMap<Snapshot, Buffer>();
+
+  /** Returns the items, compressed if the peer accepts that. */
+  encode(snapshot: Snapshot, acceptsDeflate: boolean): EncodedItems {
+    return acceptsDeflate
+      ? {
+          items: undefined,
+          deflatedItems: cached(this.deflated, snapshot, () =>
+            deflateRawSync(this.jsonOf(snapshot), {level: DEFLATE_LEVEL}),
+          ),
+        }
+      : {items: this.jsonOf(snapshot), deflatedItems: undefined};
+  }
+
+  private jsonOf(snapshot: Snapshot): string {
+    return cached(this.json, snapshot, () => JSON.stringify(snapshot.items));
   }
 }
 
+const cached = <Value>(
+  cache: WeakMap<Snapshot, Value>,
+  snapshot: Snapshot,
+  compute: () => Value,
+): Value => {
+  const known = cache.get(snapshot);
+  if (known !== undefined) {
+    return known;
+  }
+  const value = compute();
+  cache.set(snapshot, value);
+  return value;
+};
+
+const NO_ITEMS: EncodedItems = {items: undefined, deflatedItems: undefined};
+
+/** What a peer asks for. */
+export interface ViewQuery {
+  /** Revisions of the snapshots that it has. */
+  readonly known: readonly fleet.KnownRevision[];
+  readonly acceptsDeflate: boolean;
+}
+
 /** Returns the views for a peer; omits the items of revisions that it knows. */
 export const encodeViews = (
   views: StoreViews,
-  known: readonly fleet.KnownRevision[],
-  snapshotJson: SnapshotJsonCache,
+  {known, acceptsDeflate}: ViewQuery,
+  snapshots: SnapshotCache,
   at: Instant,
 ): fleet.ViewSnapshot[] =>
   STORE_KINDS.flatMap((kind) => {
@@ -53,10 +95,9 @@
         kind,
         at: snapshot.revision,
         ageMs: Math.ceil(Math.max(0, elapsedMs(freshAt, at))),
-        items:
-          knownRevision >= snapshot.revision
-            ? undefined
-            : snapshotJson.get(snapshot),
+        ...(knownRevision >= snapshot.revision
+          ? NO_ITEMS
+          : snapshots.encode(snapshot, acceptsDeflate)),
         readBy: snapshot.readBy ?? '',
       },
     ];
@@ -79,20 +120,31 @@
   requestedAt: Instant,
   at: Instant,
 ): readonly Snapshot['kind'][] =>
-  received.flatMap(({kind: name, at: revision, ageMs, items, readBy}) => {
+  received.flatMap((view) => {
+    const {kind: name, at: revision, ageMs, readBy} = view;
     const kind = kindSchema.safeParse(name).data;
     if (kind === undefined) {
       return [];
     }
     const freshAt = instantBefore(requestedAt, ageMs);
-    if (items === undefined) {
+    const {items, deflatedItems} = view;
+    if (items === undefined && deflatedItems === undefined) {
       views.confirm(kind, revision, freshAt, at);
       return [];
     }
-    const parsed = itemsSchema.safeParse(parseJson(items)).data;
+    const text = items ?? inflate(deflatedItems);
+    const parsed = itemsSchema.safeParse(parseJson(text)).data;
     if (parsed === undefined) {
       return [];
     }
     const snapshot = {kind, revision, items: parsed, readBy};
     return views.update(snapshot, freshAt, at) ? [kind] : [];
   });
+
+/** Decompresses JSON; returns an empty text if that fails. */
+const inflate = (bytes: Uint8Array | undefined): string =>
+  Result.fromThrowable(() =>
+    inflateRawSync(bytes ?? new Uint8Array(), {
+      maxOutputLength: MAXIMUM_SNAPSHOT_BYTES,
+    }).toString(),
+  )().unwrapOr('');
--- a/packages/entry-host/src/store/reading-plans.ts
+++ b/packages/entry-host/src/store/reading-plans.ts
@@ -66,11 +66,12 @@
 const RECORDS_BOUND_MS = 6_000;
 
 /**
- * Pauses that batch changes, milliseconds. The configuration's is short, as its
- * changes come one at a time.
+ * Pauses that batch changes, milliseconds. The configuration's is short, but
+ * bounds the work of a series of changes, as each is read, checked and passed
+ * on as a whole.
  */
 const PAUSES_MS: Readonly<Record<StoreKind, number>> = {
-  configuration: 20,
+  configuration: 200,
   servers: 400,
   'adapter-versions': 500,
   records: 500,
--- a/packages/entry-host/src/test/views/fleet-sizes_test.ts
+++ b/packages/entry-host/src/test/views/fleet-sizes_test.ts
@@ -137,35 +137,32 @@
 // Guards against a reader whose link is full of what it tells its group: in a
 // storm of configurations a small machine that read for its zone answered no
 // readiness checks for seconds, and its own configuration became outdated.
-test.failing(
-  'many changes at once do not fill the link of a small reader',
-  async (t) => {
-    const fleet = new FleetSimulation(80, {
-      zones: 4,
-      largeHostsPerZone: 0,
-      newsBounds: NEWS_BOUNDS,
-    });
-    const ids = Array.from({length: 47}, (_unused, index) => `s${index}`);
-    for (const id of ids) {
-      fleet.putServer(id, {models: adaptersOf(0)});
-    }
-    await fleet.start();
-    for (const {traffic} of fleet.hosts.values()) {
-      traffic.bytes = 0;
-    }
-    for (let step = 0; step < 25; step += 1) {
-      fleet.store.put('configuration', 'main', largeConfiguration(step));
-      const id = ids[step] ?? '';
-      fleet.putServer(id, {models: adaptersOf(step)});
-      await fleet.time.advance(fleet.time.nowMs + 80);
-    }
-    const traffics = [...fleet.hosts.values()].map(({traffic}) => traffic);
-    const busiest = Math.max(...traffics.map(({bytes}) => bytes)) / 2;
-    t.log({busiest});
-    t.true(busiest < SMALL_LINK_SHARE, `${busiest} bytes a second`);
-    fleet.close();
-  },
-);
+test('many changes at once do not fill the link of a small reader', async (t) => {
+  const fleet = new FleetSimulation(80, {
+    zones: 4,
+    largeHostsPerZone: 0,
+    newsBounds: NEWS_BOUNDS,
+  });
+  const ids = Array.from({length: 47}, (_unused, index) => `s${index}`);
+  for (const id of ids) {
+    fleet.putServer(id, {models: adaptersOf(0)});
+  }
+  await fleet.start();
+  for (const {traffic} of fleet.hosts.values()) {
+    traffic.bytes = 0;
+  }
+  for (let step = 0; step < 25; step += 1) {
+    fleet.store.put('configuration', 'main', largeConfiguration(step));
+    const id = ids[step] ?? '';
+    fleet.putServer(id, {models: adaptersOf(step)});
+    await fleet.time.advance(fleet.time.nowMs + 80);
+  }
+  const traffics = [...fleet.hosts.values()].map(({traffic}) => traffic);
+  const busiest = Math.max(...traffics.map(({bytes}) => bytes)) / 2;
+  t.log({busiest});
+  t.true(busiest < SMALL_LINK_SHARE, `${busiest} bytes a second`);
+  fleet.close();
+});
 
 for (const {hosts, zones} of LAYOUTS) {
   test(`${hosts} hosts stop sending to a leaving server in time when their readers fail`, async (t) => {
