--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -53,7 +53,11 @@
 import type {EntryHostSettings} from './settings-schema.js';
 import {ServerTableUpdater, StoreReader} from './store/index.js';
 import {TenantQuotas} from './tenants/index.js';
-import {ServerCaller, UpstreamPools} from './upstream/index.js';
+import {
+  type ConnectSocket,
+  ServerCaller,
+  UpstreamPools,
+} from './upstream/index.js';
 
 /**
  * Interval between removals of expired server entries and health checks of
@@ -109,6 +113,8 @@
   readonly clock?: Clock;
   readonly logger?: Logger;
   readonly random?: () => number;
+  /** Opens connections to servers. */
+  readonly connectSocket?: ConnectSocket;
 }
 
 /** An entry host that sends requests directly to the servers. */
@@ -197,6 +203,7 @@
       (service) => {
         metrics.connections.inc({service});
       },
+      overrides.connectSocket,
     );
     this.serverCaller = new ServerCaller(this.context, this.pools);
     this.reader = new StoreReader(this.context, onNewer, () => {
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -10,6 +10,9 @@
   ResponseParser,
 } from './response-parser.js';
 
+/** Opens a TCP socket; tests replace it. */
+export type ConnectSocket = typeof connect;
+
 /** Address of an upstream server. */
 export interface UpstreamAddress {
   readonly host: string;
@@ -102,8 +105,9 @@
     private readonly requestIdHeader: string,
     private readonly timers: TimerService,
     private readonly observer: ConnectionObserver,
+    connectSocket: ConnectSocket = connect,
   ) {
-    this.socket = connect({...address, noDelay: true});
+    this.socket = connectSocket({...address, noDelay: true});
     this.socket.on('connect', () => {
       this.connected = true;
       this.write();
--- a/packages/entry-host/src/upstream/pool.ts
+++ b/packages/entry-host/src/upstream/pool.ts
@@ -1,6 +1,7 @@
 import type {TimerService} from '@basilworks/daemon';
 
 import {
+  type ConnectSocket,
   type ExchangeObserver,
   type UpstreamAddress,
   UpstreamConnection,
@@ -29,6 +30,7 @@
     private readonly timers: TimerService,
     /** Called for each new connection, before it is established. */
     private readonly opened: () => void,
+    private readonly connectSocket?: ConnectSocket,
   ) {}
 
   /**
@@ -105,6 +107,7 @@
           }
         },
       },
+      this.connectSocket,
     );
     this.connections.add(connection);
     this.opened();
--- a/packages/entry-host/src/upstream/pools.ts
+++ b/packages/entry-host/src/upstream/pools.ts
@@ -1,6 +1,7 @@
 import type {TimerService} from '@basilworks/daemon';
 import type {Server} from '@basilworks/dispatch';
 
+import type {ConnectSocket} from './connection.js';
 import {UpstreamPool} from './pool.js';
 
 /** The connection pools of all known server instances. */
@@ -11,6 +12,7 @@
     private readonly requestIdHeader: string,
     private readonly timers: TimerService,
     private readonly opened: (service: string) => void,
+    private readonly connectSocket?: ConnectSocket,
   ) {}
 
   /** Returns the pool of a server instance, created at first use. */
@@ -26,6 +28,7 @@
       () => {
         this.opened(entry.service);
       },
+      this.connectSocket,
     );
     this.pools.set(key, pool);
     return pool;
