Reach servers through other hosts where a host has lost its links

Callers saw: on hosts that were cut from all servers, while callers, the store and other hosts still reached them, first tries failed.

Cause: a host connected to servers itself or not at all. It could refuse or fail what it had taken, and held claims on servers that it could not order. Class: a host acts on what it can't vouch for; here, that a server it doesn't reach is down.

Change: a connection that fails or takes 150 ms is made through another host as well, as an HTTP/2 stream that carries its bytes, by one hop. Three servers that only others reach make a host count as cut; it then connects through others at once, until three servers answer it in turn. Silence of all servers with requests leads to a check. Its claims are taken over after 2 s; orders never go through another host. While it is cut, failures are held against no server, and a crash needs a refusal that a second host confirms.

Why it works: a server is reached if any host reaches it, and the host that took a request goes on to decide everything about it.

--- a/packages/dispatch/src/fleet/claims.ts
+++ b/packages/dispatch/src/fleet/claims.ts
@@ -25,6 +25,13 @@
  */
 export const HOLDER_TIMEOUT_MS = 5_000;
 
+/**
+ * How long a holder must be cut from all servers before its claims may be taken
+ * over, milliseconds. Shorter cuts end before another host could start to issue
+ * orders.
+ */
+export const CUT_HOLDER_TIMEOUT_MS = 2_000;
+
 /**
  * How long a host that reaches only a minority of the known hosts waits before
  * it takes claims, milliseconds.
@@ -43,6 +50,8 @@
   readonly self: string;
   /** The live hosts, including this one, with their rendezvous weights. */
   readonly live: readonly WeightedCandidate[];
+  /** Milliseconds for which a live host has been cut from all servers. */
+  readonly cutMs: (host: string) => number;
   /** Ids of the servers that accept orders. */
   readonly servers: readonly string[];
   readonly claims: ReadonlyMap<string, StoredClaim>;
@@ -76,8 +85,11 @@
     servers,
     claims,
     completedTakeovers: settled,
+    cutMs,
     minorityMs,
   } = review;
+  // A host that is cut from the servers could not give orders.
+  const candidates = live.filter(({name}) => cutMs(name) === 0);
   return servers.flatMap((server) => {
     const claim = claims.get(server);
     if (claim?.record.takenFrom !== undefined && settled.has(server)) {
@@ -91,7 +103,7 @@
     if (minorityMs > 0 && minorityMs < MINORITY_DELAY_MS) {
       return [];
     }
-    if (chooseByRendezvous(server, live) !== self) {
+    if (chooseByRendezvous(server, candidates) !== self) {
       return [];
     }
     const record: ClaimRecord = {
@@ -107,11 +119,12 @@
 
 const isAbandoned = (
   {host}: ClaimRecord,
-  {self, live, unreachableMs}: ClaimReview,
+  {self, live, cutMs, unreachableMs}: ClaimReview,
 ): boolean =>
   host !== self &&
-  !live.some(({name}) => name === host) &&
-  unreachableMs(host) > HOLDER_TIMEOUT_MS;
+  (live.some(({name}) => name === host)
+    ? cutMs(host) > CUT_HOLDER_TIMEOUT_MS
+    : unreachableMs(host) > HOLDER_TIMEOUT_MS);
 
 /** A claim of this host, with what this process knows about its takeover. */
 export interface HeldClaim {
--- a/packages/dispatch/src/fleet/host-table.ts
+++ b/packages/dispatch/src/fleet/host-table.ts
@@ -14,6 +14,10 @@
   readonly readsStore: boolean;
   /** Capacity by processor and network, thousandths of a core. */
   readonly capacity: number;
+  /** Address where it relays connections to servers, if it does. */
+  readonly relayAddress?: string | undefined;
+  /** Whether it is cut from all servers. */
+  readonly cutFromServers?: boolean | undefined;
 }
 
 /** A versioned status, as hosts gossip it. */
--- a/packages/dispatch/src/fleet/membership.ts
+++ b/packages/dispatch/src/fleet/membership.ts
@@ -169,6 +169,14 @@
       : 0;
   }
 
+  /** Milliseconds for which a host is known to be cut from all servers. */
+  cutMs(host: string, at: Instant): number {
+    const since = this.table.updatedAt(host);
+    return this.status(host)?.cutFromServers !== true
+      ? 0
+      : Math.max(1, since === undefined ? 0 : elapsedMs(since, at));
+  }
+
   status(host: string): HostEntry | undefined {
     return host === this.self().host ? this.self() : this.table.get(host);
   }
@@ -315,4 +323,6 @@
   known.callerAddress === status.callerAddress &&
   known.ready === status.ready &&
   known.readsStore === status.readsStore &&
-  known.capacity === status.capacity;
+  known.capacity === status.capacity &&
+  known.relayAddress === status.relayAddress &&
+  (known.cutFromServers ?? false) === (status.cutFromServers ?? false);
--- a/packages/dispatch/src/servers/index.ts
+++ b/packages/dispatch/src/servers/index.ts
@@ -17,5 +17,6 @@
 export * from './server-health.js';
 export * from './server-notices.js';
 export * from './server-outliers.js';
+export * from './server-paths.js';
 export * from './server-speed.js';
 export * from './server-table.js';
--- a/packages/dispatch/src/test/fleet/claims_test.ts
+++ b/packages/dispatch/src/test/fleet/claims_test.ts
@@ -31,6 +31,7 @@
   servers: ['s1'],
   claims: new Map(),
   completedTakeovers: new Set(),
+  cutMs: () => 0,
   minorityMs: 0,
   unreachableMs: () => 0,
   ...extra,
@@ -62,6 +63,28 @@
   });
 });
 
+test('a claim of a host that is cut from all servers is taken over, but not at once', (t) => {
+  const claims = new Map([['s1', {record: claim('other'), revision: 7}]]);
+  const live = candidates('me', 'other');
+  const cutFor = (milliseconds: number) =>
+    review({
+      claims,
+      live,
+      cutMs: (host) => (host === 'other' ? milliseconds : 0),
+    });
+  t.deepEqual(reviewClaims(cutFor(1_500)), []);
+  const [change] = reviewClaims(cutFor(2_500));
+  t.like(change, {record: {host: 'me', fence: 5, takenFrom: 'other'}});
+});
+
+test('a host that is cut from all servers takes no claims', (t) => {
+  const live = candidates('me', 'other');
+  const cutMs = (host: string) => (host === 'me' ? 1 : 0);
+  t.deepEqual(reviewClaims(review({live, cutMs})), []);
+  // Nobody is left to take them where all are cut.
+  t.deepEqual(reviewClaims(review({live, cutMs: () => 1})), []);
+});
+
 test('a partitioned host takes over no claims', (t) => {
   const claims = new Map([['s1', {record: claim('other'), revision: 7}]]);
   const partitioned = review({
--- a/packages/entry-host/src/context.ts
+++ b/packages/entry-host/src/context.ts
@@ -5,6 +5,7 @@
   Membership,
   PromptReports,
   ServerOutliers,
+  ServerPaths,
   ServerTable,
   StoreViews,
 } from '@basilworks/dispatch';
@@ -29,6 +30,8 @@
   readonly tallies: FailureTallies;
   /** Servers excluded from selection because their failures stand out. */
   readonly outliers: ServerOutliers;
+  /** How this host reaches servers. */
+  readonly paths: ServerPaths;
   /** Prefilled prompts and long event gaps to be reported to issuers. */
   readonly promptReports: PromptReports;
   /** Aborted when the host closes. */
--- a/packages/entry-host/src/crashes/crash-detector.ts
+++ b/packages/entry-host/src/crashes/crash-detector.ts
@@ -2,11 +2,7 @@
 import type {Server} from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
-import {
-  probeConnection,
-  type ProbeResult,
-  type UpstreamAddress,
-} from '../upstream/index.js';
+import type {ProbeResult} from '../upstream/index.js';
 
 /** A send that was in progress at a server when that crashed. */
 export interface LostSend {
@@ -32,8 +28,8 @@
   completed(send: LostSend): void;
 }
 
-/** Attempts a connection to a server. */
-export type Probe = (address: UpstreamAddress) => Promise<ProbeResult>;
+/** Attempts a connection to a server, through a peer if need be. */
+export type Probe = (server: Server) => Promise<ProbeResult>;
 
 /**
  * Delay before the first connection attempt, milliseconds: a process that ends
@@ -44,9 +40,6 @@
 /** Delay before the second and last attempt, milliseconds. */
 const SECOND_PROBE_DELAY_MS = 200;
 
-/** Time-out of a connection attempt, milliseconds. */
-const PROBE_TIMEOUT_MS = 300;
-
 /**
  * Time after which a crash is reported, milliseconds: enough to read the loss
  * of all connections of the server.
@@ -86,8 +79,7 @@
   constructor(
     private readonly context: EntryHostContext,
     private readonly observer: CrashObserver,
-    private readonly probe: Probe = (address) =>
-      probeConnection(address, context.timers, PROBE_TIMEOUT_MS),
+    private readonly probe: Probe,
   ) {}
 
   /** Records a send that its server interrupted. */
@@ -158,10 +150,10 @@
     onOpen?: () => void,
   ): void {
     const {timers, signal} = this.context;
-    const {key, entry} = interruption.server;
-    const {host, port} = entry;
+    const {server} = interruption;
+    const {key} = server;
     timers.after(`crashes/probe/${key}`, delayMs, () => {
-      void this.probe({host, port}).then((result) => {
+      void this.probe(server).then((result) => {
         if (signal.aborted) {
           return;
         }
--- a/packages/entry-host/src/crashes/crash-monitor.ts
+++ b/packages/entry-host/src/crashes/crash-monitor.ts
@@ -30,7 +30,7 @@
   constructor(
     private readonly context: EntryHostContext,
     linkTo: (host: string) => PeerConnection | undefined,
-    probe?: Probe,
+    probe: Probe,
   ) {
     this.records = new QuarantineRecords(
       context,
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -32,6 +32,7 @@
   selectCallerAddresses,
   type Server,
   ServerOutliers,
+  ServerPaths,
   ServerTable,
   servingConfigurationSchema,
   type StoreKind,
@@ -49,6 +50,12 @@
 import {SendPermits} from './permits/index.js';
 import {FleetPeerService, PeerExchange, PeerLink} from './peers/index.js';
 import type {PlatformProtocol} from './ports.js';
+import {
+  ReachabilityMonitor,
+  RelayListener,
+  RelaySessions,
+  ServerDialer,
+} from './relay/index.js';
 import {reloadSettings} from './settings-reload.js';
 import type {EntryHostSettings} from './settings-schema.js';
 import {ServerTableUpdater, StoreReader} from './store/index.js';
@@ -125,6 +132,9 @@
   private readonly versions = new AdapterVersions();
   private readonly residency = new ResidencyCache();
   private readonly pools: UpstreamPools;
+  private readonly relaySessions: RelaySessions;
+  private readonly relayListener: RelayListener;
+  private readonly reachability: ReachabilityMonitor;
   private readonly serverCaller: ServerCaller;
   private readonly reader: StoreReader;
   private readonly serverTableUpdater: ServerTableUpdater;
@@ -183,6 +193,7 @@
         this.schedulePromptReport();
       }),
       outliers: new ServerOutliers(),
+      paths: new ServerPaths(),
       signal: this.abortController.signal,
       random: overrides.random ?? Math.random,
     };
@@ -197,13 +208,27 @@
         reportedOccupancy(servers.open(service, at), at),
       random,
     );
+    this.relaySessions = new RelaySessions(timers, clock);
+    this.relayListener = new RelayListener(this.context);
+    const dialer = new ServerDialer(
+      this.context,
+      this.relaySessions,
+      overrides.connectSocket,
+    );
     this.pools = new UpstreamPools(
       headers.requestId.toLowerCase(),
-      timers,
+      (server) => dialer.dialsFor(server),
       (service) => {
         metrics.connections.inc({service});
       },
-      overrides.connectSocket,
+    );
+    this.reachability = new ReachabilityMonitor(
+      this.context,
+      dialer,
+      this.pools,
+      () => {
+        this.exchange.announce();
+      },
     );
     this.serverCaller = new ServerCaller(this.context, this.pools);
     this.reader = new StoreReader(this.context, onNewer, () => {
@@ -239,7 +264,9 @@
       linkTo,
     );
     this.quotas = new TenantQuotas(this.context, linkTo);
-    this.crashes = new CrashMonitor(this.context, linkTo);
+    this.crashes = new CrashMonitor(this.context, linkTo, (server) =>
+      dialer.check(server),
+    );
     this.peerService = new FleetPeerService(
       this.exchange,
       this.broker,
@@ -298,6 +325,13 @@
     if (front.isErr()) {
       return front.map(() => undefined);
     }
+    if (settings.relayAddress !== undefined) {
+      const [relayHost, relayPort] = parseAddress(settings.relayAddress);
+      const relay = await this.relayListener.listen(relayHost, relayPort);
+      if (relay.isErr()) {
+        return relay;
+      }
+    }
     this.listen(settings.readinessAddress, this.readinessRoutes());
     this.listen(settings.directoryAddress, this.directoryRoutes());
     if (settings.metricsAddress !== undefined) {
@@ -309,6 +343,7 @@
     this.broker.start();
     this.quotas.start();
     this.crashes.start();
+    this.reachability.start();
     this.startMaintenance();
     this.context.logger.info('started', {
       incarnation: this.context.membership.self().incarnation,
@@ -367,6 +402,8 @@
     this.peerService.close();
     this.exchange.close();
     this.pools.close();
+    this.relaySessions.close();
+    this.relayListener.close();
     for (const listener of this.listeners) {
       listener.close();
       listener.closeAllConnections();
@@ -444,7 +481,8 @@
   }
 
   private hostStatus(incarnation: string): HostStatus {
-    const {host, zone, peerAddress, callerAddress, machine} = this.settings;
+    const {host, zone, peerAddress, callerAddress, machine, relayAddress} =
+      this.settings;
     return {
       host,
       incarnation,
@@ -454,6 +492,8 @@
       ready: this.ready,
       readsStore: this.reader.isHealthy,
       capacity: hostCapacity(machine),
+      relayAddress,
+      cutFromServers: this.context.paths.isCut,
     };
   }
 
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -192,6 +192,7 @@
           mayWrite: () => this.mayWrite(),
           head: (head) => {
             const at = clock.now();
+            this.context.paths.recordActivity(at);
             this.headReceived = true;
             const waitedMs = at.monotonicMs - sentAt.monotonicMs;
             this.recordResponse(request, head, waitedMs, at);
@@ -201,6 +202,7 @@
           data: (chunk) => {
             const at = clock.now();
             health.recordActivity(at);
+            this.context.paths.recordActivity(at);
             const gapMs = timing.recordChunk(at);
             if (gapMs !== undefined) {
               health.recordGap(gapMs, at);
@@ -329,7 +331,9 @@
   }
 
   private classify(result: SendResult): AttemptOutcome {
-    if (this.cancelled) {
+    const unreached = result.type === 'no-answer' && result.error !== undefined;
+    // A host that is cut from all servers can't tell which of them fail.
+    if (this.cancelled || (unreached && this.context.paths.isCut)) {
       return 'cancelled';
     }
     if (result.type === 'answered') {
@@ -361,7 +365,7 @@
       attemptOutcome === 'cancelled'
         ? unanswered || undefined
         : FAILED_BY_OUTCOME[attemptOutcome];
-    if (failed !== undefined) {
+    if (failed !== undefined && !(failed && this.context.paths.isCut)) {
       this.context.tallies.record(entry.service, key, failed, at);
     }
   }
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -112,6 +112,12 @@
     ['service'],
   );
 
+  readonly relayedConnections = this.counter(
+    'basilworks_relayed_connections_total',
+    'Connections to servers through a peer, for peers or for this host.',
+    ['role', 'end'],
+  );
+
   readonly cutCallers = this.counter(
     'basilworks_cut_callers_total',
     'Callers whose connections this host has cut, by reason.',
--- a/packages/entry-host/src/orders/claim-manager.ts
+++ b/packages/entry-host/src/orders/claim-manager.ts
@@ -169,6 +169,7 @@
         name: host,
         weight: rendezvousWeight(capacity),
       })),
+      cutMs: (host) => membership.cutMs(host, at),
       servers: engines.map(({entry}) => entry.id),
       claims: this.claims,
       completedTakeovers: new Set(
--- a/packages/entry-host/src/peers/host-codec.ts
+++ b/packages/entry-host/src/peers/host-codec.ts
@@ -19,6 +19,8 @@
   capacity: z.number().nonnegative(),
   version: z.number().int().positive(),
   gone: z.boolean(),
+  relayAddress: addressSchema.optional(),
+  cutFromServers: z.boolean().default(false),
 });
 
 const FIELDS = Object.keys(entrySchema.shape) as (keyof HostEntry)[];
@@ -38,4 +40,8 @@
     : entrySchema.safeParse(status).data;
 
 /** Encodes the entry of a host for peers. */
-export const encodeHost = (entry: HostEntry): fleet.HostStatus => ({...entry});
+export const encodeHost = (entry: HostEntry): fleet.HostStatus => ({
+  ...entry,
+  relayAddress: entry.relayAddress,
+  cutFromServers: entry.cutFromServers ?? false,
+});
--- /dev/null
+++ b/packages/entry-host/src/relay/relay-listener.ts
@@ -0,0 +1,185 @@
+import {
+  createServer,
+  type Http2Server,
+  type IncomingHttpHeaders,
+  type ServerHttp2Session,
+  type ServerHttp2Stream,
+} from 'node:http2';
+
+import {ListenError} from '@basilworks/daemon';
+import {ResultAsync} from 'neverthrow';
+
+import type {EntryHostContext} from '../context.js';
+import {
+  type DialFailure,
+  type Dial,
+  dialDirectly,
+  type Transport,
+  type UpstreamAddress,
+} from '../upstream/index.js';
+import {END_TRAILER, RELAY_PATH, RELAY_STATUS} from './relay-protocol.js';
+
+/**
+ * Connections that this host relays at once: each may hold the windows of two
+ * streams in memory.
+ */
+const MAXIMUM_RELAYED = 256;
+
+/**
+ * Connect timeout of relayed connections, milliseconds: below that of the peer,
+ * so that it learns the result.
+ */
+const RELAY_CONNECT_TIMEOUT_MS = 200;
+
+/** The parts of the entry host that the listener uses. */
+export type RelayContext = Pick<
+  EntryHostContext,
+  'clock' | 'logger' | 'metrics' | 'paths' | 'servers' | 'timers'
+>;
+
+/** Relays connections of peers that can't reach servers. */
+export class RelayListener {
+  private readonly server: Http2Server;
+  private readonly sessions = new Set<ServerHttp2Session>();
+  private relayed = 0;
+
+  constructor(
+    private readonly context: RelayContext,
+    private readonly dialServer: (address: UpstreamAddress) => Dial = (
+      address,
+    ) =>
+      dialDirectly(
+        address,
+        context.timers,
+        undefined,
+        RELAY_CONNECT_TIMEOUT_MS,
+      ),
+  ) {
+    this.server = createServer();
+    this.server.on('session', (session: ServerHttp2Session) => {
+      this.sessions.add(session);
+      session.on('error', ({message}: Error) => {
+        this.context.logger.info('relay session failed', {error: message});
+      });
+      session.on('close', () => {
+        this.sessions.delete(session);
+      });
+    });
+    this.server.on('stream', (stream, headers) => {
+      this.handleStream(stream, headers);
+    });
+  }
+
+  listen(host: string, port: number): ResultAsync<void, ListenError> {
+    return ResultAsync.fromPromise(
+      new Promise<void>((resolve, reject) => {
+        this.server.once('error', reject);
+        this.server.listen({host, port}, resolve);
+      }),
+      (error) => new ListenError(`${host}:${port}`, String(error)),
+    );
+  }
+
+  close(): void {
+    this.server.close();
+    for (const session of this.sessions) {
+      session.destroy();
+    }
+  }
+
+  private handleStream(
+    stream: ServerHttp2Stream,
+    {':path': path = '', ':method': method}: IncomingHttpHeaders,
+  ): void {
+    stream.on('error', ({message}) => {
+      this.context.logger.debug('relayed stream failed', {error: message});
+    });
+    const address = parseTarget(path);
+    if (method !== 'POST' || address === undefined || !this.knows(address)) {
+      respond(stream, RELAY_STATUS.unknownServer);
+      return;
+    }
+    const {paths, metrics} = this.context;
+    if (this.relayed >= MAXIMUM_RELAYED || paths.isCut) {
+      metrics.relayedConnections.inc({role: 'relay', end: 'unavailable'});
+      respond(stream, RELAY_STATUS.unavailable);
+      return;
+    }
+    this.relayed += 1;
+    const cancelDial = this.dialServer(address)({
+      connected: (transport) => {
+        metrics.relayedConnections.inc({role: 'relay', end: 'connected'});
+        relay(stream, transport);
+      },
+      failed: (failure) => {
+        metrics.relayedConnections.inc({role: 'relay', end: failure.reason});
+        respond(stream, statusOf(failure));
+      },
+    });
+    stream.once('close', () => {
+      this.relayed -= 1;
+      cancelDial();
+    });
+  }
+
+  private knows({host, port}: UpstreamAddress): boolean {
+    return this.context.servers
+      .all()
+      .some(({entry}) => entry.host === host && entry.port === port);
+  }
+}
+
+/** Passes bytes on in both directions until one side ends. */
+const relay = (
+  stream: ServerHttp2Stream,
+  {stream: connection}: Transport,
+): void => {
+  if (stream.destroyed) {
+    connection.destroy();
+    return;
+  }
+  let serverClosed = false;
+  stream.respond({':status': RELAY_STATUS.connected}, {waitForTrailers: true});
+  stream.on('wantTrailers', () => {
+    if (serverClosed) {
+      stream.sendTrailers({[END_TRAILER]: '1'});
+    } else {
+      stream.close();
+    }
+  });
+  connection.on('error', () => {
+    stream.destroy();
+  });
+  connection.on('end', () => {
+    serverClosed = true;
+  });
+  connection.on('close', () => {
+    if (!serverClosed) {
+      stream.destroy();
+    }
+  });
+  stream.on('close', () => {
+    connection.destroy();
+  });
+  connection.pipe(stream);
+  stream.pipe(connection);
+};
+
+const respond = (stream: ServerHttp2Stream, status: number): void => {
+  if (!stream.destroyed) {
+    stream.respond({':status': status}, {endStream: true});
+  }
+};
+
+const statusOf = ({refused, reason}: DialFailure): number =>
+  refused || reason === 'unreachable'
+    ? RELAY_STATUS.refused
+    : RELAY_STATUS.silent;
+
+const parseTarget = (path: string): UpstreamAddress | undefined => {
+  const target = path.startsWith(RELAY_PATH)
+    ? path.slice(RELAY_PATH.length)
+    : '';
+  const [host = '', port = ''] = target.split(':');
+  return host === '' || port === '' ? undefined : {host, port: Number(port)};
+};
--- a/packages/entry-host/src/settings-schema.ts
+++ b/packages/entry-host/src/settings-schema.ts
@@ -22,6 +22,11 @@
   directoryAddress: addressSchema,
   /** Address where other entry hosts connect. */
   peerAddress: addressSchema,
+  /**
+   * Address where this host relays connections of hosts that can't reach
+   * servers; if absent, it relays none.
+   */
+  relayAddress: addressSchema.optional(),
   /** Peer addresses of some hosts, possibly outdated, for discovery. */
   seeds: z.array(addressSchema),
   /** Address where metrics are served; if absent, they are not served. */
--- a/packages/entry-host/src/test/orders/claim-manager_test.ts
+++ b/packages/entry-host/src/test/orders/claim-manager_test.ts
@@ -6,6 +6,7 @@
   type HostEntry,
   Membership,
   ServerOutliers,
+  ServerPaths,
   ServerTable,
   StoreViews,
 } from '@basilworks/dispatch';
@@ -73,6 +74,7 @@
     tallies: new FailureTallies(),
     promptReports: new PromptReports(() => undefined),
     outliers: new ServerOutliers(),
+    paths: new ServerPaths(),
     signal: new AbortController().signal,
     random: () => 0.5,
   };
--- a/packages/entry-host/src/test/peers/host-codec_test.ts
+++ b/packages/entry-host/src/test/peers/host-codec_test.ts
@@ -14,6 +14,8 @@
   capacity: 675,
   version: 3,
   gone: false,
+  relayAddress: '10.0.0.1:7000',
+  cutFromServers: false,
 };
 
 test('a status equal to the known entry decodes to that entry', (t) => {
--- a/packages/entry-host/src/test/upstream/connection_test.ts
+++ b/packages/entry-host/src/test/upstream/connection_test.ts
@@ -5,6 +5,7 @@
 import test from 'ava';
 
 import {
+  dialDirectly,
   type ExchangeHandle,
   UpstreamError,
   UpstreamPool,
@@ -39,14 +40,10 @@
   });
   const {port} = server.address() as AddressInfo;
   let opened = 0;
-  const pool = new UpstreamPool(
-    {host: '127.0.0.1', port},
-    ID_HEADER,
-    timers,
-    () => {
-      opened += 1;
-    },
-  );
+  const dial = dialDirectly({host: '127.0.0.1', port}, timers);
+  const pool = new UpstreamPool({any: dial, direct: dial}, ID_HEADER, () => {
+    opened += 1;
+  });
   return {server, pool, opened: () => opened};
 };
 
--- a/packages/entry-host/src/test/views/fleet-simulation.ts
+++ b/packages/entry-host/src/test/views/fleet-simulation.ts
@@ -9,6 +9,7 @@
   type RouteTable,
   type ServerEntry,
   ServerOutliers,
+  ServerPaths,
   ServerTable,
   STORE_KINDS,
   StoreViews,
@@ -125,6 +126,7 @@
       tallies: new FailureTallies(),
       promptReports: new PromptReports(() => undefined),
       outliers: new ServerOutliers(),
+      paths: new ServerPaths(),
       signal: this.abortController.signal,
       random: () => 0.5,
     };
@@ -184,7 +186,7 @@
     this.crashes = new CrashMonitor(
       this.context,
       (host) => this.exchange.linkTo(host),
-      ({port}) => Promise.resolve(simulation.probe(port)),
+      ({entry}) => Promise.resolve(simulation.probe(entry.port)),
     );
     this.storeReader.start();
     this.crashes.start();
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -1,7 +1,10 @@
-import {connect, type Socket} from 'node:net';
-
-import type {TimerService} from '@basilworks/daemon';
-
+import type {
+  Dial,
+  DialFailure,
+  ServerPath,
+  ServerStream,
+  Transport,
+} from './dial.js';
 import {
   headerValue,
   headerValues,
@@ -10,15 +13,6 @@
   ResponseParser,
 } from './response-parser.js';
 
-/** Opens a TCP socket; tests replace it. */
-export type ConnectSocket = typeof connect;
-
-/** Address of an upstream server. */
-export interface UpstreamAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Why an exchange ended without a complete response. */
 export type ExchangeFailure =
   | 'unreachable'
@@ -54,6 +48,8 @@
   readonly requestId: string | undefined;
   /** Maximum response size, bytes; unlimited if absent, for relayed bodies. */
   readonly maximumBytes?: number;
+  /** Whether it must be sent by this host itself, through no peer. */
+  readonly directOnly?: boolean;
 }
 
 /** Receives the response; the last call is either `end` or `failed`. */
@@ -66,9 +62,6 @@
   failed(error: UpstreamError): void;
 }
 
-/** Makes the timer names of connections unique. */
-let serial = 0;
-
 /** Receives the state changes of a connection, for its pool. */
 export interface ConnectionObserver {
   /** The connection is available for another exchange. */
@@ -92,46 +85,34 @@
  * connection.
  */
 export class UpstreamConnection {
-  private readonly socket: Socket;
+  private transport: Transport | undefined;
   private exchange: Exchange | undefined;
   private readonly earlierIds = new Set<string>();
-  private connected = false;
   private ended = false;
   private reusable = true;
   private idleMs = DEFAULT_IDLE_MS;
+  private readonly cancelDial: () => void;
 
   constructor(
-    address: UpstreamAddress,
+    dial: Dial,
     private readonly requestIdHeader: string,
-    private readonly timers: TimerService,
     private readonly observer: ConnectionObserver,
-    connectSocket: ConnectSocket = connect,
   ) {
-    this.socket = connectSocket({...address, noDelay: true});
-    this.socket.on('connect', () => {
-      this.connected = true;
-      this.write();
-    });
-    this.socket.on('data', (chunk: Buffer) => {
-      this.handleData(chunk);
-    });
-    this.socket.on('end', () => {
-      this.handlePeerEnd();
-    });
-    this.socket.on('error', ({message, code}: NodeJS.ErrnoException) => {
-      const reason = this.connected ? 'interrupted' : 'unreachable';
-      this.fail(reason, message, code === 'ECONNREFUSED');
-    });
-    this.socket.on('close', () => {
-      this.fail('interrupted', 'closed by the server');
-    });
-    this.socket.on('timeout', () => {
-      if (this.exchange === undefined) {
-        this.close();
-      }
+    this.cancelDial = dial({
+      connected: (transport) => {
+        this.handleConnected(transport);
+      },
+      failed: (failure) => {
+        this.handleDialFailure(failure);
+      },
     });
   }
 
+  /** How the connection reaches the server; undefined until it is open. */
+  get path(): ServerPath | undefined {
+    return this.transport?.path;
+  }
+
   /** Whether the connection can start an exchange now. */
   get available(): boolean {
     return !this.ended && this.reusable && this.exchange === undefined;
@@ -142,37 +123,23 @@
     return this.earlierIds.has(requestId);
   }
 
-  /** Starts an exchange; `connectTimeoutMs` bounds the time to connect. */
-  start(
-    request: UpstreamRequest,
-    connectTimeoutMs: number,
-    observer: ExchangeObserver,
-  ): void {
-    this.socket.setTimeout(0);
+  /** Starts an exchange, as soon as the connection is open. */
+  start(request: UpstreamRequest, observer: ExchangeObserver): void {
     const exchange = new Exchange(request, observer);
     this.exchange = exchange;
     exchange.setClassifier(this.classifyHead);
-    if (this.connected) {
-      this.write();
-      return;
+    if (this.transport !== undefined) {
+      this.transport.stream.setTimeout(0);
+      this.write(this.transport.stream);
     }
-    const timer = `upstream/connect/${(serial += 1)}`;
-    this.timers.after(timer, connectTimeoutMs, () => {
-      this.fail('connect-timeout', `no connection in ${connectTimeoutMs} ms`);
-    });
-    const cancelTimer = () => {
-      this.timers.cancel(timer);
-    };
-    this.socket.once('connect', cancelTimer);
-    this.socket.once('close', cancelTimer);
   }
 
   pause(): void {
-    this.socket.pause();
+    this.transport?.stream.pause();
   }
 
   resume(): void {
-    this.socket.resume();
+    this.transport?.stream.resume();
   }
 
   /** Fails the exchange in progress and closes the connection. */
@@ -184,12 +151,39 @@
     this.fail('cancelled', 'closed');
   }
 
-  private write(): void {
+  private handleConnected(transport: Transport): void {
+    this.transport = transport;
+    const {stream} = transport;
+    stream.on('data', (chunk: Buffer) => {
+      this.handleData(chunk);
+    });
+    stream.on('end', () => {
+      this.handlePeerEnd(transport);
+    });
+    stream.on('error', ({message}: Error) => {
+      this.fail('interrupted', message);
+    });
+    stream.on('close', () => {
+      this.fail('interrupted', 'closed by the server');
+    });
+    stream.on('timeout', () => {
+      if (this.exchange === undefined) {
+        this.close();
+      }
+    });
+    this.write(stream);
+  }
+
+  private handleDialFailure({reason, detail, refused}: DialFailure): void {
+    this.fail(reason, detail, refused);
+  }
+
+  private write(stream: ServerStream): void {
     const {exchange} = this;
     if (exchange?.observer.mayWrite?.() === false) {
       this.fail('withheld', 'withheld before the first byte');
     } else {
-      exchange?.write(this.socket);
+      exchange?.write(stream);
     }
   }
 
@@ -235,8 +229,9 @@
 
   private finish(exchange: Exchange, extraBytes: boolean): void {
     this.exchange = undefined;
-    // The last bytes may have arrived while a slow caller paused the socket.
-    this.socket.resume();
+    const stream = this.transport?.stream;
+    // The last bytes may have arrived while a slow caller paused the stream.
+    stream?.resume();
     const {requestId} = exchange.request;
     if (requestId !== undefined) {
       this.earlierIds.add(requestId);
@@ -253,7 +248,7 @@
       this.idleMs = Math.max(0, Number(timeout) * 1_000 - IDLE_MARGIN_MS);
     }
     // A server that responds before it has read the body may never read it.
-    const bodySent = this.socket.writableLength === 0;
+    const bodySent = stream?.writableLength === 0;
     this.reusable =
       !closing &&
       !extraBytes &&
@@ -261,7 +256,7 @@
       exchange.selfDelimited &&
       this.idleMs > 0;
     if (this.reusable) {
-      this.socket.setTimeout(this.idleMs);
+      stream?.setTimeout(this.idleMs);
     }
     exchange.observer.end();
     if (this.reusable) {
@@ -271,9 +266,9 @@
     }
   }
 
-  private handlePeerEnd(): void {
+  private handlePeerEnd({endedByServer}: Transport): void {
     const {exchange} = this;
-    if (exchange?.connectionClosed() === true) {
+    if (endedByServer() && exchange?.connectionClosed() === true) {
       this.finish(exchange, false);
     } else {
       this.fail('interrupted', 'closed by the server');
@@ -289,7 +284,8 @@
       return;
     }
     this.ended = true;
-    this.socket.destroy();
+    this.cancelDial();
+    this.transport?.stream.destroy();
     const {exchange} = this;
     this.exchange = undefined;
     this.observer.closed(this);
@@ -331,15 +327,15 @@
     this.classify = classify;
   }
 
-  write(socket: Socket): void {
+  write(stream: ServerStream): void {
     this.written = true;
     const {head, body} = this.request;
-    socket.cork();
-    socket.write(head, 'latin1');
+    stream.cork();
+    stream.write(head, 'latin1');
     if (body.length > 0) {
-      socket.write(body);
+      stream.write(body);
     }
-    socket.uncork();
+    stream.uncork();
   }
 
   /** Parses bytes; returns those that follow the response. */
--- a/packages/entry-host/src/upstream/pool.ts
+++ b/packages/entry-host/src/upstream/pool.ts
@@ -1,16 +1,17 @@
-import type {TimerService} from '@basilworks/daemon';
-
 import {
-  type ConnectSocket,
   type ExchangeObserver,
-  type UpstreamAddress,
   UpstreamConnection,
   UpstreamError,
   type UpstreamRequest,
 } from './connection.js';
+import type {Dial, ServerPath} from './dial.js';
 
-/** Connect timeout, milliseconds: several round trips within a zone. */
-const CONNECT_TIMEOUT_MS = 400;
+/** Ways to connect to one server. */
+export interface ServerDials {
+  /** Directly or, if that fails, through a peer. */
+  readonly any: Dial;
+  readonly direct: Dial;
+}
 
 /** Controls an exchange in progress. */
 export interface ExchangeHandle {
@@ -25,12 +26,10 @@
   private readonly connections = new Set<UpstreamConnection>();
 
   constructor(
-    private readonly address: UpstreamAddress,
+    private readonly dials: ServerDials,
     private readonly requestIdHeader: string,
-    private readonly timers: TimerService,
     /** Called for each new connection, before it is established. */
     private readonly opened: () => void,
-    private readonly connectSocket?: ConnectSocket,
   ) {}
 
   /**
@@ -42,7 +41,10 @@
     maximum: number,
     observer: ExchangeObserver,
   ): ExchangeHandle | UpstreamError {
-    const connection = this.takeIdle(request.requestId) ?? this.open(maximum);
+    const {directOnly = false} = request;
+    const connection =
+      this.takeIdle(request) ??
+      this.open(maximum, directOnly ? this.dials.direct : this.dials.any);
     if (connection === undefined) {
       return new UpstreamError(
         false,
@@ -50,14 +52,19 @@
         `all ${maximum} connections are in use`,
       );
     }
-    connection.start(request, CONNECT_TIMEOUT_MS, observer);
+    connection.start(request, observer);
     return connection;
   }
 
-  /** Closes idle connections; exchanges in progress continue. */
-  closeIdle(): void {
+  /**
+   * Closes idle connections, all or those of one path; exchanges in progress
+   * continue.
+   */
+  closeIdle(path?: ServerPath): void {
     for (const connection of [...this.idle]) {
-      connection.close();
+      if (path === undefined || connection.path === path) {
+        connection.close();
+      }
     }
   }
 
@@ -73,10 +80,16 @@
    * with the same id is left: a server may write its response to that once
    * more, which could not be told from the response to this request.
    */
-  private takeIdle(requestId = ''): UpstreamConnection | undefined {
+  private takeIdle({
+    requestId = '',
+    directOnly = false,
+  }: UpstreamRequest): UpstreamConnection | undefined {
     for (let index = this.idle.length - 1; index >= 0; index -= 1) {
       const connection = this.idle[index];
-      if (connection?.hasCarried(requestId) === true && connection.available) {
+      const unsuitable =
+        connection?.hasCarried(requestId) === true ||
+        (directOnly && connection?.path !== 'direct');
+      if (unsuitable && connection?.available === true) {
         continue;
       }
       this.idle.splice(index, 1);
@@ -87,28 +100,22 @@
     return undefined;
   }
 
-  private open(maximum: number): UpstreamConnection | undefined {
+  private open(maximum: number, dial: Dial): UpstreamConnection | undefined {
     if (this.connections.size >= maximum) {
       return undefined;
     }
-    const connection = new UpstreamConnection(
-      this.address,
-      this.requestIdHeader,
-      this.timers,
-      {
-        idle: (available) => {
-          this.idle.push(available);
-        },
-        closed: (closed) => {
-          this.connections.delete(closed);
-          const index = this.idle.indexOf(closed);
-          if (index >= 0) {
-            this.idle.splice(index, 1);
-          }
-        },
+    const connection = new UpstreamConnection(dial, this.requestIdHeader, {
+      idle: (available) => {
+        this.idle.push(available);
+      },
+      closed: (closed) => {
+        this.connections.delete(closed);
+        const index = this.idle.indexOf(closed);
+        if (index >= 0) {
+          this.idle.splice(index, 1);
+        }
       },
-      this.connectSocket,
-    );
+    });
     this.connections.add(connection);
     this.opened();
     return connection;
--- a/packages/entry-host/src/upstream/pools.ts
+++ b/packages/entry-host/src/upstream/pools.ts
@@ -1,8 +1,7 @@
-import type {TimerService} from '@basilworks/daemon';
 import type {Server} from '@basilworks/dispatch';
 
-import type {ConnectSocket} from './connection.js';
-import {UpstreamPool} from './pool.js';
+import type {ServerPath} from './dial.js';
+import {type ServerDials, UpstreamPool} from './pool.js';
 
 /** The connection pools of all known server instances. */
 export class UpstreamPools {
@@ -10,25 +9,23 @@
 
   constructor(
     private readonly requestIdHeader: string,
-    private readonly timers: TimerService,
+    private readonly dialsFor: (server: Server) => ServerDials,
     private readonly opened: (service: string) => void,
-    private readonly connectSocket?: ConnectSocket,
   ) {}
 
   /** Returns the pool of a server instance, created at first use. */
-  poolFor({key, entry}: Server): UpstreamPool {
+  poolFor(server: Server): UpstreamPool {
+    const {key, entry} = server;
     const known = this.pools.get(key);
     if (known !== undefined) {
       return known;
     }
     const pool = new UpstreamPool(
-      {host: entry.host, port: entry.port},
+      this.dialsFor(server),
       this.requestIdHeader,
-      this.timers,
       () => {
         this.opened(entry.service);
       },
-      this.connectSocket,
     );
     this.pools.set(key, pool);
     return pool;
@@ -44,6 +41,13 @@
     }
   }
 
+  /** Closes idle connections that reach their servers by `path`. */
+  closeIdle(path: ServerPath): void {
+    for (const pool of this.pools.values()) {
+      pool.closeIdle(path);
+    }
+  }
+
   close(): void {
     for (const pool of this.pools.values()) {
       pool.close();
--- a/packages/entry-host/src/upstream/server-caller.ts
+++ b/packages/entry-host/src/upstream/server-caller.ts
@@ -77,6 +77,8 @@
           body: bytes,
           requestId: undefined,
           maximumBytes: MAXIMUM_RESPONSE_BYTES,
+          // Servers tell issuers by the machine that orders come from.
+          directOnly: purpose === 'order',
         },
         RESERVED_CONNECTIONS + server.entry.slots,
         {
