Let streams go on only at the software version that began them

Cause: the software version of a server was not decoded. A stream that broke off went on at any server of its service, and a request that took one up (Resumes) as well. Class: a host acts on what it can't vouch for; here, on a stream whose beginning it doesn't know.

Change: the version of the server that brought the first event bounds everything that follows in an answer. Hosts remember where streams began, and tell three others while a service may have two versions, so that a host that is asked to go on can find out. What versions there may have been is a record in the store, written before streams begin at a new one; where there may have been several, a stream of unknown origin is refused with 503 before anything is sent.

With one version streams are taken up as before.

Why it works: no send of a resumed stream is possible without a known version, and a version that may have begun streams is on record as long as they may go on.

--- a/packages/dispatch/src/fleet/records.ts
+++ b/packages/dispatch/src/fleet/records.ts
@@ -39,16 +39,32 @@
 });
 export type QuarantineRecord = z.infer<typeof quarantineRecordSchema>;
 
+/** The versions of server software that may have begun streams of a service. */
+export const softwareVersionsRecordSchema = z.object({
+  type: z.literal('software-versions'),
+  service: z.string(),
+  versions: z.array(z.string()),
+});
+export type SoftwareVersionsRecord = z.infer<
+  typeof softwareVersionsRecordSchema
+>;
+
 /** Records that entry hosts keep in the platform's store. */
 export const fleetRecordSchema = z.discriminatedUnion('type', [
   hostRecordSchema,
   claimRecordSchema,
   quarantineRecordSchema,
+  softwareVersionsRecordSchema,
 ]);
 export type FleetRecord = z.infer<typeof fleetRecordSchema>;
 
-/** Name of a record; keys may have characters that names may not. */
+/** Digest of a key, which may have characters that names may not. */
+const digestOf = (key: string): string =>
+  createHash('sha256').update(key).digest('hex').slice(0, 32);
+
 export const quarantineRecordName = (key: string): string =>
-  `quarantine.${createHash('sha256').update(key).digest('hex').slice(0, 32)}`;
+  `quarantine.${digestOf(key)}`;
+export const softwareVersionsRecordName = (service: string): string =>
+  `software-versions.${digestOf(service)}`;
 export const hostRecordName = (host: string): string => `host.${host}`;
 export const claimRecordName = (server: string): string => `claim.${server}`;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -5,4 +5,5 @@
 export * from './prompts/index.js';
 export * from './requests/index.js';
 export * from './servers/index.js';
+export * from './streams/index.js';
 export * from './tenants/index.js';
--- a/packages/dispatch/src/servers/server-entry.ts
+++ b/packages/dispatch/src/servers/server-entry.ts
@@ -14,6 +14,11 @@
   leaving: z.boolean(),
   /** Start time of this server instance, milliseconds since the Unix epoch. */
   startedAtWallMs: z.number(),
+  /**
+   * Version of its software, empty if unknown. Versions have no order; what two
+   * of them write in a stream does not fit together.
+   */
+  softwareVersion: z.string().default(''),
   /** Names of the base models that it serves. */
   models: z.array(z.string()),
 });
--- /dev/null
+++ b/packages/dispatch/src/streams/index.ts
@@ -0,0 +1,2 @@
+export * from './software-versions.js';
+export * from './stream-origins.js';
--- /dev/null
+++ b/packages/dispatch/src/streams/software-versions.ts
@@ -0,0 +1,118 @@
+import {elapsedMs, type Instant} from '@basilworks/core';
+
+import {STREAM_RETENTION_MS} from './stream-origins.js';
+
+/**
+ * The software versions at which streams of a service may have begun: those on
+ * record and those of its servers. What two versions write does not fit
+ * together, so that a stream goes on only at the version that began it.
+ */
+export class SoftwareVersions {
+  private recorded = new Map<string, ReadonlySet<string>>();
+  private present = new Map<string, ReadonlySet<string>>();
+  /**
+   * When versions last had servers, by service; for versions on record that had
+   * none since this host started, when it learned of them.
+   */
+  private readonly seenAt = new Map<string, Map<string, Instant>>();
+
+  /** Replaces the versions on record, by service. */
+  applyRecorded(
+    recorded: ReadonlyMap<string, readonly string[]>,
+    at: Instant,
+  ): void {
+    this.recorded = new Map(
+      [...recorded].map(([service, versions]) => [service, new Set(versions)]),
+    );
+    this.recordSeen(at);
+  }
+
+  /** Replaces the versions of servers, by service. */
+  applyPresent(
+    present: ReadonlyMap<string, ReadonlySet<string>>,
+    at: Instant,
+  ): void {
+    this.recordSeen(at);
+    this.present = new Map(present);
+    this.recordSeen(at);
+  }
+
+  /** Services that have servers. */
+  services(): readonly string[] {
+    return [...this.present.keys()];
+  }
+
+  /** Versions at which streams that may go on may have begun. */
+  possible(service: string, at: Instant): ReadonlySet<string> {
+    return new Set([
+      ...(this.recorded.get(service) ?? []),
+      ...this.recent(service, at),
+    ]);
+  }
+
+  /**
+   * Whether a stream may begin at a version: it has to be on record first, so
+   * that hosts which start later know of it. Where no recorded version has
+   * servers, streams begin at any.
+   */
+  mayBegin(service: string, version: string): boolean {
+    const recorded = this.recorded.get(service);
+    const serving = this.present.get(service) ?? new Set<string>();
+    return (
+      recorded === undefined ||
+      recorded.has(version) ||
+      ![...serving].some((present) => recorded.has(present))
+    );
+  }
+
+  /** Versions to put on record in place of those there; undefined if none. */
+  due(service: string, at: Instant): readonly string[] | undefined {
+    const recorded = this.recorded.get(service) ?? new Set<string>();
+    const wanted = this.recent(service, at);
+    return wanted.length === recorded.size &&
+      wanted.every((version) => recorded.has(version))
+      ? undefined
+      : [...wanted].sort();
+  }
+
+  /** Versions that have had servers within the time of a stream. */
+  private recent(service: string, at: Instant): readonly string[] {
+    this.recordSeen(at);
+    return [...(this.seenAt.get(service) ?? [])]
+      .filter(([, seenAt]) => elapsedMs(seenAt, at) < STREAM_RETENTION_MS)
+      .map(([version]) => version);
+  }
+
+  private recordSeen(at: Instant): void {
+    for (const [service, versions] of this.present) {
+      const seen = this.seenOf(service);
+      for (const version of versions) {
+        seen.set(version, at);
+      }
+    }
+    for (const [service, versions] of this.recorded) {
+      const seen = this.seenOf(service);
+      for (const version of versions) {
+        seen.set(version, seen.get(version) ?? at);
+      }
+    }
+    for (const [service, seen] of this.seenAt) {
+      for (const [version, seenAt] of seen) {
+        const onRecord = this.recorded.get(service)?.has(version) === true;
+        if (!onRecord && elapsedMs(seenAt, at) >= STREAM_RETENTION_MS) {
+          seen.delete(version);
+        }
+      }
+    }
+  }
+
+  private seenOf(service: string): Map<string, Instant> {
+    const known = this.seenAt.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const seen = new Map<string, Instant>();
+    this.seenAt.set(service, seen);
+    return seen;
+  }
+}
--- a/packages/dispatch/src/test/servers/plain-service-simulation.ts
+++ b/packages/dispatch/src/test/servers/plain-service-simulation.ts
@@ -93,6 +93,7 @@
       slots,
       leaving: false,
       startedAtWallMs: 1,
+      softwareVersion: 'v1',
       models: [],
     },
   }));
--- a/packages/dispatch/src/test/servers/servers_test.ts
+++ b/packages/dispatch/src/test/servers/servers_test.ts
@@ -23,6 +23,7 @@
   slots: 4,
   leaving: false,
   startedAtWallMs: 1,
+  softwareVersion: 'v1',
   models: ['base'],
   ...extra,
 });
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -59,6 +59,7 @@
 import {reloadSettings} from './settings-reload.js';
 import type {EntryHostSettings} from './settings-schema.js';
 import {ServerTableUpdater, StoreReader} from './store/index.js';
+import {StreamVersions} from './streams/index.js';
 import {TenantQuotas} from './tenants/index.js';
 import {
   type ConnectSocket,
@@ -144,6 +145,7 @@
   private readonly broker: AdapterBroker;
   private readonly quotas: TenantQuotas;
   private readonly crashes: CrashMonitor;
+  private readonly streams: StreamVersions;
   private readonly peerService: FleetPeerService;
   private readonly front: FrontListener;
   private readonly healthCheckedAt = new Map<string, Instant>();
@@ -267,12 +269,14 @@
     this.crashes = new CrashMonitor(this.context, linkTo, (server) =>
       dialer.check(server),
     );
+    this.streams = new StreamVersions(this.context, linkTo);
     this.peerService = new FleetPeerService(
       this.exchange,
       this.broker,
       this.permits,
       this.quotas,
       this.crashes,
+      this.streams,
     );
     const selector = new ServerSelector(
       this.context,
@@ -295,6 +299,7 @@
         refresh: () => this.reader.refresh('configuration'),
         failingMs: () => this.reader.failingMs('configuration'),
       },
+      this.streams,
     );
   }
 
@@ -343,6 +348,7 @@
     this.broker.start();
     this.quotas.start();
     this.crashes.start();
+    this.streams.start();
     this.reachability.start();
     this.startMaintenance();
     this.context.logger.info('started', {
@@ -455,6 +461,7 @@
     const keys = new Set(servers.all().map(({key}) => key));
     this.pools.retain(keys);
     this.permits.retain(keys);
+    this.streams.applyServers();
     this.broker.review();
   }
 
@@ -478,6 +485,7 @@
   applyRecords(): void {
     this.claims.applyRecords();
     this.crashes.applyRecords();
+    this.streams.applyRecords();
   }
 
   private hostStatus(incarnation: string): HostStatus {
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -28,6 +28,7 @@
 
 import type {EntryHostContext} from '../context.js';
 import {type CrashGuard, NO_CRASH_GUARD} from '../crashes/index.js';
+import {ANY_STREAM_VERSION, type StreamVersionGuard} from '../streams/index.js';
 import {type Admission, NO_QUOTAS, type QuotaGate} from '../tenants/index.js';
 import {headerValue, type UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
@@ -90,6 +91,7 @@
     private readonly quotas: QuotaGate = NO_QUOTAS,
     private readonly crashes: CrashGuard = NO_CRASH_GUARD,
     configurationSource: ConfigurationSource = NO_CONFIGURATION_SOURCE,
+    private readonly streams: StreamVersionGuard = ANY_STREAM_VERSION,
   ) {
     this.authenticator = new CallerAuthenticator(context);
     this.configurationGate = new ConfigurationGate(
@@ -323,9 +325,10 @@
     answer: CallerAnswer,
     buffers: RequestBufferTracker,
   ): Promise<boolean> {
-    const {context, pools, selector, crashes, authenticator: gate} = this;
+    const {context, pools, selector, crashes, streams} = this;
+    const {authenticator: gate} = this;
     const budget = this.retryBudgetFor(service.name);
-    const shared = {context, pools, selector, crashes};
+    const shared = {context, pools, selector, crashes, streams};
     const parts = {...shared, budget, authenticator: gate};
     const handler = new RequestHandler(
       parts,
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -15,6 +15,7 @@
 import type {EntryHostContext} from '../context.js';
 import {type CrashGuard, requestKeys} from '../crashes/index.js';
 import {
+  headerValue,
   type ResponseHead,
   UpstreamError,
   type UpstreamPools,
@@ -25,6 +26,7 @@
   UNCONFIRMED_RETRY_MS,
 } from './caller-authenticator.js';
 import {type CallerRequest, endToEndHeaders} from './caller-request.js';
+import type {StreamVersion, StreamVersionGuard} from '../streams/index.js';
 import {EventSplitter} from './event-splitter.js';
 import type {RequestBufferTracker} from './request-buffer-tracker.js';
 import {type SendResult, ServerSend} from './server-send.js';
@@ -37,6 +39,7 @@
   readonly selector: ServerSelector;
   readonly budget: RetryBudget;
   readonly crashes: CrashGuard;
+  readonly streams: StreamVersionGuard;
   readonly authenticator: Pick<CallerAuthenticator, 'mayStillSend'>;
 }
 
@@ -53,6 +56,13 @@
   retryAfterMs: UNCONFIRMED_RETRY_MS,
 } as const;
 
+/** Ends requests that take up a stream of which no host knows the origin. */
+const UNKNOWN_STREAM = {
+  type: 'none',
+  reason: 'the software version that began its stream is not known',
+  retryAfterMs: UNCONFIRMED_RETRY_MS,
+} as const;
+
 /** Number of the latest handler; makes the names of timers unique. */
 let serial = 0;
 
@@ -81,6 +91,10 @@
   private outcome = 'open';
   private headAt: Instant | undefined;
   private requestKeys: readonly string[] | undefined;
+  /** Where the stream may go on; undefined until its first event. */
+  private streamVersion: StreamVersion | undefined;
+  /** Server of the latest send. */
+  private sentTo: Server | undefined;
 
   constructor(
     private readonly parts: RequestHandlerParts,
@@ -117,6 +131,7 @@
     const unsubscribe = this.parts.crashes.onQuarantine(() => {
       this.handleQuarantine();
     });
+    await this.findStreamVersion();
     while (!this.finished) {
       const key = this.quarantinedKey();
       if (key !== undefined) {
@@ -176,6 +191,7 @@
       latencyBudgetMs: this.route.latencyTargetMs - elapsed,
       tried: this.tried,
       firstSend: this.sends === 0,
+      allows: this.allowedServers(),
       signal: this.abort.signal,
     });
   }
@@ -190,6 +206,7 @@
   }: Selection & {type: 'server'}): Promise<SendResult> {
     const {context, pools} = this.parts;
     this.sends += 1;
+    this.sentTo = server;
     this.lastServer = server.entry.id;
     this.lastSelectionReason = reason;
     this.lastSentMs = this.elapsedMs();
@@ -244,6 +261,8 @@
     context.logger.info('send ended', {
       requestId: this.request.id,
       server: server.entry.id,
+      softwareVersion: server.entry.softwareVersion,
+      resumes: this.callerHeader('resumes'),
       chosen: reason,
       ...send.logFields,
       load: server.health.load(context.clock.now()),
@@ -300,6 +319,54 @@
     return this.requestKeys;
   }
 
+  /** Finds out where a stream that the caller takes up may go on. */
+  private async findStreamVersion(): Promise<void> {
+    if (!this.isResumable || this.callerHeader('lastEventId') === undefined) {
+      return;
+    }
+    const {streams} = this.parts;
+    const began = this.callerHeader('resumes') ?? '';
+    this.streamVersion = await streams.versionOf(this.service.name, began);
+    if (this.streamVersion.type === 'unknown' && !this.finished) {
+      this.endWithoutServer(UNKNOWN_STREAM);
+    }
+  }
+
+  /** Records the version of the server that the first event came from. */
+  private recordBegan(): void {
+    const softwareVersion = this.sentTo?.entry.softwareVersion;
+    if (softwareVersion === undefined || this.streamVersion?.type === 'known') {
+      return;
+    }
+    this.streamVersion = {type: 'known', softwareVersion};
+    const requestId = this.callerHeader('resumes') ?? this.request.id;
+    this.parts.streams.recordBegan(this.service.name, {
+      requestId,
+      softwareVersion,
+    });
+  }
+
+  /** The servers that a resumable stream may begin or go on at. */
+  private allowedServers(): ((server: Server) => boolean) | undefined {
+    const {streamVersion} = this;
+    const {streams} = this.parts;
+    if (!this.isResumable) {
+      return undefined;
+    }
+    return streamVersion?.type === 'known'
+      ? ({entry}) => entry.softwareVersion === streamVersion.softwareVersion
+      : ({entry}) => streams.mayBegin(entry.service, entry.softwareVersion);
+  }
+
+  private get isResumable(): boolean {
+    return this.route.kind === 'stream' && isRepeatable(this.route);
+  }
+
+  private callerHeader(name: 'lastEventId' | 'resumes'): string | undefined {
+    const {headers} = this.parts.context.platform.forwarding;
+    return headerValue(this.request.rawHeaders, headers[name].toLowerCase());
+  }
+
   private quarantinedKey(): string | undefined {
     return this.parts.crashes.quarantined(() => this.keys());
   }
@@ -386,6 +453,7 @@
     } else if (isRepeatable(this.route)) {
       for (const {id, bytes} of this.splitter.feed(chunk)) {
         this.lastEventId = id ?? this.lastEventId;
+        this.recordBegan();
         this.writeToCaller(bytes);
       }
     } else {
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -71,6 +71,8 @@
   readonly latencyBudgetMs: number;
   /** Keys of servers to skip, as the request has been sent to them before. */
   readonly tried: ReadonlySet<string>;
+  /** Whether the request may be sent to a server; to any if absent. */
+  readonly allows?: ((server: Server) => boolean) | undefined;
   /** Whether the request has not been sent to any server yet. */
   readonly firstSend: boolean;
   readonly signal: AbortSignal;
@@ -130,9 +132,12 @@
    * resident there. Skips servers that are at their request rate limit.
    */
   async select(selection: SelectionRequest): Promise<Selection> {
-    const {request, route, service, signal} = selection;
+    const {request, route, service, signal, allows} = selection;
     const {logger} = this.context;
     const excluded = new Set(selection.tried);
+    if (allows !== undefined) {
+      this.excludeOthers(service, allows, excluded);
+    }
     const callerLeft = () => signal.aborted;
     let shortestRetryMs = this.excludeDenied(service, excluded);
     for (;;) {
@@ -181,6 +186,20 @@
     }
   }
 
+  /** Adds the servers that a request may not be sent to to `excluded`. */
+  private excludeOthers(
+    {name}: Service,
+    allows: (server: Server) => boolean,
+    excluded: Set<string>,
+  ): void {
+    const {servers, clock} = this.context;
+    for (const server of servers.open(name, clock.now())) {
+      if (!allows(server)) {
+        excluded.add(server.key);
+      }
+    }
+  }
+
   /**
    * Adds the servers for which a permit was denied recently to `excluded`.
    * Returns the shortest time until one of them accepts requests again,
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -68,6 +68,8 @@
   | 'reportCrashes'
   | 'queryCompletions'
   | 'announceQuarantine'
+  | 'reportStreams'
+  | 'queryStream'
   | 'isUnresponsive'
   | 'close'
 >;
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -5,6 +5,7 @@
   IssuerUpdate,
   PrepareAnswer,
   PrepareRequest,
+  StreamOrigin,
 } from '@basilworks/dispatch';
 import {fleet} from '@basilworks/protocol';
 import {type ClientDuplexStream, credentials} from '@grpc/grpc-js';
@@ -27,6 +28,9 @@
  */
 const PERMIT_TIMEOUT_MS = 120;
 
+/** Time-out of questions where a stream began, milliseconds. */
+const STREAM_QUERY_TIMEOUT_MS = 200;
+
 /** Time-out of calls about crashes of servers, milliseconds. */
 const CRASH_TIMEOUT_MS = 400;
 
@@ -229,6 +233,24 @@
     return response?.$case === 'quarantine';
   }
 
+  /** Tells the peer where streams began. */
+  reportStreams(origins: readonly StreamOrigin[]): void {
+    // Not acknowledged: a stream that no host knows is not taken up.
+    this.write({$case: 'streamReport', value: {origins: [...origins]}});
+  }
+
+  /** Asks where a stream began; undefined if the peer doesn't know in time. */
+  async queryStream(requestId: string): Promise<string | undefined> {
+    const response = await this.call(
+      {$case: 'streamQuery', value: {requestId}},
+      STREAM_QUERY_TIMEOUT_MS,
+      {toleratesMiss: true},
+    );
+    return response?.$case === 'streamQuery'
+      ? response.value.softwareVersion
+      : undefined;
+  }
+
   /** Reports what changed at servers to the peer, their issuer. */
   release(fromHost: string, update: IssuerUpdate): void {
     const {releases, requests, prefilled, gaps} = update;
--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -4,6 +4,7 @@
   IssuerUpdate,
   PrepareAnswer,
   PrepareRequest,
+  StreamOrigin,
 } from '@basilworks/dispatch';
 import {fleet} from '@basilworks/protocol';
 import {
@@ -50,6 +51,12 @@
   announce(keys: readonly string[]): void;
 }
 
+/** Remembers where streams began. */
+export interface StreamKeeper {
+  applyOrigins(origins: readonly StreamOrigin[]): void;
+  originOf(requestId: string): string | undefined;
+}
+
 type Conversation = ServerDuplexStream<fleet.PeerRequest, fleet.PeerResponse>;
 
 /** The gRPC server for other entry hosts. */
@@ -62,6 +69,7 @@
     granter: PermitGranter,
     quotas: QuotaGranter,
     crashes: CrashParticipant,
+    streams: StreamKeeper,
   ) {
     const service: fleet.FleetServiceServer = {
       converse: (call) => {
@@ -71,6 +79,7 @@
           granter,
           quotas,
           crashes,
+          streams,
         ] as const;
         new PeerConversation(call, ...handlers).start();
       },
@@ -119,6 +128,7 @@
     private readonly granter: PermitGranter,
     private readonly quotas: QuotaGranter,
     private readonly crashes: CrashParticipant,
+    private readonly streams: StreamKeeper,
   ) {}
 
   start(): void {
@@ -179,6 +189,13 @@
       this.crashes.announce(keys);
       this.call.write({serial, response: {$case: 'quarantine', value: {}}});
     },
+    streamReport: (_serial, {origins}) => {
+      this.streams.applyOrigins(origins);
+    },
+    streamQuery: (serial, {requestId}) => {
+      const value = {softwareVersion: this.streams.originOf(requestId)};
+      this.call.write({serial, response: {$case: 'streamQuery', value}});
+    },
     release: (_serial, {fromHost, releases, requests, prefilled, gaps}) => {
       this.preparer.applyUpdate(fromHost, {
         releases: releases.map(({serverRun, model, adapter}) => ({
--- a/packages/entry-host/src/ports.ts
+++ b/packages/entry-host/src/ports.ts
@@ -139,6 +139,8 @@
   readonly expectVersion: string;
   readonly priority: string;
   readonly lastEventId: string;
+  /** Id of the request that began the stream which a request takes up. */
+  readonly resumes: string;
   readonly serverLoad: string;
   /** A tenant's key; not forwarded to servers. */
   readonly key: string;
--- a/packages/entry-host/src/relay/reachability-monitor.ts
+++ b/packages/entry-host/src/relay/reachability-monitor.ts
@@ -6,7 +6,7 @@
 import type {ServerDialer} from './server-dialer.js';
 
 /** Interval of reviews, milliseconds. */
-const REVIEW_PERIOD_MS = 100;
+const REVIEW_PERIOD_MS = 200;
 
 /** Interval of direct connection attempts of a host that is cut, ms. */
 const PROBE_PERIOD_MS = 250;
--- /dev/null
+++ b/packages/entry-host/src/streams/index.ts
@@ -0,0 +1,1 @@
+export * from './stream-versions.js';
--- /dev/null
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -0,0 +1,196 @@
+import {rankByRendezvous} from '@basilworks/core';
+import {
+  SoftwareVersions,
+  type StreamOrigin,
+  StreamOrigins,
+} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+import type {PeerConnection} from '../peers/index.js';
+import {VersionRecords} from './version-records.js';
+
+/** Hosts that remember where a stream began, besides the one that began it. */
+const KEEPERS = 3;
+
+/** Delay of reports to keepers, which batches them, milliseconds. */
+const REPORT_DELAY_MS = 50;
+
+/** Streams in one report at most. */
+const MAXIMUM_REPORTED = 500;
+
+/**
+ * Age of the view of the records up to which a host knows all versions,
+ * milliseconds. Beyond that it has to reach most other hosts: then nobody can
+ * have read of another version.
+ */
+const CURRENT_RECORDS_MS = 3_000;
+
+/** Where a stream may go on: at one version, at any, or it is not known. */
+export type StreamVersion =
+  | {readonly type: 'known'; readonly softwareVersion: string}
+  | {readonly type: 'any'}
+  | {readonly type: 'unknown'};
+
+/** Knows at which software versions streams begin and go on. */
+export interface StreamVersionGuard {
+  /** Whether a stream may begin at a version. */
+  mayBegin(service: string, softwareVersion: string): boolean;
+  /** Records that a stream began. */
+  recordBegan(service: string, origin: StreamOrigin): void;
+  /** Finds out where a stream may go on, by the request that began it. */
+  versionOf(service: string, requestId: string): Promise<StreamVersion>;
+}
+
+/** A guard for deployments with one software version. */
+export const ANY_STREAM_VERSION: StreamVersionGuard = {
+  mayBegin: () => true,
+  recordBegan: () => undefined,
+  versionOf: () => Promise.resolve({type: 'any'}),
+};
+
+/**
+ * Remembers at which software versions streams began. Where several versions
+ * may have begun streams of a service, hosts tell keepers, chosen by the id of
+ * the request, so that any host can find out where to go on.
+ */
+export class StreamVersions implements StreamVersionGuard {
+  private readonly versions = new SoftwareVersions();
+  private readonly origins = new StreamOrigins();
+  private readonly records: VersionRecords;
+  private readonly mixed = new Set<string>();
+  private unreported: StreamOrigin[] = [];
+  private reportScheduled = false;
+
+  constructor(
+    private readonly context: EntryHostContext,
+    private readonly linkTo: (host: string) => PeerConnection | undefined,
+  ) {
+    this.records = new VersionRecords(context, this.versions);
+  }
+
+  start(): void {
+    this.records.start();
+  }
+
+  /** Applies the latest view of the records in the store. */
+  applyRecords(): void {
+    this.records.applyRecords();
+    this.reviewMixed();
+  }
+
+  /** Applies the latest view of the servers. */
+  applyServers(): void {
+    this.records.applyServers();
+    this.reviewMixed();
+  }
+
+  mayBegin(service: string, softwareVersion: string): boolean {
+    return this.versions.mayBegin(service, softwareVersion);
+  }
+
+  recordBegan(service: string, origin: StreamOrigin): void {
+    this.origins.record(origin, this.context.clock.now());
+    if (this.mixed.has(service)) {
+      this.report([origin]);
+    }
+  }
+
+  async versionOf(service: string, requestId: string): Promise<StreamVersion> {
+    const own = this.origins.get(requestId);
+    if (own !== undefined) {
+      return {type: 'known', softwareVersion: own};
+    }
+    if (
+      this.versions.possible(service, this.context.clock.now()).size <= 1 &&
+      this.knowsAllVersions()
+    ) {
+      return {type: 'any'};
+    }
+    const softwareVersion = await this.queryKeepers(requestId);
+    return softwareVersion === undefined
+      ? {type: 'unknown'}
+      : {type: 'known', softwareVersion};
+  }
+
+  /** Applies what another host reports. */
+  applyOrigins(origins: readonly StreamOrigin[]): void {
+    for (const origin of origins) {
+      this.origins.record(origin, this.context.clock.now());
+    }
+  }
+
+  /** Returns where a stream began, for another host. */
+  originOf(requestId: string): string | undefined {
+    return this.origins.get(requestId);
+  }
+
+  private knowsAllVersions(): boolean {
+    const {views, clock, membership} = this.context;
+    const items = views.get('records')?.snapshot.items ?? [];
+    const hosts = items.filter(({name}) => name.startsWith('host.')).length;
+    return (
+      views.ageMs('records', clock.now()) <= CURRENT_RECORDS_MS ||
+      membership.live().length * 2 > hosts
+    );
+  }
+
+  /** Tells keepers of all recent streams once a service has two versions. */
+  private reviewMixed(): void {
+    for (const service of this.versions.services()) {
+      const several =
+        this.versions.possible(service, this.context.clock.now()).size > 1;
+      if (several && !this.mixed.has(service)) {
+        this.mixed.add(service);
+        this.report(this.origins.all());
+      } else if (!several) {
+        this.mixed.delete(service);
+      }
+    }
+  }
+
+  private report(origins: readonly StreamOrigin[]): void {
+    this.unreported.push(...origins);
+    if (!this.reportScheduled && this.unreported.length > 0) {
+      this.reportScheduled = true;
+      this.context.timers.after('streams/report', REPORT_DELAY_MS, () => {
+        this.reportScheduled = false;
+        this.sendReports();
+      });
+    }
+  }
+
+  private sendReports(): void {
+    const byKeeper = new Map<string, StreamOrigin[]>();
+    for (const origin of this.unreported) {
+      for (const host of this.keepersOf(origin.requestId)) {
+        const list = byKeeper.get(host) ?? [];
+        list.push(origin);
+        byKeeper.set(host, list);
+      }
+    }
+    this.unreported = [];
+    for (const [host, list] of byKeeper) {
+      for (let from = 0; from < list.length; from += MAXIMUM_REPORTED) {
+        const part = list.slice(from, from + MAXIMUM_REPORTED);
+        this.linkTo(host)?.reportStreams(part);
+      }
+    }
+  }
+
+  private async queryKeepers(requestId: string): Promise<string | undefined> {
+    const answers = await Promise.all(
+      this.keepersOf(requestId).map(async (host) =>
+        this.linkTo(host)?.queryStream(requestId),
+      ),
+    );
+    return answers.find((answer) => answer !== undefined);
+  }
+
+  private keepersOf(requestId: string): readonly string[] {
+    const {membership, settings} = this.context;
+    const hosts = membership.live().map(({host}) => host);
+    return rankByRendezvous(requestId, hosts)
+      .slice(0, KEEPERS)
+      .filter((host) => host !== settings.host);
+  }
+}
--- a/packages/entry-host/src/test/front/header-names.ts
+++ b/packages/entry-host/src/test/front/header-names.ts
@@ -13,6 +13,7 @@
   expectVersion: 'X-Version',
   priority: 'X-Priority',
   lastEventId: 'Last-Event-Id',
+  resumes: 'X-Resumes',
   serverLoad: 'X-Load',
   key: 'X-Key',
   tenant: 'X-Tenant',
--- a/packages/entry-host/src/test/front/slow-callers_test.ts
+++ b/packages/entry-host/src/test/front/slow-callers_test.ts
@@ -13,6 +13,7 @@
 
 import type {EntryHostContext} from '../../context.js';
 import {NO_CRASH_GUARD} from '../../crashes/index.js';
+import {ANY_STREAM_VERSION} from '../../streams/index.js';
 import {CallerAnswer} from '../../front/caller-answer.js';
 import {RequestBufferTracker} from '../../front/request-buffer-tracker.js';
 import {
@@ -184,6 +185,7 @@
         withdraw: () => false,
       } as unknown as RequestHandlerParts['budget'],
       crashes: NO_CRASH_GUARD,
+      streams: ANY_STREAM_VERSION,
       authenticator: {mayStillSend: () => true},
     };
   }
--- a/packages/entry-host/src/test/views/fleet-simulation.ts
+++ b/packages/entry-host/src/test/views/fleet-simulation.ts
@@ -166,6 +166,8 @@
           peer.crashes.announce(keys);
           return true;
         }),
+      reportStreams: ignore,
+      queryStream: () => Promise.resolve(undefined),
       isUnresponsive: false,
       close: ignore,
     }));
@@ -452,5 +454,6 @@
   slots: 4,
   leaving: false,
   startedAtWallMs: 1,
+  softwareVersion: 'v1',
   models: [],
 });
