--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -38,7 +38,7 @@
   type StoreKind,
   StoreViews,
 } from '@basilworks/dispatch';
-import {ok, type Result} from 'neverthrow';
+import {ok, Result} from 'neverthrow';
 
 import type {EntryHostContext} from './context.js';
 import {CrashMonitor} from './crashes/index.js';
@@ -200,7 +200,12 @@
       random: overrides.random ?? Math.random,
     };
     const onNewer = (kind: StoreKind) => {
-      VIEW_HANDLERS[kind](this);
+      Result.fromThrowable(
+        VIEW_HANDLERS[kind],
+        String,
+      )(this).mapErr((error) => {
+        this.context.logger.error('view could not be applied', {kind, error});
+      });
     };
     const headers = platform.forwarding.headers;
     const {fleetLoad, servers, random} = this.context;
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -1,10 +1,11 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 import type {Snapshot, StoreKind} from '@basilworks/dispatch';
 import {STORE_KINDS} from '@basilworks/dispatch';
+import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
 import {sleep} from '../lib/sleep.js';
-import type {StoreChanges, StoreError} from '../ports.js';
+import {type StoreChanges, StoreError} from '../ports.js';
 import {
   INITIAL_RESPONSE_TIMEOUT_MS,
   INITIAL_RETRY_DELAY_MS,
@@ -242,26 +243,22 @@
   ): Promise<ReadResult | StoreError> {
     const {platform, signal, metrics} = this.context;
     const operation = base === undefined ? 'list' : 'watch';
-    const result =
+    const call =
       base === undefined
-        ? (await platform.store.list(kind, signal, responseTimeoutMs)).map(
-            (snapshot) => ({
-              snapshot,
-              cursor: snapshot.revision,
-            }),
-          )
-        : (
-            await platform.store.watch(
-              kind,
-              cursor,
-              waitMs,
-              signal,
-              responseTimeoutMs,
-            )
-          ).map((changes) => ({
-            snapshot: applyChanges(base, changes),
-            cursor: changes.revision,
-          }));
+        ? platform.store
+            .list(kind, signal, responseTimeoutMs)
+            .map((snapshot) => ({snapshot, cursor: snapshot.revision}))
+        : platform.store
+            .watch(kind, cursor, waitMs, signal, responseTimeoutMs)
+            .map((changes) => ({
+              snapshot: applyChanges(base, changes),
+              cursor: changes.revision,
+            }));
+    // The loop goes on whatever an entry of another writer does to a decoder.
+    const result = await ResultAsync.fromPromise(
+      Promise.resolve(call),
+      (error) => new StoreError('malformed', String(error)),
+    ).andThen((decoded) => decoded);
     const end = result.isOk() ? 'ok' : result.error.failure;
     metrics.storeCalls.inc({operation, end});
     return result.isOk() ? result.value : result.error;
