Name no server by an entry whose address can't be connected to

Operators of similar systems saw: one entry of another writer with a port out of range ended the machines that read it again and again.

Shown here: an address of port 99999 was taken for valid, and the first send to it threw ERR_SOCKET_BAD_PORT outside of any handler, which ends the process; all hosts read the same entry.

--- a/packages/dispatch/src/servers/server-entry.ts
+++ b/packages/dispatch/src/servers/server-entry.ts
@@ -1,12 +1,14 @@
 import {z} from 'zod';
 
+const MAXIMUM_PORT = 65_535;
+
 /** Entry of an upstream server in the store. */
 export const serverEntrySchema = z.object({
   /** Identity against which the server checks requests. */
   id: z.string(),
   service: z.string(),
   host: z.string(),
-  port: z.number().int(),
+  port: z.number().int().min(1).max(MAXIMUM_PORT),
   zone: z.string(),
   /** Number of requests that it runs concurrently. */
   slots: z.number().int().positive(),
--- a/packages/entry-host/src/upstream/dial.ts
+++ b/packages/entry-host/src/upstream/dial.ts
@@ -2,6 +2,7 @@
 import type {Duplex} from 'node:stream';
 
 import type {TimerService} from '@basilworks/daemon';
+import {Result} from 'neverthrow';
 
 /** Address of an upstream server. */
 export interface UpstreamAddress {
@@ -66,7 +67,27 @@
   ): Dial =>
   (observer) => {
     const timer = `upstream/connect/${(serial += 1)}`;
-    const socket = connectSocket({...address, noDelay: true});
+    const opened = Result.fromThrowable(
+      connectSocket,
+      String,
+    )({
+      ...address,
+      noDelay: true,
+    });
+    if (opened.isErr()) {
+      // The address of an entry that another writer made can't be connected to.
+      const detail = opened.error;
+      const abort = new AbortController();
+      setImmediate(() => {
+        if (!abort.signal.aborted) {
+          observer.failed({reason: 'unreachable', detail, refused: false});
+        }
+      });
+      return () => {
+        abort.abort();
+      };
+    }
+    const socket = opened.value;
     const settle = () => {
       timers.cancel(timer);
       socket.off('connect', handleConnect);
