--- a/packages/entry-host/src/upstream/dial.ts
+++ b/packages/entry-host/src/upstream/dial.ts
@@ -1,4 +1,4 @@
-import {connect} from 'node:net';
+import {connect, type Socket, type TcpNetConnectOpts} from 'node:net';
 import type {Duplex} from 'node:stream';
 
 import type {TimerService} from '@basilworks/daemon';
@@ -53,7 +53,7 @@
 export type ProbeResult = 'open' | 'refused' | 'silent';
 
 /** Opens a TCP socket; tests replace it. */
-export type ConnectSocket = typeof connect;
+export type ConnectSocket = (options: TcpNetConnectOpts) => Socket;
 
 let serial = 0;
 
