Refuse requests that come late in a planned stop

Operators of similar systems saw: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

Shown here: a connection whose request is completed 1.7 s after the stop began, while another request keeps the host alive, had it sent to a server and was closed without an answer at the end of a grace of 3 s (the test failed before). Idle connections are closed after 1.2 s, so that this takes a request that was begun before.

Change: once the host no longer accepts connections, a request that still comes is refused with 503, Retry-After and Connection: close before its body is read. Requests that were taken in the first 1.2 s have the rest of the grace.

--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -82,6 +82,7 @@
   private limits = DEFAULT_LIMITS;
   private inProgress = 0;
   private draining = false;
+  private accepting = true;
 
   constructor(
     private readonly context: EntryHostContext,
@@ -166,8 +167,12 @@
     this.draining = true;
   }
 
-  /** Stops accepting connections and closes idle ones. */
+  /**
+   * Stops accepting connections and closes idle ones. Requests that still come
+   * on open connections are refused.
+   */
   stopAccepting(): void {
+    this.accepting = false;
     if (this.server.listening) {
       this.server.close();
     }
@@ -223,6 +228,10 @@
       answer,
     );
     buffers.requestId = head.id;
+    if (!this.accepting) {
+      this.rejectBeforeBody(head, answer, 'the host is stopping');
+      return;
+    }
     const {maximumBodyBytes} = this.limits;
     if (
       !buffers.admitBody(Math.min(expectedBodyBytes(message), maximumBodyBytes))
