Keep where streams began in the store while two software versions serve

Cause: where streams began was in the memory of hosts only.

Change: while a service may have streams of two versions, each host writes those that it began and that have not ended to an object of its own, every half second, less often in larger fleets. Hosts that start list these objects once. Nothing watches them.

Why it works: what is written outlives all hosts, and only streams that began since the last write are unknown.

--- a/packages/dispatch/src/fleet/records.ts
+++ b/packages/dispatch/src/fleet/records.ts
@@ -49,6 +49,14 @@
   typeof softwareVersionsRecordSchema
 >;
 
+/** Where the streams of a host began that have not ended. */
+export const streamRecordSchema = z.object({
+  host: z.string(),
+  /** Id of the request and version of the server's software. */
+  streams: z.array(z.tuple([z.string(), z.string()])),
+});
+export type StreamRecord = z.infer<typeof streamRecordSchema>;
+
 /** Records that entry hosts keep in the platform's store. */
 export const fleetRecordSchema = z.discriminatedUnion('type', [
   hostRecordSchema,
--- a/packages/dispatch/src/streams/stream-origins.ts
+++ b/packages/dispatch/src/streams/stream-origins.ts
@@ -34,11 +34,15 @@
     this.expire(at);
   }
 
+  remove(requestId: string): void {
+    this.origins.delete(requestId);
+  }
+
   get(requestId: string): string | undefined {
     return this.origins.get(requestId)?.softwareVersion;
   }
 
-  /** All streams that are remembered. */
+  /** All streams that are remembered, oldest first. */
   all(): readonly StreamOrigin[] {
     return [...this.origins].map(([requestId, {softwareVersion}]) => ({
       requestId,
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -339,9 +339,8 @@
       return;
     }
     this.streamVersion = {type: 'known', softwareVersion};
-    const requestId = this.callerHeader('resumes') ?? this.request.id;
     this.parts.streams.recordBegan(this.service.name, {
-      requestId,
+      requestId: this.streamId,
       softwareVersion,
     });
   }
@@ -362,6 +361,11 @@
     return this.route.kind === 'stream' && isRepeatable(this.route);
   }
 
+  /** Id of the request that began the stream. */
+  private get streamId(): string {
+    return this.callerHeader('resumes') ?? this.request.id;
+  }
+
   private callerHeader(name: 'lastEventId' | 'resumes'): string | undefined {
     const {headers} = this.parts.context.platform.forwarding;
     return headerValue(this.request.rawHeaders, headers[name].toLowerCase());
@@ -511,6 +515,9 @@
       return;
     }
     this.finish('answered', 200);
+    if (this.streamVersion !== undefined) {
+      this.parts.streams.recordEnded(this.streamId);
+    }
     this.answer.end();
   }
 
--- a/packages/entry-host/src/ports.ts
+++ b/packages/entry-host/src/ports.ts
@@ -7,6 +7,7 @@
   Snapshot,
   StoredItem,
   StoreKind,
+  StreamRecord,
 } from '@basilworks/dispatch';
 import type {Result, ResultAsync} from 'neverthrow';
 
@@ -83,6 +84,10 @@
     record: FleetRecord,
     expectedRevision: number | undefined,
   ): ResultAsync<WriteOutcome, StoreError>;
+  /** Replaces what a host keeps of its streams. */
+  saveStreams(record: StreamRecord): ResultAsync<void, StoreError>;
+  /** Lists what all hosts keep of their streams. */
+  loadStreams(): ResultAsync<readonly StreamRecord[], StoreError>;
   /** Removes a record at a revision; it is no error if none exists. */
   remove(name: string, revision: number): ResultAsync<void, StoreError>;
 }
--- a/packages/entry-host/src/streams/stream-versions.ts
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -7,6 +7,7 @@
 
 import type {EntryHostContext} from '../context.js';
 import type {PeerConnection} from '../peers/index.js';
+import {StreamJournal} from './stream-journal.js';
 import {VersionRecords} from './version-records.js';
 
 /** Hosts that remember where a stream began, besides the one that began it. */
@@ -37,6 +38,8 @@
   mayBegin(service: string, softwareVersion: string): boolean;
   /** Records that a stream began. */
   recordBegan(service: string, origin: StreamOrigin): void;
+  /** Records that a stream reached its end, by the request that began it. */
+  recordEnded(requestId: string): void;
   /** Finds out where a stream may go on, by the request that began it. */
   versionOf(service: string, requestId: string): Promise<StreamVersion>;
 }
@@ -45,6 +48,7 @@
 export const ANY_STREAM_VERSION: StreamVersionGuard = {
   mayBegin: () => true,
   recordBegan: () => undefined,
+  recordEnded: () => undefined,
   versionOf: () => Promise.resolve({type: 'any'}),
 };
 
@@ -57,6 +61,7 @@
   private readonly versions = new SoftwareVersions();
   private readonly origins = new StreamOrigins();
   private readonly records: VersionRecords;
+  private readonly journal: StreamJournal;
   private readonly mixed = new Set<string>();
   private unreported: StreamOrigin[] = [];
   private reportScheduled = false;
@@ -66,10 +71,18 @@
     private readonly linkTo: (host: string) => PeerConnection | undefined,
   ) {
     this.records = new VersionRecords(context, this.versions);
+    this.journal = new StreamJournal(
+      context,
+      () => this.mixed.size > 0,
+      (origins) => {
+        this.applyOrigins(origins);
+      },
+    );
   }
 
   start(): void {
     this.records.start();
+    this.journal.start();
   }
 
   /** Applies the latest view of the records in the store. */
@@ -90,11 +103,16 @@
 
   recordBegan(service: string, origin: StreamOrigin): void {
     this.origins.record(origin, this.context.clock.now());
+    this.journal.recordBegan(origin);
     if (this.mixed.has(service)) {
       this.report([origin]);
     }
   }
 
+  recordEnded(requestId: string): void {
+    this.journal.recordEnded(requestId);
+  }
+
   async versionOf(service: string, requestId: string): Promise<StreamVersion> {
     const own = this.origins.get(requestId);
     if (own !== undefined) {
@@ -106,7 +124,9 @@
     ) {
       return {type: 'any'};
     }
-    const softwareVersion = await this.queryKeepers(requestId);
+    await this.journal.load();
+    const softwareVersion =
+      this.origins.get(requestId) ?? (await this.queryKeepers(requestId));
     return softwareVersion === undefined
       ? {type: 'unknown'}
       : {type: 'known', softwareVersion};
@@ -141,6 +161,7 @@
         this.versions.possible(service, this.context.clock.now()).size > 1;
       if (several && !this.mixed.has(service)) {
         this.mixed.add(service);
+        void this.journal.load();
         this.report(this.origins.all());
       } else if (!several) {
         this.mixed.delete(service);
--- a/packages/entry-host/src/test/views/store-model.ts
+++ b/packages/entry-host/src/test/views/store-model.ts
@@ -4,7 +4,7 @@
   StoredItem,
   StoreKind,
 } from '@basilworks/dispatch';
-import {err, ok, type Result, ResultAsync} from 'neverthrow';
+import {err, ok, okAsync, type Result, ResultAsync} from 'neverthrow';
 
 import {
   type MetadataStore,
@@ -137,6 +137,8 @@
 
 /** One host's connection to the store. */
 export class StoreConnection implements MetadataStore {
+  readonly saveStreams = () => okAsync(undefined);
+  readonly loadStreams = () => okAsync([]);
   fault: StoreFault = 'none';
 
   constructor(
