Write the origins of streams four times a second

Cause: streams that began since the last write are unknown, and with a stream lasting some two seconds, half a second is a large part; their callers come again, others don't.

--- a/packages/entry-host/src/streams/stream-journal.ts
+++ b/packages/entry-host/src/streams/stream-journal.ts
@@ -10,7 +10,7 @@
  * Minimum interval between two writes of a host, milliseconds: streams that
  * began within it are unknown after a kill of all hosts.
  */
-const WRITE_PERIOD_MS = 500;
+const WRITE_PERIOD_MS = 250;
 
 /**
  * Interval between two writes for each host of the fleet, milliseconds: bounds
