Move what keeps a stream at one version out of the request handler

The handler had grown by a purpose of its own. StreamContinuation holds it: where a stream may go on, and what to tell others of it.

--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -26,11 +26,12 @@
   UNCONFIRMED_RETRY_MS,
 } from './caller-authenticator.js';
 import {type CallerRequest, endToEndHeaders} from './caller-request.js';
-import type {StreamVersion, StreamVersionGuard} from '../streams/index.js';
+import type {StreamVersionGuard} from '../streams/index.js';
 import {EventSplitter} from './event-splitter.js';
 import type {RequestBufferTracker} from './request-buffer-tracker.js';
 import {type SendResult, ServerSend} from './server-send.js';
 import type {Selection, ServerSelector} from './server-selection.js';
+import {StreamContinuation} from './stream-continuation.js';
 
 /** Dependencies of a request handler. */
 export interface RequestHandlerParts {
@@ -91,8 +92,8 @@
   private outcome = 'open';
   private headAt: Instant | undefined;
   private requestKeys: readonly string[] | undefined;
-  /** Where the stream may go on; undefined until its first event. */
-  private streamVersion: StreamVersion | undefined;
+  /** Keeps a resumable stream at one software version. */
+  private readonly continuation: StreamContinuation | undefined;
   /** Server of the latest send. */
   private sentTo: Server | undefined;
 
@@ -104,7 +105,16 @@
     private readonly answer: CallerAnswer,
     private readonly buffers: RequestBufferTracker,
     private readonly caller: Caller,
-  ) {}
+  ) {
+    if (route.kind === 'stream' && isRepeatable(route)) {
+      this.continuation = new StreamContinuation(parts.streams, {
+        service: service.name,
+        requestId: request.id,
+        resumes: this.callerHeader('resumes'),
+        takesUp: this.callerHeader('lastEventId') !== undefined,
+      });
+    }
+  }
 
   /** Whether the request ran at a server, or may have. */
   get mayHaveRun(): boolean {
@@ -131,7 +141,10 @@
     const unsubscribe = this.parts.crashes.onQuarantine(() => {
       this.handleQuarantine();
     });
-    await this.findStreamVersion();
+    const mayGoOn = (await this.continuation?.find()) ?? true;
+    if (!mayGoOn && !this.isFinished()) {
+      this.endWithoutServer(UNKNOWN_STREAM);
+    }
     while (!this.finished) {
       const key = this.quarantinedKey();
       if (key !== undefined) {
@@ -191,7 +204,7 @@
       latencyBudgetMs: this.route.latencyTargetMs - elapsed,
       tried: this.tried,
       firstSend: this.sends === 0,
-      allows: this.allowedServers(),
+      allows: this.continuation === undefined ? undefined : this.allowsServer,
       signal: this.abort.signal,
     });
   }
@@ -319,52 +332,8 @@
     return this.requestKeys;
   }
 
-  /** Finds out where a stream that the caller takes up may go on. */
-  private async findStreamVersion(): Promise<void> {
-    if (!this.isResumable || this.callerHeader('lastEventId') === undefined) {
-      return;
-    }
-    const {streams} = this.parts;
-    const began = this.callerHeader('resumes') ?? '';
-    this.streamVersion = await streams.versionOf(this.service.name, began);
-    if (this.streamVersion.type === 'unknown' && !this.finished) {
-      this.endWithoutServer(UNKNOWN_STREAM);
-    }
-  }
-
-  /** Records the version of the server that the first event came from. */
-  private recordBegan(): void {
-    const softwareVersion = this.sentTo?.entry.softwareVersion;
-    if (softwareVersion === undefined || this.streamVersion?.type === 'known') {
-      return;
-    }
-    this.streamVersion = {type: 'known', softwareVersion};
-    this.parts.streams.recordBegan(this.service.name, {
-      requestId: this.streamId,
-      softwareVersion,
-    });
-  }
-
-  /** The servers that a resumable stream may begin or go on at. */
-  private allowedServers(): ((server: Server) => boolean) | undefined {
-    const {streamVersion} = this;
-    const {streams} = this.parts;
-    if (!this.isResumable) {
-      return undefined;
-    }
-    return streamVersion?.type === 'known'
-      ? ({entry}) => entry.softwareVersion === streamVersion.softwareVersion
-      : ({entry}) => streams.mayBegin(entry.service, entry.softwareVersion);
-  }
-
-  private get isResumable(): boolean {
-    return this.route.kind === 'stream' && isRepeatable(this.route);
-  }
-
-  /** Id of the request that began the stream. */
-  private get streamId(): string {
-    return this.callerHeader('resumes') ?? this.request.id;
-  }
+  private readonly allowsServer = (server: Server): boolean =>
+    this.continuation?.allows(server) ?? true;
 
   private callerHeader(name: 'lastEventId' | 'resumes'): string | undefined {
     const {headers} = this.parts.context.platform.forwarding;
@@ -457,7 +426,9 @@
     } else if (isRepeatable(this.route)) {
       for (const {id, bytes} of this.splitter.feed(chunk)) {
         this.lastEventId = id ?? this.lastEventId;
-        this.recordBegan();
+        if (this.sentTo !== undefined) {
+          this.continuation?.recordEvent(this.sentTo);
+        }
         this.writeToCaller(bytes);
       }
     } else {
@@ -515,9 +486,7 @@
       return;
     }
     this.finish('answered', 200);
-    if (this.streamVersion !== undefined) {
-      this.parts.streams.recordEnded(this.streamId);
-    }
+    this.continuation?.recordEnd();
     this.answer.end();
   }
 
--- /dev/null
+++ b/packages/entry-host/src/front/stream-continuation.ts
@@ -0,0 +1,70 @@
+import type {Server} from '@basilworks/dispatch';
+
+import type {StreamVersion, StreamVersionGuard} from '../streams/index.js';
+
+/** What a request says of the stream that it begins or takes up. */
+export interface StreamRequest {
+  readonly service: string;
+  /** Id of this request. */
+  readonly requestId: string;
+  /** Id of the request that began the stream, if the caller names one. */
+  readonly resumes: string | undefined;
+  /** Whether the caller has received events of the stream. */
+  readonly takesUp: boolean;
+}
+
+/**
+ * Keeps a resumable stream at the software version that began it, within one
+ * answer and where its caller takes it up again.
+ */
+export class StreamContinuation {
+  /** Where the stream may go on; undefined until that is known. */
+  private version: StreamVersion | undefined;
+
+  constructor(
+    private readonly guard: StreamVersionGuard,
+    private readonly request: StreamRequest,
+  ) {}
+
+  /**
+   * Finds out where a stream that the caller takes up may go on; false if no
+   * host knows and it may be one of several versions.
+   */
+  async find(): Promise<boolean> {
+    const {takesUp, service, resumes = ''} = this.request;
+    if (takesUp) {
+      this.version = await this.guard.versionOf(service, resumes);
+    }
+    return this.version?.type !== 'unknown';
+  }
+
+  /** Whether the stream may begin or go on at a server. */
+  allows({entry}: Server): boolean {
+    return this.version?.type === 'known'
+      ? entry.softwareVersion === this.version.softwareVersion
+      : this.guard.mayBegin(entry.service, entry.softwareVersion);
+  }
+
+  /** Records that an event of a server was passed on to the caller. */
+  recordEvent({entry}: Server): void {
+    if (this.version?.type === 'known') {
+      return;
+    }
+    const {softwareVersion} = entry;
+    this.version = {type: 'known', softwareVersion};
+    const requestId = this.streamId;
+    this.guard.recordBegan(entry.service, {requestId, softwareVersion});
+  }
+
+  /** Records that the stream reached its end. */
+  recordEnd(): void {
+    if (this.version !== undefined) {
+      this.guard.recordEnded(this.streamId);
+    }
+  }
+
+  /** Id of the request that began the stream. */
+  private get streamId(): string {
+    return this.request.resumes ?? this.request.requestId;
+  }
+}
--- a/packages/entry-host/src/streams/stream-versions.ts
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -1,5 +1,6 @@
 import {rankByRendezvous} from '@basilworks/core';
 import {
+  hostRecordName,
   SoftwareVersions,
   type StreamOrigin,
   StreamOrigins,
@@ -26,6 +27,9 @@
  */
 const CURRENT_RECORDS_MS = 3_000;
 
+/** Prefix of the names of the records of hosts. */
+const HOST_RECORDS = hostRecordName('');
+
 /** Where a stream may go on: at one version, at any, or it is not known. */
 export type StreamVersion =
   | {readonly type: 'known'; readonly softwareVersion: string}
@@ -147,7 +151,9 @@
   private knowsAllVersions(): boolean {
     const {views, clock, membership} = this.context;
     const items = views.get('records')?.snapshot.items ?? [];
-    const hosts = items.filter(({name}) => name.startsWith('host.')).length;
+    const hosts = items.filter(({name}) =>
+      name.startsWith(HOST_RECORDS),
+    ).length;
     return (
       views.ageMs('records', clock.now()) <= CURRENT_RECORDS_MS ||
       membership.live().length * 2 > hosts
--- a/packages/entry-host/src/upstream/dial.ts
+++ b/packages/entry-host/src/upstream/dial.ts
@@ -70,21 +70,15 @@
     const opened = Result.fromThrowable(
       connectSocket,
       String,
-    )({
-      ...address,
-      noDelay: true,
-    });
+    )({...address, noDelay: true});
     if (opened.isErr()) {
       // The address of an entry that another writer made can't be connected to.
       const detail = opened.error;
-      const abort = new AbortController();
-      setImmediate(() => {
-        if (!abort.signal.aborted) {
-          observer.failed({reason: 'unreachable', detail, refused: false});
-        }
+      const failure = setImmediate(() => {
+        observer.failed({reason: 'unreachable', detail, refused: false});
       });
       return () => {
-        abort.abort();
+        clearImmediate(failure);
       };
     }
     const socket = opened.value;
