--- a/review/lib/rig.mjs
+++ b/review/lib/rig.mjs
@@ -214,8 +214,11 @@
   state = 'ready';
   sequence = 0;
   born = Date.now();
-  constructor({id, service, zone, slots = 6, workMs = 43, spoil, record}) {
-    Object.assign(this, {id, service, zone, slots, workMs, spoil, record});
+  constructor({id, service, zone, slots = 6, workMs = 43, record, ...rest}) {
+    // `answer` returns the body, `spoil` answers wrongly in its place.
+    const {answer, spoil} = rest;
+    Object.assign(this, {id, service, zone, slots, workMs, record});
+    Object.assign(this, {answer, spoil});
     this.server = createServer((request, response) => {
       void this.handle(request, response);
     });
@@ -319,7 +322,7 @@
     if (this.spoil?.(run, response) === true) {
       return;
     }
-    const text = `${this.id} ${id} ${body.length}`;
+    const text = this.answer?.(run) ?? `${this.id} ${id} ${body.length}`;
     response.writeHead(200, {
       ...common,
       ...echo,
