--- a/review/lib/rig.mjs
+++ b/review/lib/rig.mjs
@@ -322,13 +322,22 @@
     if (this.spoil?.(run, response) === true) {
       return;
     }
-    const text = this.answer?.(run) ?? `${this.id} ${id} ${body.length}`;
-    response.writeHead(200, {
-      ...common,
-      ...echo,
-      'X-Basilworks-Server-Signature': `signed.${this.id}.${id}`,
-      'Content-Length': text.length,
-    });
+    await this.respond(
+      run,
+      response,
+      {
+        ...common,
+        ...echo,
+        'X-Basilworks-Server-Signature': `signed.${this.id}.${id}`,
+      },
+      body,
+    );
+  }
+
+  /** Writes the answer to a request that has run. */
+  async respond(run, response, headers, body) {
+    const text = this.answer?.(run) ?? `${this.id} ${run.id} ${body.length}`;
+    response.writeHead(200, {...headers, 'Content-Length': text.length});
     response.end(text);
   }
 }
@@ -338,7 +347,14 @@
 /** Sends one request; resolves once it is answered or its connection ends. */
 export const send = (
   host,
-  {agent, method = 'POST', path, body = 'x'.repeat(600), deadlineMs = 1_500},
+  {
+    agent,
+    method = 'POST',
+    path,
+    body = 'x'.repeat(600),
+    deadlineMs = 1_500,
+    abandonMs = deadlineMs + 500,
+  },
 ) =>
   new Promise((resolve) => {
     const id = `r${process.pid.toString(16)}${(serial += 1)
@@ -383,7 +399,7 @@
     request.on('error', ({code, message}) => {
       finish({status: 0, error: code ?? message});
     });
-    request.setTimeout(deadlineMs + 500, () => request.destroy());
+    request.setTimeout(abandonMs, () => request.destroy());
     request.end(method === 'POST' ? body : undefined);
   });
 
