--- a/review/lib/rig.mjs
+++ b/review/lib/rig.mjs
@@ -451,12 +451,18 @@
   const parts = [];
   const trouble = process.env.TROUBLE !== '0';
   let code = 2;
-  const timer = setTimeout(() => {
-    record.add('the case took too long');
-    record.save();
+  // However the case ends, so do the processes that it started.
+  process.on('exit', () => {
     for (const part of parts) {
       part.child?.kill('SIGKILL');
     }
+  });
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+    process.on(signal, () => process.exit(2));
+  }
+  const timer = setTimeout(() => {
+    record.add('the case took too long');
+    record.save();
     process.exit(2);
   }, 110_000);
   try {
