--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -5,7 +5,7 @@
   configuration,
   Host,
   keptAgent,
-  nowMs,
+  occur,
   runCase,
   send,
   sleep,
@@ -14,7 +14,8 @@
 
 const CALLERS = 12;
 const SPOILED_SHARE = 0.02;
-const PLAY_MS = 20_000;
+/** How often the disruption comes, for how long, and the pause after it. */
+const OCCURRENCES = {count: 3, forMs: 5_500, pauseMs: 4_000};
 
 await runCase(import.meta.url, async ({record, folder, trouble, own}) => {
   const store = own(new Store());
@@ -77,12 +78,12 @@
   }
   await sleep(5_000);
   record.add('traffic starts');
-  const endMs = nowMs() + 4_000 + PLAY_MS;
+  let ended = false;
   const results = [];
   const caller = async (index) => {
     let agent = keptAgent();
     let target = index;
-    while (nowMs() < endMs) {
+    while (!ended) {
       const host = hosts[target % hosts.length];
       const result = await send(host, {agent, path: `/topup/${index}`});
       results.push(result);
@@ -106,7 +107,10 @@
     caller(index),
   );
   await sleep(4_000);
-  disrupted = trouble;
+  await occur(record, trouble, OCCURRENCES, (on) => {
+    disrupted = on;
+  });
+  ended = true;
   await Promise.all(callers);
   // LOST: passed on from a kept connection to a sound server, and that
   // connection closed without an answer.
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -8,7 +8,7 @@
   configuration,
   Host,
   keptAgent,
-  nowMs,
+  occur,
   runCase,
   send,
   sleep,
@@ -17,8 +17,9 @@
 
 const CALLERS = 12;
 const STREAM_CALLERS = 12;
-const ENDLESS_SHARE = 0.02;
-const PLAY_MS = 50_000;
+const ENDLESS_SHARE = 0.05;
+/** How often the disruption comes, for how long, and the pause after it. */
+const OCCURRENCES = {count: 8, forMs: 5_000, pauseMs: 4_000};
 /** Of the site's brine-dose. */
 const TIMEOUT_MS = 800;
 const DEADLINE_MS = 1_500;
@@ -124,12 +125,12 @@
   }
   await sleep(5_000);
   record.add('traffic starts');
-  const endMs = nowMs() + 4_000 + PLAY_MS;
+  let ended = false;
   const results = [];
   const caller = async (index, route, options, pauseMs) => {
     let agent = keptAgent();
     let target = index;
-    while (nowMs() < endMs) {
+    while (!ended) {
       const host = hosts[target % hosts.length];
       const path = `/${route}/${index}`;
       const result = await send(host, {agent, path, ...options});
@@ -158,7 +159,10 @@
     callers.push(caller(index, 'turn-advice', options, 100));
   }
   await sleep(4_000);
-  disrupted = trouble;
+  await occur(record, trouble, OCCURRENCES, (on) => {
+    disrupted = on;
+  });
+  ended = true;
   await Promise.all(callers);
   // CONFIG: unanswered at the route's time-out, and half a second later.
   const lasted = results.filter(
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -5,7 +5,7 @@
   configuration,
   Host,
   keptAgent,
-  nowMs,
+  occur,
   runCase,
   send,
   sleep,
@@ -15,7 +15,8 @@
 const CALLERS = 12;
 const SPOILED_SHARE = 0.02;
 const BLANKS = 60_000;
-const PLAY_MS = 30_000;
+/** How often the disruption comes, for how long, and the pause after it. */
+const OCCURRENCES = {count: 3, forMs: 5_500, pauseMs: 6_000};
 /** Of the site's brine-dose. */
 const TIMEOUT_MS = 800;
 const DEADLINE_MS = 1_500;
@@ -78,12 +79,12 @@
   }
   await sleep(5_000);
   record.add('traffic starts');
-  const endMs = nowMs() + 4_000 + PLAY_MS;
+  let ended = false;
   const results = [];
   const caller = async (index) => {
     let agent = keptAgent();
     let target = index;
-    while (nowMs() < endMs) {
+    while (!ended) {
       const host = hosts[target % hosts.length];
       const path = `/brine-dose/${index}`;
       const options = {agent, path, deadlineMs: DEADLINE_MS};
@@ -107,7 +108,10 @@
     caller(index),
   );
   await sleep(4_000);
-  disrupted = trouble;
+  await occur(record, trouble, OCCURRENCES, (on) => {
+    disrupted = on;
+  });
+  ended = true;
   await Promise.all(callers);
   // CONFIG: unanswered at the route's time-out, and half a second later.
   const lasted = results.filter(
--- a/review/lib/rig.mjs
+++ b/review/lib/rig.mjs
@@ -1,7 +1,7 @@
 // What the scripts of the cases share: a record, entry hosts as processes,
 // server stand-ins and callers.
 import {spawn} from 'node:child_process';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {Agent, createServer, request as startRequest} from 'node:http';
 import {createServer as createNetServer} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -20,15 +20,12 @@
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 
-/** The command of `deploy/system.toml`, split at spaces. */
-const COMMAND = [
-  '--max-old-space-size=160',
-  '--max-semi-space-size=1',
-  '--optimize-for-size',
-  'target/entry-host.cjs',
-  '--settings-variable',
-  'BASILWORKS_CONFIG',
-];
+/** The words of the entry host's command in the deploy file. */
+const [PROGRAM, ...WORDS] = (
+  /^run = "(.+)"$/m.exec(
+    readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8'),
+  )?.[1] ?? ''
+).split(' ');
 
 /** Restart delay of a process that has ended, milliseconds. */
 const RESTART_MS = 1_000;
@@ -76,10 +73,10 @@
   exits = [];
   logs = [];
   stopped = true;
-  constructor(index, directory, record, {zone} = {}) {
+  constructor(index, directory, record) {
     this.index = index;
     this.name = `front-${index}`;
-    this.zone = zone ?? `zone-${index % 3}`;
+    this.zone = `zone-${index % 3}`;
     this.directory = directory;
     this.record = record;
   }
@@ -94,7 +91,7 @@
     return `${this.ip}:${this.ports[kind]}`;
   }
 
-  start({storeAddress, seeds, bounds = {}}) {
+  start({storeAddress, seeds}) {
     const file = join(this.directory, `${this.name}.json`);
     // `deploy/settings.template.jsonc`, filled in for a small deployment.
     const settings = {
@@ -118,12 +115,11 @@
       quotaTolerance: {},
       machine: {coreShare: 0.675, cores: 1, linkMbps: 1_000, memoryMb: 350},
       retryBudget: {ratio: 0.2, extra: 54, windowS: 10},
-      ...bounds,
     };
     writeFileSync(file, JSON.stringify(settings));
     this.stopped = false;
     const run = () => {
-      const child = spawn(process.execPath, COMMAND, {
+      const child = spawn(PROGRAM, WORDS, {
         cwd: ROOT,
         env: {
           PATH: process.env.PATH,
@@ -156,11 +152,6 @@
     run();
   }
 
-  signal(name) {
-    this.record.add(`${this.name} gets ${name}`);
-    this.child.kill(name);
-  }
-
   async close() {
     this.stopped = true;
     const {child} = this;
@@ -211,7 +202,6 @@
 export class AppServer {
   runs = [];
   running = 0;
-  state = 'ready';
   sequence = 0;
   born = Date.now();
   constructor({id, service, zone, slots = 6, workMs = 43, record, ...rest}) {
@@ -234,7 +224,7 @@
   register(store, reaches = () => true) {
     this.store = store;
     this.beat = () => {
-      if (reaches() && this.state !== 'gone') {
+      if (reaches()) {
         this.sequence += 1;
         store.put('servers', this.id, this.entry());
       }
@@ -243,25 +233,18 @@
     this.timer = setInterval(this.beat, 1_200);
   }
 
-  /** Says that it leaves; serves on. */
-  drain() {
-    this.state = 'draining';
-    this.beat();
-  }
-
   entry() {
-    const {service, address, zone, slots, state, sequence, born} = this;
+    const {service, address, zone, slots, sequence, born} = this;
     return {
       service,
       address,
       zone,
       version: 'v1',
       slots,
-      state: state === 'draining' ? 'draining' : 'ready',
+      state: 'ready',
       coldRemainingMs: 0,
       sequence,
       born,
-      ...this.extra,
     };
   }
 
@@ -287,7 +270,7 @@
       'X-Basilworks-Instance-Id': this.id,
     };
     if (request.url === '/healthz') {
-      response.writeHead(this.state === 'ready' ? 200 : 503, common);
+      response.writeHead(200, common);
       response.end();
       return;
     }
@@ -342,6 +325,18 @@
   }
 }
 
+/** Sets a disruption on for some time, `count` times, with pauses after each. */
+export const occur = async (record, trouble, {count, forMs, pauseMs}, set) => {
+  for (let index = 0; index < count; index += 1) {
+    record.add(`disruption ${trouble ? 'on' : 'left out'}, ${forMs} ms`);
+    set(trouble);
+    await sleep(forMs);
+    set(false);
+    record.add('disruption over');
+    await sleep(pauseMs);
+  }
+};
+
 let serial = 0;
 
 /** Sends one request; resolves once it is answered or its connection ends. */
@@ -407,11 +402,6 @@
 export const keptAgent = () =>
   new Agent({keepAlive: true, maxSockets: 1, keepAliveMsecs: 60_000});
 
-export const temporaryFolder = () => {
-  const folder = mkdtempSync(join(tmpdir(), 'review-'));
-  return {folder, remove: () => rmSync(folder, {recursive: true, force: true})};
-};
-
 const route = (name, service, extra) => ({
   name,
   host: 'site.example',
@@ -444,27 +434,45 @@
   },
 });
 
-/** Runs a case: exits with 1 if the rule was broken, 0 if not, 2 on failure. */
+/** Lag of the script itself beyond which its measurements don't count, ms. */
+const MOST_LAG_MS = 200;
+const LAG_CHECK_MS = 20;
+
+/**
+ * Runs a case: exits with 1 if the rule was broken, 0 if not, and 2 if it
+ * couldn't run, took too long, or lagged so much itself that its measurements
+ * can't be relied on.
+ */
 export const runCase = async (scriptUrl, play) => {
   const record = new Record(fileURLToPath(new URL('.', scriptUrl)));
-  const {folder, remove} = temporaryFolder();
+  const folder = mkdtempSync(join(tmpdir(), 'review-'));
   const parts = [];
   const trouble = process.env.TROUBLE !== '0';
   let code = 2;
-  // However the case ends, so do the processes that it started.
+  // However the case ends, so do its processes and its temporary folder.
   process.on('exit', () => {
     for (const part of parts) {
       part.child?.kill('SIGKILL');
     }
+    rmSync(folder, {recursive: true, force: true});
   });
-  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
-    process.on(signal, () => process.exit(2));
-  }
-  const timer = setTimeout(() => {
-    record.add('the case took too long');
+  const giveUp = (reason) => {
+    record.add(`could not run: ${reason}`);
     record.save();
     process.exit(2);
-  }, 110_000);
+  };
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+    process.on(signal, () => giveUp(signal));
+  }
+  process.on('uncaughtException', (error) => giveUp(error.stack));
+  const limit = setTimeout(() => giveUp('it took too long'), 110_000);
+  let checkedMs = performance.now();
+  let lagMs = 0;
+  const lag = setInterval(() => {
+    const atMs = performance.now();
+    lagMs = Math.max(lagMs, Math.round(atMs - checkedMs - LAG_CHECK_MS));
+    checkedMs = atMs;
+  }, LAG_CHECK_MS);
   try {
     record.add(`trouble ${trouble ? 'on' : 'off'}`);
     const broken = await play({
@@ -476,17 +484,18 @@
         return part;
       },
     });
-    code = broken === undefined ? 2 : broken ? 1 : 0;
+    record.add(`longest lag of this script ${lagMs} ms`);
+    code = broken === undefined || lagMs > MOST_LAG_MS ? 2 : broken ? 1 : 0;
   } catch (error) {
     record.add(`failed: ${error.stack}`);
   }
+  clearInterval(lag);
   for (const part of parts) {
     await part.close();
   }
   record.add(`exit ${code}`);
   record.save();
-  process.stdout.write(`${record.lines.slice(-6).join('\n')}\n`);
-  clearTimeout(timer);
-  remove();
+  process.stdout.write(`${record.lines.slice(-7).join('\n')}\n`);
+  clearTimeout(limit);
   process.exit(code);
 };
