Fail one request, not the host, on bytes of a server

Cause: the parser checked header names and not their values; Node's writeHead threw on the value, in a promise that nobody awaited, and the process ended. The same class: a Keep-Alive timeout of over 308 digits as a socket's time-out, and whatever the end of a response threw, outside of the parser's try block.

Change: values are checked by RFC 9110, received bytes are handled within one guard per connection, a request whose handling throws ends alone with a log line, and idle times and timer delays are bounded.

--- a/packages/daemon/src/timer-service.ts
+++ b/packages/daemon/src/timer-service.ts
@@ -6,6 +6,9 @@
   readonly keepAlive?: boolean;
 }
 
+/** Longest delay that the runtime supports, ms; it fires longer ones at once. */
+const MAXIMUM_DELAY_MS = 2 ** 31 - 1;
+
 /**
  * The one source of delayed calls in the daemon. Parts subscribe under a name;
  * a second subscription with the same name replaces the first.
@@ -24,7 +27,8 @@
       this.timers.delete(name);
       callback();
     };
-    this.subscribe(name, setTimeout(fire, Math.max(0, delayMs)), options);
+    const delay = Math.min(MAXIMUM_DELAY_MS, Math.max(0, delayMs));
+    this.subscribe(name, setTimeout(fire, delay), options);
   }
 
   /** Calls back every `periodMs` until cancelled. */
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -28,6 +28,7 @@
 
 import type {EntryHostContext} from '../context.js';
 import {type CrashGuard, NO_CRASH_GUARD} from '../crashes/index.js';
+import {describeError} from '../lib/describe-error.js';
 import {ANY_STREAM_VERSION, type StreamVersionGuard} from '../streams/index.js';
 import {type Admission, NO_QUOTAS, type QuotaGate} from '../tenants/index.js';
 import {headerValue, type UpstreamPools} from '../upstream/index.js';
@@ -108,7 +109,12 @@
         noDelay: true,
       },
       (request, response) => {
-        void this.handleRequest(request, response);
+        this.handleRequest(request, response).catch((error: unknown) => {
+          const {logger} = this.context;
+          const detail = describeError(error);
+          logger.error('request handling failed', {error: detail});
+          response.destroy();
+        });
       },
     );
     this.server.requestTimeout = 0;
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -27,6 +27,7 @@
 } from './caller-authenticator.js';
 import {type CallerRequest, endToEndHeaders} from './caller-request.js';
 import type {StreamVersionGuard} from '../streams/index.js';
+import {describeError} from '../lib/describe-error.js';
 import {EventSplitter} from './event-splitter.js';
 import type {RequestBufferTracker} from './request-buffer-tracker.js';
 import {type SendResult, ServerSend} from './server-send.js';
@@ -141,6 +142,19 @@
     const unsubscribe = this.parts.crashes.onQuarantine(() => {
       this.handleQuarantine();
     });
+    try {
+      await this.serve();
+    } catch (error) {
+      this.failUnexpectedly(error);
+    } finally {
+      unsubscribe();
+      timers.cancel(this.timer);
+      this.buffers.recordRequestEnd();
+    }
+  }
+
+  /** Sends the request until it has its final answer. */
+  private async serve(): Promise<void> {
     const mayGoOn = (await this.continuation?.find()) ?? true;
     if (!mayGoOn && !this.isFinished()) {
       this.endWithoutServer(UNKNOWN_STREAM);
@@ -171,9 +185,23 @@
       }
       this.handleResult(result, selection.server);
     }
-    unsubscribe();
-    timers.cancel(this.timer);
-    this.buffers.recordRequestEnd();
+  }
+
+  /** Ends one request for a fault that no type describes, and logs it. */
+  private failUnexpectedly(error: unknown): void {
+    const {logger} = this.parts.context;
+    logger.error('request handling failed', {
+      requestId: this.request.id,
+      server: this.lastServer,
+      error: describeError(error),
+    });
+    this.send?.cancel();
+    if (this.finished) {
+      // The answer itself could not be written.
+      this.answer.abort();
+    } else {
+      this.fail(502, 'an unexpected fault');
+    }
   }
 
   private isFinished(): boolean {
--- a/packages/entry-host/src/test/front/simulated-listener.ts
+++ b/packages/entry-host/src/test/front/simulated-listener.ts
@@ -59,6 +59,8 @@
     at: {monotonicMs: number; wallMs: number};
   }) => void = () => undefined,
   configurationSource?: ConfigurationSource,
+  /** Headers of the server's answers, besides its signature. */
+  answerHeaders: readonly string[] = [],
 ) => {
   const fleet = new FleetSimulation(1);
   const {context: hostContext} = fleet.startHost('h0');
@@ -107,7 +109,7 @@
             return;
           }
           sends.push(head);
-          const rawHeaders = ['X-Signature', 's'];
+          const rawHeaders = ['X-Signature', 's', ...answerHeaders];
           observer.head({status: 200, rawHeaders, endsWithConnection: false});
           observer.end();
         });
--- a/packages/entry-host/src/test/upstream/connection_test.ts
+++ b/packages/entry-host/src/test/upstream/connection_test.ts
@@ -338,3 +338,48 @@
     server.close();
   });
 }
+
+// Guards against hosts that end on a server's bytes: a keep-alive timeout with
+// over 308 digits was set on the socket as Infinity, which throws.
+test('a connection outlives a keep-alive timeout beyond all numbers', async (t) => {
+  const {server, pool, opened} = await serve((request) =>
+    responseTo(idOf(request)).replace(
+      '\r\n',
+      `\r\nKeep-Alive: timeout=${'9'.repeat(400)}\r\n`,
+    ),
+  );
+  t.like(await send(pool, 'one'), {status: 200, body: 'one'});
+  t.like(await send(pool, 'two'), {status: 200, body: 'two'});
+  t.is(opened(), 1);
+  pool.close();
+  server.close();
+});
+
+// Guards against hosts that end on a server's bytes: what an observer threw at
+// the end of a response was caught by nobody.
+test('an observer that throws at the end fails only its exchange', async (t) => {
+  const {server, pool} = await serve((request) => responseTo(idOf(request)));
+  const failure = await new Promise((resolve) => {
+    pool.start(
+      {
+        method: 'GET',
+        head: 'GET /one HTTP/1.1\r\nHost: h\r\n\r\n',
+        body: Buffer.alloc(0),
+        requestId: 'one',
+      },
+      10,
+      {
+        head: () => undefined,
+        data: () => undefined,
+        end: () => {
+          throw new Error('unexpected');
+        },
+        failed: resolve,
+      },
+    );
+  });
+  t.like(failure, {name: 'UpstreamError', reason: 'malformed', sent: true});
+  t.like(await send(pool, 'two'), {body: 'two'});
+  pool.close();
+  server.close();
+});
--- a/packages/entry-host/src/test/upstream/response-parser_test.ts
+++ b/packages/entry-host/src/test/upstream/response-parser_test.ts
@@ -169,3 +169,23 @@
     {seed: 20_261_204, numRuns: 500},
   );
 });
+
+// Guards against hosts that end on a server's bytes: a control character in a
+// header value was passed on, and the caller's side threw on it.
+for (const [name, code] of [
+  ['a NUL', 0],
+  ['a control character', 1],
+  ['a DEL', 127],
+] as const) {
+  test(`a header value with ${name} is malformed`, (t) => {
+    const value = `a${String.fromCharCode(code)}b`;
+    t.throws(() => parse(`HTTP/1.1 200 OK\r\nX: ${value}\r\n\r\n`), {
+      instanceOf: MalformedResponseError,
+    });
+  });
+}
+
+test('a header value may have tabs and bytes above 0x7f', (t) => {
+  const {heads} = parse('HTTP/1.1 204 No\r\nX: a\tb\xe9\r\n\r\n');
+  t.deepEqual(heads[0]?.rawHeaders, ['X', 'a\tb\xe9']);
+});
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -75,6 +75,12 @@
  */
 const IDLE_MARGIN_MS = 1_500;
 
+/**
+ * Longest idle time of a connection, whatever the server offers, milliseconds.
+ * Timers take no arbitrarily large delays.
+ */
+const MAXIMUM_IDLE_MS = 600_000;
+
 /** Idle timeout if the server sends no keep-alive timeout, milliseconds. */
 const DEFAULT_IDLE_MS = 4_000;
 
@@ -155,10 +161,14 @@
     this.transport = transport;
     const {stream} = transport;
     stream.on('data', (chunk: Buffer) => {
-      this.handleData(chunk);
+      this.contain(() => {
+        this.handleData(chunk);
+      });
     });
     stream.on('end', () => {
-      this.handlePeerEnd(transport);
+      this.contain(() => {
+        this.handlePeerEnd(transport);
+      });
     });
     stream.on('error', ({message}: Error) => {
       this.fail('interrupted', message);
@@ -196,16 +206,7 @@
         this.close();
         return;
       }
-      try {
-        rest = exchange.feed(rest);
-      } catch (error) {
-        const detail =
-          error instanceof MalformedResponseError
-            ? error.message
-            : String(error);
-        this.fail('malformed', detail);
-        return;
-      }
+      rest = exchange.feed(rest);
       if (exchange.finished) {
         this.finish(exchange, rest.length > 0);
         return;
@@ -213,6 +214,23 @@
     }
   }
 
+  /**
+   * Runs a handler of received bytes. Whatever it throws fails the exchange:
+   * bytes of a server never end the process.
+   */
+  private contain(handle: () => void): void {
+    const {exchange} = this;
+    try {
+      handle();
+    } catch (error) {
+      const detail =
+        error instanceof MalformedResponseError ? error.message : String(error);
+      // A response that was complete is no longer the exchange in progress.
+      this.exchange ??= exchange;
+      this.fail('malformed', detail);
+    }
+  }
+
   private readonly classifyHead = (
     exchange: Exchange,
     head: ResponseHead,
@@ -245,7 +263,8 @@
       headerValue(rawHeaders, 'keep-alive') ?? '',
     )?.[1];
     if (timeout !== undefined) {
-      this.idleMs = Math.max(0, Number(timeout) * 1_000 - IDLE_MARGIN_MS);
+      const offeredMs = Number(timeout) * 1_000 - IDLE_MARGIN_MS;
+      this.idleMs = Math.min(MAXIMUM_IDLE_MS, Math.max(0, offeredMs));
     }
     // A server that responds before it has read the body may never read it.
     const bodySent = stream?.writableLength === 0;
--- a/packages/entry-host/src/upstream/response-parser.ts
+++ b/packages/entry-host/src/upstream/response-parser.ts
@@ -26,6 +26,8 @@
 
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-9]\d\d)(?: |$)/;
 const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*(.*?)[ \t]*$/;
+/** Characters that no header value may have (RFC 9110, 5.5). */
+const FORBIDDEN_IN_VALUE = /[^\t\x20-\x7e\x80-\xff]/;
 const CHUNK_SIZE = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?$/;
 
 /** The received bytes are not a valid HTTP/1.1 response. */
@@ -121,6 +123,9 @@
       if (name === undefined || value === undefined) {
         throw this.malformed('a header line is malformed');
       }
+      if (FORBIDDEN_IN_VALUE.test(value)) {
+        throw this.malformed('a header value has a control character');
+      }
       rawHeaders.push(name, value);
     }
     const rest = bytes.subarray(end + 4);
