Order revisions over the eras of the store

Cause: revisions that the restored store gave out again were compared with those of before. Lists were refused as older, watches went on from a revision of the lost history and skipped what lay below it, and confirmations of one era passed for the other's.

Change: a revision is composed of the era in the store's answers and its own number, so that all comparisons, relayed views and confirmations are ordered by both. A watch answered in another era lists again; a restored view counts as the end of an outage, so that entries which are written again are kept.

--- a/packages/dispatch/src/fleet/index.ts
+++ b/packages/dispatch/src/fleet/index.ts
@@ -5,4 +5,5 @@
 export * from './membership.js';
 export * from './reader-groups.js';
 export * from './records.js';
+export * from './store-revision.js';
 export * from './store-views.js';
--- a/packages/dispatch/src/fleet/store-views.ts
+++ b/packages/dispatch/src/fleet/store-views.ts
@@ -1,5 +1,7 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 
+import {eraOf} from './store-revision.js';
+
 /** Kinds of objects that are read from the platform's store. */
 export const STORE_KINDS = [
   'configuration',
@@ -12,7 +14,7 @@
 /** One object of a kind, decoded to internal types. */
 export interface StoredItem {
   readonly name: string;
-  /** Revision of its last change. */
+  /** Revision of its last change, ordered over all eras of the store. */
   readonly revision: number;
   readonly value: unknown;
 }
@@ -32,7 +34,10 @@
   readonly snapshot: Snapshot;
   /** Start of the latest read that confirmed the snapshot. */
   readonly freshAt: Instant;
-  /** End of the latest period in which neither this host nor a peer read it. */
+  /**
+   * End of the latest period in which neither this host nor a peer read it, or
+   * when the store was found to have been restored from an older copy.
+   */
   readonly outageEndedAt: Instant | undefined;
 }
 
@@ -84,7 +89,7 @@
       snapshot.kind,
       known === undefined
         ? {snapshot, freshAt, outageEndedAt: undefined}
-        : confirmView(newer ? {...known, snapshot} : known, freshAt, at),
+        : replaceView(known, newer ? snapshot : known.snapshot, freshAt, at),
     );
     return newer;
   }
@@ -103,6 +108,22 @@
   }
 }
 
+/**
+ * Returns the view with a snapshot that was current at `freshAt`. In a new era
+ * of the store, entries written since its copy was made are missing until their
+ * writers notice, as after an outage.
+ */
+const replaceView = (
+  known: StoreView,
+  snapshot: Snapshot,
+  freshAt: Instant,
+  at: Instant,
+): StoreView => {
+  const view = confirmView({...known, snapshot}, freshAt, at);
+  const restored = eraOf(snapshot.revision) > eraOf(known.snapshot.revision);
+  return restored ? {...view, freshAt, outageEndedAt: at} : view;
+};
+
 /** Returns the view with a confirmation for `freshAt`, received at `at`. */
 const confirmView = (
   view: StoreView,
--- a/packages/dispatch/src/test/fleet/store-views_test.ts
+++ b/packages/dispatch/src/test/fleet/store-views_test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import {StoreViews} from '../../index.js';
+import {StoreViews, storeRevision} from '../../index.js';
 
 const at = (ms: number) => ({monotonicMs: ms, wallMs: ms});
 const snapshot = (revision: number) => ({
@@ -51,3 +51,33 @@
   t.is(views.get('records')?.outageEndedAt, undefined);
   t.is(views.ageMs('records', stepped), 0);
 });
+
+const inEra = (era: number, counter: number): number =>
+  storeRevision(era, counter) ?? 0;
+
+// Guards against views that outlive a restoration of the store: what was read
+// after it had lower revisions and was refused.
+test('a view of a restored store replaces that of its earlier era', (t) => {
+  const views = new StoreViews();
+  views.update(snapshot(inEra(1, 90)), at(0), at(10));
+  t.true(views.update(snapshot(inEra(2, 40)), at(500), at(510)));
+  t.is(views.ageMs('records', at(600)), 100);
+  t.deepEqual(
+    views.get('records')?.outageEndedAt,
+    at(510),
+    'entries written since the copy may be missing',
+  );
+  t.false(
+    views.update(snapshot(inEra(1, 95)), at(505), at(700)),
+    'a late answer of the earlier era',
+  );
+  views.confirm('records', inEra(1, 90), at(690), at(700));
+  t.is(views.ageMs('records', at(700)), 200);
+});
+
+test('revisions that cannot be represented exactly are none', (t) => {
+  t.is(storeRevision(2 ** 40, 0), undefined);
+  t.is(storeRevision(0, 2 ** 41), undefined);
+  t.is(storeRevision(-1, 5), undefined);
+  t.is(storeRevision(NaN, 5), undefined);
+});
--- a/packages/entry-host/src/ports.ts
+++ b/packages/entry-host/src/ports.ts
@@ -18,7 +18,8 @@
  *   written.
  * - `missing`: no response arrived; a write may have been executed or may still
  *   be.
- * - `history-gone`: the store has compacted the history that a watch needs.
+ * - `history-gone`: the store has compacted the history that a watch needs, or
+ *   has been restored from an older copy since.
  * - `malformed`: the response could not be parsed.
  */
 export type StoreFailure = 'refused' | 'missing' | 'history-gone' | 'malformed';
--- a/packages/entry-host/src/store/store-client.ts
+++ b/packages/entry-host/src/store/store-client.ts
@@ -1,4 +1,9 @@
-import {Agent, type IncomingMessage, request as startRequest} from 'node:http';
+import {
+  Agent,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  request as startRequest,
+} from 'node:http';
 
 import type {TimerService} from '@basilworks/daemon';
 import {err, ok, type Result, ResultAsync} from 'neverthrow';
@@ -28,6 +33,8 @@
 export interface StoreResponse {
   readonly status: number;
   readonly text: string;
+  /** Headers by their names in lower case. */
+  readonly headers: IncomingHttpHeaders;
 }
 
 /**
@@ -113,7 +120,8 @@
         });
         request.on('response', (response) => {
           readBody(response, fail, (answer) => {
-            settle(ok({status: response.statusCode ?? 0, text: answer}));
+            const {statusCode: status = 0, headers} = response;
+            settle(ok({status, text: answer, headers}));
           });
         });
         request.end(text);
