--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -28,7 +28,7 @@
 import {type CallerRequest, endToEndHeaders} from './caller-request.js';
 import type {StreamVersionGuard} from '../streams/index.js';
 import {describeError} from '../lib/describe-error.js';
-import {EventSplitter} from './event-splitter.js';
+import {EventBoundaries, EventSplitter} from './event-splitter.js';
 import type {RequestBufferTracker} from './request-buffer-tracker.js';
 import {type SendResult, ServerSend} from './server-send.js';
 import type {Selection, ServerSelector} from './server-selection.js';
@@ -73,6 +73,8 @@
   private readonly abort = new AbortController();
   private readonly tried = new Set<string>();
   private readonly splitter = new EventSplitter();
+  /** Shows whether a stream that is passed on as it comes is within an event. */
+  private readonly boundaries = new EventBoundaries();
   private readonly bufferedChunks: Buffer[] = [];
   private readonly timer = `run/${(serial += 1)}`;
   private bufferedBytes = 0;
@@ -255,6 +257,7 @@
       promptWaitMs === undefined ? undefined : Math.round(promptWaitMs);
     this.tried.add(server.key);
     this.splitter.reset();
+    this.boundaries.reset();
     this.bufferedChunks.length = 0;
     this.bufferedBytes = 0;
     this.bufferedHead = undefined;
@@ -325,7 +328,7 @@
       type === 'answered' &&
       this.route.kind === 'stream' &&
       send.endedWithConnection &&
-      this.splitter.pendingBytes > 0
+      (this.splitter.pendingBytes > 0 || this.boundaries.pendingBytes > 0)
     );
   }
 
@@ -461,8 +464,7 @@
       }
     } else {
       if (this.send?.endedWithConnection === true) {
-        // Shows whether the stream ends within an event.
-        this.splitter.feed(chunk);
+        this.boundaries.feed(chunk);
       }
       this.writeToCaller(chunk);
     }
