Use answers of the store that come late

Callers were served by news up to 21 s old while the store answered each call in 0.9 s (CONFIG, VERSION), and hosts that started beside such a store served nobody.

Cause: a read was given up 800 ms after its wait at every attempt, and its answer thrown away, so that a store which takes longer was never read.

Change: another read begins beside an unanswered one, as early as before, and whichever answer comes is used, for up to ten seconds. While answers are slow the next read begins after twice the time that the latest one took. Connections to the store may take three seconds.

Evidence: three tests of late-store_test failed before and pass after, as does the one of 90 hosts.

--- a/packages/entry-host/src/store/reading-plans.ts
+++ b/packages/entry-host/src/store/reading-plans.ts
@@ -18,11 +18,23 @@
 /** Minimum interval of checks whether this host should read, milliseconds. */
 export const MINIMUM_CHECK_INTERVAL_MS = 50;
 
-/** Initial response time-out on top of a watch's wait time, milliseconds. */
+/**
+ * Initial time on top of a watch's wait after which another read begins beside
+ * an unanswered one, milliseconds.
+ */
 export const INITIAL_RESPONSE_TIMEOUT_MS = 400;
 
-/** Response time-out after a failed call, as the store may be slow, ms. */
-export const MAXIMUM_RESPONSE_TIMEOUT_MS = 800;
+/** The same after an unanswered call, as the store may be slow, ms. */
+export const RETRY_RESPONSE_TIMEOUT_MS = 800;
+
+/** The longest such time while the store answers slowly, milliseconds. */
+export const MAXIMUM_RESPONSE_TIMEOUT_MS = 4_000;
+
+/**
+ * Time on top of a watch's wait for which an answer is still used, milliseconds:
+ * a store that answers late is slow, not away.
+ */
+export const LATE_ANSWER_MS = 10_000;
 
 /**
  * Retry delays after failed calls, milliseconds: they bound the store's load.
--- a/packages/entry-host/src/store/store-client.ts
+++ b/packages/entry-host/src/store/store-client.ts
@@ -11,7 +11,7 @@
 import {StoreError} from '../ports.js';
 
 /** Time-out of connecting to the store, milliseconds. */
-const CONNECT_TIMEOUT_MS = 600;
+const CONNECT_TIMEOUT_MS = 3_000;
 
 /** Idle time after which a connection is closed, milliseconds. */
 const KEEP_ALIVE_MS = 4_000;
--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -9,11 +9,13 @@
 import {
   INITIAL_RESPONSE_TIMEOUT_MS,
   INITIAL_RETRY_DELAY_MS,
+  LATE_ANSWER_MS,
   MAXIMUM_RETRY_DELAY_MS,
   MAXIMUM_RESPONSE_TIMEOUT_MS,
   MINIMUM_CHECK_INTERVAL_MS,
   type ReadingPlan,
   readingPlan,
+  RETRY_RESPONSE_TIMEOUT_MS,
 } from './reading-plans.js';
 
 /**
@@ -68,6 +70,11 @@
   /** Kinds that this host does not read now, with their resume functions. */
   private readonly idle = new Map<StoreKind, () => void>();
 
+  /** Progress of the reads of each kind. */
+  private readonly progress = new Map<StoreKind, ReadProgress>(
+    STORE_KINDS.map((kind) => [kind, new ReadProgress()]),
+  );
+
   /** Latest reader checks by number of readers. */
   private readonly readerChecks = new Map<
     number,
@@ -95,26 +102,28 @@
     return since === undefined ? 0 : elapsedMs(since, this.context.clock.now());
   }
 
-  /** Reads a kind once, outside the plan; whether that succeeded. */
+  /** Time that the latest answered read of a kind took, milliseconds. */
+  responseMs(kind: StoreKind): number {
+    return this.progressOf(kind).responseMs;
+  }
+
+  /**
+   * Reads a kind once, outside the plan; whether that succeeded. Resolves once
+   * the answer is there, however late.
+   */
   async refresh(kind: StoreKind): Promise<boolean> {
     const {clock, views, signal} = this.context;
     const startedAt = clock.now();
     const base = views.get(kind)?.snapshot;
-    const timeoutMs = INITIAL_RESPONSE_TIMEOUT_MS;
-    const watched = await this.read(
-      kind,
-      base,
-      base?.revision ?? 0,
-      0,
-      timeoutMs,
-    );
+    const watched = await this.readOnce(kind, base, base?.revision ?? 0, 0);
     const result =
       watched instanceof Error && watched.failure === 'history-gone'
-        ? await this.read(kind, undefined, 0, 0, timeoutMs)
+        ? await this.readOnce(kind, undefined, 0, 0)
         : watched;
     if (signal.aborted || result instanceof Error) {
       return false;
     }
+    this.recordAnswer(kind, elapsedMs(startedAt, clock.now()));
     this.publish(result.snapshot, startedAt);
     return true;
   }
@@ -132,16 +141,13 @@
     let base: Snapshot | undefined;
     // Revision to watch from. It also grows while the kind is unchanged.
     let cursor = 0;
-    // Set when the store has compacted the history that a watch would need.
-    let mustList = false;
-    let failures = 0;
-    let responseTimeoutMs = INITIAL_RESPONSE_TIMEOUT_MS;
+    const progress = this.progressOf(kind);
     const stopped = () => signal.aborted;
     while (!stopped()) {
       const plan = readingPlan(kind, this.context.settings);
       if (!this.shouldRead(kind, plan)) {
         base = undefined;
-        failures = 0;
+        progress.failures = 0;
         this.failing.delete(kind);
         if (this.probedKind === kind) {
           this.probedKind = undefined;
@@ -155,37 +161,35 @@
         base = relayed;
         cursor = relayed.revision;
       }
-      const from = mustList ? undefined : base;
+      const from = progress.mustList ? undefined : base;
       // A stale view is refreshed without waiting for a change.
-      const stale = this.isStale(kind, plan) || failures > 0;
+      const stale = this.isStale(kind, plan) || progress.failures > 0;
       const waitMs = stale ? 0 : plan.waitMs;
       const result = await this.read(
         kind,
         from,
         cursor,
         waitMs,
-        responseTimeoutMs,
+        progress.responseTimeoutMs,
       );
       if (stopped()) {
         return;
       }
       if (result instanceof Error) {
-        failures += 1;
+        progress.failures += 1;
         this.recordFailure(kind, result);
-        mustList ||= result.failure === 'history-gone';
-        responseTimeoutMs = MAXIMUM_RESPONSE_TIMEOUT_MS;
-        const pauseMs = INITIAL_RETRY_DELAY_MS * 2 ** Math.min(failures - 1, 6);
+        progress.mustList ||= result.failure === 'history-gone';
+        progress.responseTimeoutMs = Math.max(
+          RETRY_RESPONSE_TIMEOUT_MS,
+          progress.responseTimeoutMs,
+        );
+        const exponent = Math.min(progress.failures - 1, 6);
+        const pauseMs = INITIAL_RETRY_DELAY_MS * 2 ** exponent;
         const longestMs = this.recordDirectReadFailure(kind, plan, result);
         await sleep(timers, Math.min(longestMs, pauseMs), signal);
         continue;
       }
-      failures = 0;
-      this.probedKind = undefined;
-      responseTimeoutMs = nextResponseTimeoutMs(
-        elapsedMs(startedAt, clock.now()) - waitMs,
-      );
-      mustList = false;
-      this.recordSuccess(kind);
+      this.recordAnswer(kind, elapsedMs(startedAt, clock.now()) - waitMs);
       base = result.snapshot;
       cursor = Math.max(cursor, result.cursor);
       this.publish(base, startedAt);
@@ -233,15 +237,77 @@
     }
   }
 
-  /** Lists a kind or, given a base, watches for changes to it. */
+  /**
+   * Reads a kind, and fails if there is no answer in time. An answer that comes
+   * later is used all the same.
+   */
   private async read(
     kind: StoreKind,
     base: Snapshot | undefined,
     cursor: number,
     waitMs: number,
     responseTimeoutMs: number,
+  ): Promise<ReadResult | StoreError> {
+    const {timers, clock} = this.context;
+    const startedAt = clock.now();
+    const answered = new AbortController();
+    const answer = this.readOnce(kind, base, cursor, waitMs);
+    const result = await Promise.race([
+      answer,
+      sleep(timers, waitMs + responseTimeoutMs, answered.signal),
+    ]);
+    answered.abort();
+    if (result !== undefined) {
+      return result;
+    }
+    void answer.then((late) => {
+      this.applyLateAnswer(kind, late, startedAt, waitMs);
+    });
+    return new StoreError('missing', 'no answer in time');
+  }
+
+  private applyLateAnswer(
+    kind: StoreKind,
+    result: ReadResult | StoreError,
+    startedAt: Instant,
+    waitMs: number,
+  ): void {
+    const {clock, logger, signal} = this.context;
+    if (signal.aborted || result instanceof Error) {
+      return;
+    }
+    const tookMs = elapsedMs(startedAt, clock.now());
+    logger.info('store answered late', {kind, tookMs: Math.round(tookMs)});
+    this.recordAnswer(kind, tookMs - waitMs);
+    this.publish(result.snapshot, startedAt);
+  }
+
+  /** Records that the store has answered a read. */
+  private recordAnswer(kind: StoreKind, responseMs: number): void {
+    const progress = this.progressOf(kind);
+    progress.failures = 0;
+    progress.mustList = false;
+    progress.responseMs = Math.max(0, responseMs);
+    progress.responseTimeoutMs = nextResponseTimeoutMs(responseMs);
+    this.probedKind = undefined;
+    this.recordSuccess(kind);
+  }
+
+  private progressOf(kind: StoreKind): ReadProgress {
+    const progress = this.progress.get(kind) ?? new ReadProgress();
+    this.progress.set(kind, progress);
+    return progress;
+  }
+
+  /** Lists a kind or, given a base, watches for changes to it. */
+  private async readOnce(
+    kind: StoreKind,
+    base: Snapshot | undefined,
+    cursor: number,
+    waitMs: number,
   ): Promise<ReadResult | StoreError> {
     const {platform, signal, metrics} = this.context;
+    const responseTimeoutMs = LATE_ANSWER_MS;
     const operation = base === undefined ? 'list' : 'watch';
     const call =
       base === undefined
@@ -360,6 +426,18 @@
   }
 }
 
+/** Progress of the reads of one kind. */
+class ReadProgress {
+  /** Reads in a row without an answer. */
+  failures = 0;
+  /** Whether the store has compacted the history that a watch would need. */
+  mustList = false;
+  /** Time after which another read begins beside an unanswered one, ms. */
+  responseTimeoutMs = INITIAL_RESPONSE_TIMEOUT_MS;
+  /** Time that the latest answered read took beyond its wait, milliseconds. */
+  responseMs = 0;
+}
+
 /** The result of a read and the revision to continue from. */
 interface ReadResult {
   readonly snapshot: Snapshot;
