Confirm the views by which servers and versions are chosen

Callers' requests reached leaving servers and began on older versions of their adapters (DRAIN, VERSION), at hosts whose view of the store nobody had confirmed for many seconds.

Cause: only the denial of a route asked how old its view was. Servers and versions were chosen by a view of any age, and a selection that waited for an adapter, a prompt or a permit was sent by what was known before.

Change: the gate of the configuration becomes one for all views. A view beyond its bound is confirmed by one shared read before a choice and after a wait. A store that answers slowly is waited for as long as it takes, two seconds at most; one that is away holds nobody. At the first byte a selection has to be current.

--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -58,7 +58,12 @@
 } from './relay/index.js';
 import {reloadSettings} from './settings-reload.js';
 import type {EntryHostSettings} from './settings-schema.js';
-import {ServerTableUpdater, StoreReader} from './store/index.js';
+import {
+  ServerTableUpdater,
+  StoreReader,
+  type ViewSource,
+  createSelectionGates,
+} from './store/index.js';
 import {StreamVersions} from './streams/index.js';
 import {TenantQuotas} from './tenants/index.js';
 import {
@@ -283,6 +288,11 @@
       this.crashes,
       this.streams,
     );
+    const viewSource = (kind: StoreKind): ViewSource => ({
+      refresh: () => this.reader.refresh(kind),
+      failingMs: () => this.reader.failingMs(kind),
+      responseMs: () => this.reader.responseMs(kind),
+    });
     const selector = new ServerSelector(
       this.context,
       this.broker,
@@ -292,6 +302,7 @@
       () => {
         this.scheduleRelease();
       },
+      createSelectionGates(this.context, viewSource),
     );
     this.front = new FrontListener(
       this.context,
@@ -300,10 +311,7 @@
       new TenantShares(this.context, fairShares),
       this.quotas,
       this.crashes,
-      {
-        refresh: () => this.reader.refresh('configuration'),
-        failingMs: () => this.reader.failingMs('configuration'),
-      },
+      viewSource('configuration'),
       this.streams,
     );
   }
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -29,6 +29,7 @@
 import type {EntryHostContext} from '../context.js';
 import {type CrashGuard, NO_CRASH_GUARD} from '../crashes/index.js';
 import {describeError} from '../lib/describe-error.js';
+import {NO_VIEW_SOURCE, ViewGate, type ViewSource} from '../store/index.js';
 import {ANY_STREAM_VERSION, type StreamVersionGuard} from '../streams/index.js';
 import {type Admission, NO_QUOTAS, type QuotaGate} from '../tenants/index.js';
 import {headerValue, type UpstreamPools} from '../upstream/index.js';
@@ -39,11 +40,6 @@
   withTenantPriority,
 } from './caller-authenticator.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
-import {
-  ConfigurationGate,
-  type ConfigurationSource,
-  NO_CONFIGURATION_SOURCE,
-} from './configuration-gate.js';
 import {expectedBodyBytes, readBody} from './request-body.js';
 import {RequestBufferTracker} from './request-buffer-tracker.js';
 import {RequestHandler} from './request-handler.js';
@@ -78,7 +74,7 @@
   private readonly usedSockets = new WeakSet<Socket>();
   private readonly bufferBudget: BufferBudget;
   private readonly authenticator: CallerAuthenticator;
-  private readonly configurationGate: ConfigurationGate;
+  private readonly configurationGate: ViewGate;
   private routes: RouteTable | undefined;
   private limits = DEFAULT_LIMITS;
   private inProgress = 0;
@@ -92,13 +88,16 @@
     private readonly shares: TenantShares,
     private readonly quotas: QuotaGate = NO_QUOTAS,
     private readonly crashes: CrashGuard = NO_CRASH_GUARD,
-    configurationSource: ConfigurationSource = NO_CONFIGURATION_SOURCE,
+    configurationSource: ViewSource = NO_VIEW_SOURCE,
     private readonly streams: StreamVersionGuard = ANY_STREAM_VERSION,
   ) {
     this.authenticator = new CallerAuthenticator(context);
-    this.configurationGate = new ConfigurationGate(
+    this.configurationGate = new ViewGate(
       context,
-      () => this.authenticator.confirmedAgeMs(),
+      {
+        ageMs: () => this.authenticator.confirmedAgeMs(),
+        maximumAgeMs: () => context.settings.newsBounds.configurationMs,
+      },
       configurationSource,
     );
     this.server = createServer(
--- a/packages/entry-host/src/front/index.ts
+++ b/packages/entry-host/src/front/index.ts
@@ -1,7 +1,6 @@
 export * from './caller-answer.js';
 export * from './caller-authenticator.js';
 export * from './caller-request.js';
-export * from './configuration-gate.js';
 export * from './event-splitter.js';
 export * from './front-listener.js';
 export * from './request-handler.js';
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -275,7 +275,10 @@
           this.handleData(chunk);
         },
       },
-      () => this.mayStillSend() && this.quarantinedKey() === undefined,
+      () =>
+        this.mayStillSend() &&
+        this.quarantinedKey() === undefined &&
+        this.parts.selector.isCurrent(this.request, {server, version}),
     );
     this.send = send;
     this.latestSend = send;
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -25,6 +25,11 @@
 import {sharedPromptParts} from '../crashes/index.js';
 import type {AdapterBroker} from '../orders/index.js';
 import type {SendPermits} from '../permits/index.js';
+import {
+  createSelectionGates,
+  NO_VIEW_SOURCE,
+  type SelectionGates,
+} from '../store/index.js';
 import type {CallerRequest} from './caller-request.js';
 import {estimateLogFields, readPromptTokens} from './send-estimate.js';
 
@@ -125,6 +130,10 @@
     private readonly versions: AdapterVersions,
     /** Called when there are changes to report to issuers. */
     private readonly scheduleReport: () => void,
+    private readonly gates: SelectionGates = createSelectionGates(
+      context,
+      () => NO_VIEW_SOURCE,
+    ),
   ) {}
 
   /**
@@ -134,6 +143,8 @@
   async select(selection: SelectionRequest): Promise<Selection> {
     const {request, route, service, signal, allows} = selection;
     const {logger} = this.context;
+    await this.confirmViews(request);
+    let mayChooseAgain = true;
     const excluded = new Set(selection.tried);
     if (allows !== undefined) {
       this.excludeOthers(service, allows, excluded);
@@ -160,7 +171,18 @@
       const limited = server.notices.requestsPerSecond !== undefined;
       const permit = await this.permits.acquire(server, route.priority);
       if (permit.granted || callerLeft()) {
-        return {...chosen, permitted: limited && permit.granted};
+        await this.confirmViews(request);
+        if (
+          callerLeft() ||
+          !mayChooseAgain ||
+          this.isCurrent(request, chosen)
+        ) {
+          return {...chosen, permitted: limited && permit.granted};
+        }
+        // The server or the version was replaced while the request waited.
+        mayChooseAgain = false;
+        this.withdrawPrompt(chosen);
+        continue;
       }
       this.withdrawPrompt(chosen);
       const {retryAfterMs} = permit;
@@ -175,6 +197,37 @@
     }
   }
 
+  /**
+   * Whether a selection may still be sent: its server accepts requests, and no
+   * newer version of its adapter is known.
+   */
+  isCurrent(
+    {model: reference = ''}: CallerRequest,
+    {server, version}: Pick<FoundServer, 'server' | 'version'>,
+  ): boolean {
+    const {servers, clock} = this.context;
+    const {model, adapter} = parseModelReference(reference);
+    return (
+      servers.isOpen(server, clock.now()) &&
+      (adapter === undefined ||
+        (version ?? FIRST_VERSION) >= this.versions.get({model, adapter}))
+    );
+  }
+
+  /** Has the views confirmed by which a server is chosen, where possible. */
+  private async confirmViews({model}: CallerRequest): Promise<void> {
+    const {servers, adapterVersions} = this.gates;
+    const gates = model === undefined ? [servers] : [servers, adapterVersions];
+    const at = this.context.clock.now();
+    if (!gates.every((gate) => gate.isConfirmed(at))) {
+      const confirmed = await Promise.all(
+        gates.map((gate) => gate.confirm(at)),
+      );
+      const outcome = confirmed.every(Boolean) ? 'confirmed' : 'unconfirmed';
+      this.context.metrics.viewConfirmations.inc({outcome});
+    }
+  }
+
   /** Reports that an announced prompt will not be sent. */
   private withdrawPrompt({
     server: {key: server},
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -158,6 +158,13 @@
     registers: [this.registry],
   });
 
+  readonly viewConfirmations = new Counter({
+    name: 'basilworks_view_confirmations_total',
+    help: 'Selections that waited for a read of an outdated view, by outcome.',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
+
   readonly sendViewAgeSeconds = new Histogram({
     name: 'basilworks_send_view_age_seconds',
     help: 'Age of the view of the servers at the first byte, seconds.',
--- /dev/null
+++ b/packages/entry-host/src/store/view-gate.ts
@@ -0,0 +1,161 @@
+import {elapsedMs, type Instant} from '@basilworks/core';
+import type {StoreKind} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+import {sleep} from '../lib/sleep.js';
+
+/**
+ * Shortest and longest wait of a request for a read that confirms a view,
+ * milliseconds. Between them it is a multiple of the store's response time.
+ */
+const MINIMUM_WAIT_MS = 300;
+const MAXIMUM_WAIT_MS = 2_000;
+
+/** Response times for which a request waits for a read. */
+const RESPONSE_TIMES = 2;
+
+/**
+ * Time of failing reads from which the store counts as unavailable to this
+ * host, milliseconds, unless it is known to answer more slowly. Requests then
+ * don't wait for it.
+ */
+const UNAVAILABLE_AFTER_MS = 600;
+
+/**
+ * Minimum interval between two reads, milliseconds: a read may succeed and
+ * confirm nothing, as when this host can't apply the newest configuration.
+ */
+const REFRESH_INTERVAL_MS = 500;
+
+/** Time from a decision to its effect at a server, milliseconds. */
+export const DECISION_TRANSIT_MS = 200;
+
+/** Reads one kind of objects for a gate. */
+export interface ViewSource {
+  /** Reads it now; resolves to whether the read succeeded, however late. */
+  refresh(): Promise<boolean>;
+  /** Time for which reads have been failing, milliseconds; 0 if they work. */
+  failingMs(): number;
+  /** Time that the latest answered read took, milliseconds. */
+  responseMs(): number;
+}
+
+/** A source that never confirms anything, for hosts without a store. */
+export const NO_VIEW_SOURCE: ViewSource = {
+  refresh: () => Promise.resolve(false),
+  failingMs: () => 0,
+  responseMs: () => 0,
+};
+
+/** How old a view may be for a decision. */
+export interface ViewBound {
+  /** Milliseconds since the view in use was known to be current. */
+  readonly ageMs: () => number;
+  /** Greatest age at which a decision may be based on it, milliseconds. */
+  readonly maximumAgeMs: () => number;
+}
+
+/** The parts of the entry host that a gate uses. */
+export type ViewGateContext = Pick<
+  EntryHostContext,
+  'clock' | 'timers' | 'signal'
+>;
+
+/**
+ * Decides whether requests may be handled by a view of the store: changes have
+ * to be in force within a bound. Requests that arrive while it is not confirmed
+ * share one read that begins after the first of them. Where the store is
+ * unavailable, nothing can confirm it, and requests don't wait.
+ */
+export class ViewGate {
+  private pending: Promise<unknown> = Promise.resolve();
+  private refreshedAt: Instant | undefined;
+
+  constructor(
+    private readonly context: ViewGateContext,
+    private readonly bound: ViewBound,
+    private readonly source: ViewSource,
+  ) {}
+
+  /**
+   * Whether the view in use includes all changes that had to be in force at
+   * `since`. Reads the store if that is not known.
+   */
+  async confirm(since: Instant): Promise<boolean> {
+    if (this.isConfirmed(since)) {
+      return true;
+    }
+    if (!this.isUnavailable()) {
+      await this.refresh();
+    }
+    return this.isConfirmed(since);
+  }
+
+  /** Whether the view in use is known to include those changes. */
+  isConfirmed(since: Instant): boolean {
+    const sinceMs = elapsedMs(since, this.context.clock.now());
+    const {ageMs, maximumAgeMs} = this.bound;
+    return ageMs() - sinceMs <= maximumAgeMs();
+  }
+
+  private isUnavailable(): boolean {
+    const {source} = this;
+    const limitMs = RESPONSE_TIMES * source.responseMs();
+    return source.failingMs() > Math.max(UNAVAILABLE_AFTER_MS, limitMs);
+  }
+
+  /** Waits for the latest read, or for a new one if that is due. */
+  private async refresh(): Promise<void> {
+    const {timers, signal, clock} = this.context;
+    const at = clock.now();
+    const waitMs = Math.min(
+      MAXIMUM_WAIT_MS,
+      Math.max(MINIMUM_WAIT_MS, RESPONSE_TIMES * this.source.responseMs()),
+    );
+    const sinceReadMs =
+      this.refreshedAt === undefined
+        ? Infinity
+        : elapsedMs(this.refreshedAt, at);
+    if (sinceReadMs >= Math.max(REFRESH_INTERVAL_MS, waitMs)) {
+      this.refreshedAt = at;
+      this.pending = this.source.refresh();
+    }
+    const answered = new AbortController();
+    const stop = () => {
+      answered.abort();
+    };
+    signal.addEventListener('abort', stop, {once: true});
+    await Promise.race([this.pending, sleep(timers, waitMs, answered.signal)]);
+    signal.removeEventListener('abort', stop);
+    answered.abort();
+  }
+}
+
+/** Gates of the views by which a server is chosen for a request. */
+export interface SelectionGates {
+  readonly servers: ViewGate;
+  readonly adapterVersions: ViewGate;
+}
+
+/** Creates the gates of the views by which servers are chosen. */
+export const createSelectionGates = (
+  context: EntryHostContext,
+  sourceOf: (kind: StoreKind) => ViewSource,
+): SelectionGates => {
+  const gate = (kind: StoreKind, boundMs: () => number) =>
+    new ViewGate(
+      context,
+      {
+        ageMs: () => context.views.ageMs(kind, context.clock.now()),
+        maximumAgeMs: () => boundMs() - DECISION_TRANSIT_MS,
+      },
+      sourceOf(kind),
+    );
+  return {
+    servers: gate('servers', () => context.settings.newsBounds.leavingServerMs),
+    adapterVersions: gate(
+      'adapter-versions',
+      () => context.settings.newsBounds.adapterVersionMs,
+    ),
+  };
+};
--- a/packages/entry-host/src/test/front/quota-requests_test.ts
+++ b/packages/entry-host/src/test/front/quota-requests_test.ts
@@ -109,6 +109,7 @@
     );
   const selector = {
     select,
+    isCurrent: () => true,
     requestStarted: ignore,
     requestEnded: ignore,
     markAdapterAbsent: ignore,
--- a/packages/entry-host/src/test/front/simulated-listener.ts
+++ b/packages/entry-host/src/test/front/simulated-listener.ts
@@ -11,7 +11,6 @@
 } from '@basilworks/dispatch';
 import type {EntryHostContext} from '../../context.js';
 import {
-  type ConfigurationSource,
   FrontListener,
   type ServerSelector,
   TenantShares,
@@ -21,6 +20,7 @@
   UpstreamError,
   type UpstreamPools,
 } from '../../upstream/index.js';
+import type {ViewSource} from '../../store/index.js';
 import {HEADER_NAMES} from './header-names.js';
 import {FleetSimulation, serverEntry} from '../views/fleet-simulation.js';
 
@@ -58,7 +58,7 @@
   beforeFirstByte: (world: {
     at: {monotonicMs: number; wallMs: number};
   }) => void = () => undefined,
-  configurationSource?: ConfigurationSource,
+  configurationSource?: ViewSource,
   /** Headers of the server's answers, besides its signature. */
   answerHeaders: readonly string[] = [],
 ) => {
@@ -122,6 +122,7 @@
     Promise.resolve({type: 'server', server: servers.byId('s')});
   const selector = {
     select,
+    isCurrent: () => true,
     requestStarted: noop,
     requestEnded: noop,
     markAdapterAbsent: noop,
--- a/packages/entry-host/src/test/front/slow-callers_test.ts
+++ b/packages/entry-host/src/test/front/slow-callers_test.ts
@@ -161,6 +161,7 @@
     const [server] = servers.all();
     const selector = {
       select: () => Promise.resolve({type: 'server', server, reason: 'only'}),
+      isCurrent: () => true,
       requestStarted: () => undefined,
       requestEnded: () => undefined,
     } as unknown as RequestHandlerParts['selector'];
--- a/packages/entry-host/src/test/front/stale-configuration_test.ts
+++ b/packages/entry-host/src/test/front/stale-configuration_test.ts
@@ -20,6 +20,7 @@
   let reads = 0;
   const front = await startListener(undefined, undefined, {
     failingMs: () => 0,
+    responseMs: () => 0,
     refresh: () => {
       reads += 1;
       front.confirm(2);
@@ -45,6 +46,7 @@
 test('no request waits for a store that has been unavailable', async (t) => {
   const front = await startListener(undefined, undefined, {
     failingMs: () => 700,
+    responseMs: () => 0,
     refresh: () => t.fail(),
   });
   t.teardown(front.close);
@@ -57,6 +59,7 @@
   let reads = 0;
   const front = await startListener(undefined, undefined, {
     failingMs: () => 0,
+    responseMs: () => 0,
     refresh: () => {
       reads += 1;
       return Promise.resolve(true);
