Count all kinds as unavailable while one is probed in vain

Requests at hosts that are no readers would have waited 300 ms and more each while the store is away, for hours if need be.

Cause: such a host probes one kind after a failure and forgets the failures of the others, so that the gates of those took the store for readable.

Change: a kind that is not read meanwhile has been failing for as long as the one that is probed.

Evidence: the new test of late-store_test, on seven hosts with a silent and a refusing store, failed before with three kinds at readable hosts and passes.

--- a/packages/entry-host/src/store/store-reader.ts
+++ b/packages/entry-host/src/store/store-reader.ts
@@ -96,12 +96,20 @@
     return this.failing.size === 0;
   }
 
-  /** Time for which reads of a kind have been failing, ms; 0 if they work. */
+  /**
+   * Time for which reads of a kind have been failing, ms; 0 if they work. A kind
+   * that is not read meanwhile fails as long as the one that is probed.
+   */
   failingMs(kind: StoreKind): number {
-    const since = this.failing.get(kind);
+    const since = this.failing.get(kind) ?? this.probeFailingSince;
     return since === undefined ? 0 : elapsedMs(since, this.context.clock.now());
   }
 
+  private get probeFailingSince(): Instant | undefined {
+    const {probedKind} = this;
+    return probedKind === undefined ? undefined : this.failing.get(probedKind);
+  }
+
   /** Time that the latest answered read of a kind took, milliseconds. */
   responseMs(kind: StoreKind): number {
     return this.progressOf(kind).responseMs;
--- a/packages/entry-host/src/test/views/fleet-simulation.ts
+++ b/packages/entry-host/src/test/views/fleet-simulation.ts
@@ -198,7 +198,7 @@
     });
   }
 
-  private readonly storeReader: StoreReader;
+  readonly storeReader: StoreReader;
 
   get running(): boolean {
     return !this.closed && this.deferredCallbacks === undefined;
--- a/packages/entry-host/src/test/views/late-store_test.ts
+++ b/packages/entry-host/src/test/views/late-store_test.ts
@@ -1,3 +1,4 @@
+import {STORE_KINDS} from '@basilworks/dispatch';
 import test from 'ava';
 
 import {FleetSimulation} from './fleet-simulation.js';
@@ -62,3 +63,26 @@
   t.is(hostsSendingTo(fleet, 's0').length, 7);
   fleet.close();
 });
+
+// Guards against requests that are held while the store is away: a host that is
+// no reader probes one kind only, and took the others for readable.
+test('all kinds count as unavailable while the store is away', async (t) => {
+  const fleet = await startFleet(7);
+  for (const fault of ['silent', 'refuse'] as const) {
+    fleet.store.fault = fault;
+    await fleet.time.advance(fleet.time.nowMs + 20_000);
+    for (let check = 0; check < 20; check += 1) {
+      await fleet.time.advance(fleet.time.nowMs + 150);
+      const readable = [...fleet.hosts.values()].flatMap((host) =>
+        STORE_KINDS.filter((kind) => host.storeReader.failingMs(kind) < 5_000),
+      );
+      t.deepEqual(readable, [], fault);
+    }
+    fleet.store.fault = 'none';
+    await fleet.time.advance(fleet.time.nowMs + 10_000);
+    for (const {storeReader} of fleet.hosts.values()) {
+      t.true(STORE_KINDS.every((kind) => storeReader.failingMs(kind) === 0));
+    }
+  }
+  fleet.close();
+});
