Show that there is one software version by reads after the question

Cause: a host took it for shown that there is one version by records up to three seconds old, or by live peers, and by servers of any age. A release puts a version on record and begins streams within that time, and a host that stood still has live peers for some moments.

Change: reads of the records and of the servers that begin after the question show it, shared by all who ask. In an outage, two seconds of failing reads without a standstill and a majority of live hosts do. A gate can require that, and waits for a second read where the first began too early.

--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -264,6 +264,11 @@
         this.broker.review();
       },
     );
+    const viewSource = (kind: StoreKind): ViewSource => ({
+      refresh: () => this.reader.refresh(kind),
+      failingMs: () => this.reader.failingMs(kind),
+      responseMs: () => this.reader.responseMs(kind),
+    });
     const routes = () => this.routes;
     const linkTo = (host: string) => this.exchange.linkTo(host);
     this.permits = new SendPermits(this.context, this.claims, routes, linkTo);
@@ -279,7 +284,7 @@
     this.crashes = new CrashMonitor(this.context, linkTo, (server) =>
       dialer.check(server),
     );
-    this.streams = new StreamVersions(this.context, linkTo);
+    this.streams = new StreamVersions(this.context, linkTo, viewSource);
     this.peerService = new FleetPeerService(
       this.exchange,
       this.broker,
@@ -288,11 +293,6 @@
       this.crashes,
       this.streams,
     );
-    const viewSource = (kind: StoreKind): ViewSource => ({
-      refresh: () => this.reader.refresh(kind),
-      failingMs: () => this.reader.failingMs(kind),
-      responseMs: () => this.reader.responseMs(kind),
-    });
     const selector = new ServerSelector(
       this.context,
       this.broker,
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -29,7 +29,12 @@
 import type {EntryHostContext} from '../context.js';
 import {type CrashGuard, NO_CRASH_GUARD} from '../crashes/index.js';
 import {describeError} from '../lib/describe-error.js';
-import {NO_VIEW_SOURCE, ViewGate, type ViewSource} from '../store/index.js';
+import {
+  NO_VIEW_SOURCE,
+  REFRESH_INTERVAL_MS,
+  ViewGate,
+  type ViewSource,
+} from '../store/index.js';
 import {ANY_STREAM_VERSION, type StreamVersionGuard} from '../streams/index.js';
 import {type Admission, NO_QUOTAS, type QuotaGate} from '../tenants/index.js';
 import {headerValue, type UpstreamPools} from '../upstream/index.js';
@@ -97,6 +102,7 @@
       {
         ageMs: () => this.authenticator.confirmedAgeMs(),
         maximumAgeMs: () => context.settings.newsBounds.configurationMs,
+        refreshIntervalMs: REFRESH_INTERVAL_MS,
       },
       configurationSource,
     );
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -27,7 +27,7 @@
 import type {SendPermits} from '../permits/index.js';
 import {
   createSelectionGates,
-  NO_VIEW_SOURCE,
+  NO_VIEW_SOURCES,
   type SelectionGates,
 } from '../store/index.js';
 import type {CallerRequest} from './caller-request.js';
@@ -132,7 +132,7 @@
     private readonly scheduleReport: () => void,
     private readonly gates: SelectionGates = createSelectionGates(
       context,
-      () => NO_VIEW_SOURCE,
+      NO_VIEW_SOURCES,
     ),
   ) {}
 
--- a/packages/entry-host/src/store/view-gate.ts
+++ b/packages/entry-host/src/store/view-gate.ts
@@ -21,11 +21,8 @@
  */
 const UNAVAILABLE_AFTER_MS = 600;
 
-/**
- * Minimum interval between two reads, milliseconds: a read may succeed and
- * confirm nothing, as when this host can't apply the newest configuration.
- */
-const REFRESH_INTERVAL_MS = 500;
+/** Interval of reads that may confirm nothing, milliseconds. */
+export const REFRESH_INTERVAL_MS = 500;
 
 /** Time from a decision to its effect at a server, milliseconds. */
 export const DECISION_TRANSIT_MS = 200;
@@ -53,6 +50,11 @@
   readonly ageMs: () => number;
   /** Greatest age at which a decision may be based on it, milliseconds. */
   readonly maximumAgeMs: () => number;
+  /**
+   * Minimum interval between two reads, milliseconds: a read may succeed and
+   * confirm nothing, as when this host can't apply the newest configuration.
+   */
+  readonly refreshIntervalMs: number;
 }
 
 /** The parts of the entry host that a gate uses. */
@@ -69,6 +71,7 @@
  */
 export class ViewGate {
   private pending: Promise<unknown> = Promise.resolve();
+  private isReading = false;
   private refreshedAt: Instant | undefined;
 
   constructor(
@@ -85,8 +88,12 @@
     if (this.isConfirmed(since)) {
       return true;
     }
-    if (!this.isUnavailable()) {
-      await this.refresh();
+    if (!this.isUnavailable) {
+      await this.refresh(since);
+      if (!this.isConfirmed(since) && !this.isReading) {
+        // That read had begun before `since`.
+        await this.refresh(since);
+      }
     }
     return this.isConfirmed(since);
   }
@@ -98,27 +105,27 @@
     return ageMs() - sinceMs <= maximumAgeMs();
   }
 
-  private isUnavailable(): boolean {
+  /** Whether no read is expected to be answered. */
+  get isUnavailable(): boolean {
     const {source} = this;
     const limitMs = RESPONSE_TIMES * source.responseMs();
     return source.failingMs() > Math.max(UNAVAILABLE_AFTER_MS, limitMs);
   }
 
-  /** Waits for the latest read, or for a new one if that is due. */
-  private async refresh(): Promise<void> {
+  /**
+   * Waits for the read in progress if it began after `since`, or for a new one
+   * if that is due.
+   */
+  private async refresh(since: Instant): Promise<void> {
     const {timers, signal, clock} = this.context;
     const at = clock.now();
     const waitMs = Math.min(
       MAXIMUM_WAIT_MS,
       Math.max(MINIMUM_WAIT_MS, RESPONSE_TIMES * this.source.responseMs()),
     );
-    const sinceReadMs =
-      this.refreshedAt === undefined
-        ? Infinity
-        : elapsedMs(this.refreshedAt, at);
-    if (sinceReadMs >= Math.max(REFRESH_INTERVAL_MS, waitMs)) {
+    if (this.isReadDue(since, waitMs)) {
       this.refreshedAt = at;
-      this.pending = this.source.refresh();
+      this.startRead();
     }
     const answered = new AbortController();
     const stop = () => {
@@ -129,8 +136,50 @@
     signal.removeEventListener('abort', stop);
     answered.abort();
   }
+
+  /** Whether a read has to begin for a question that was asked at `since`. */
+  private isReadDue(since: Instant, waitMs: number): boolean {
+    const {refreshedAt} = this;
+    if (refreshedAt === undefined) {
+      return true;
+    }
+    const sinceReadMs = elapsedMs(refreshedAt, this.context.clock.now());
+    return this.isReading
+      ? sinceReadMs >= Math.max(REFRESH_INTERVAL_MS, waitMs)
+      : elapsedMs(refreshedAt, since) >= 0 &&
+          sinceReadMs >= this.bound.refreshIntervalMs;
+  }
+
+  private startRead(): void {
+    this.isReading = true;
+    const read = this.source.refresh();
+    this.pending = read;
+    void read.then(() => {
+      if (this.pending === read) {
+        this.isReading = false;
+      }
+    });
+  }
 }
 
+/** Returns the source from which a kind is read. */
+export type ViewSources = (kind: StoreKind) => ViewSource;
+
+/** Sources that never confirm anything. */
+export const NO_VIEW_SOURCES: ViewSources = () => NO_VIEW_SOURCE;
+
+type ViewContext = ViewGateContext & Pick<EntryHostContext, 'views'>;
+
+const createGate = (
+  context: ViewContext,
+  kind: StoreKind,
+  source: ViewSource,
+  limits: Omit<ViewBound, 'ageMs'>,
+): ViewGate => {
+  const ageMs = () => context.views.ageMs(kind, context.clock.now());
+  return new ViewGate(context, {...limits, ageMs}, source);
+};
+
 /** Gates of the views by which a server is chosen for a request. */
 export interface SelectionGates {
   readonly servers: ViewGate;
@@ -139,23 +188,31 @@
 
 /** Creates the gates of the views by which servers are chosen. */
 export const createSelectionGates = (
-  context: EntryHostContext,
-  sourceOf: (kind: StoreKind) => ViewSource,
+  context: ViewContext & Pick<EntryHostContext, 'settings'>,
+  sourceOf: ViewSources,
 ): SelectionGates => {
+  const {settings} = context;
   const gate = (kind: StoreKind, boundMs: () => number) =>
-    new ViewGate(
-      context,
-      {
-        ageMs: () => context.views.ageMs(kind, context.clock.now()),
-        maximumAgeMs: () => boundMs() - DECISION_TRANSIT_MS,
-      },
-      sourceOf(kind),
-    );
+    createGate(context, kind, sourceOf(kind), {
+      maximumAgeMs: () => boundMs() - DECISION_TRANSIT_MS,
+      refreshIntervalMs: REFRESH_INTERVAL_MS,
+    });
   return {
-    servers: gate('servers', () => context.settings.newsBounds.leavingServerMs),
+    servers: gate('servers', () => settings.newsBounds.leavingServerMs),
     adapterVersions: gate(
       'adapter-versions',
-      () => context.settings.newsBounds.adapterVersionMs,
+      () => settings.newsBounds.adapterVersionMs,
     ),
   };
 };
+
+/** Creates a gate that only a read which begins after a question passes. */
+export const createStrictGate = (
+  context: ViewContext,
+  kind: StoreKind,
+  sourceOf: ViewSources,
+): ViewGate =>
+  createGate(context, kind, sourceOf(kind), {
+    maximumAgeMs: () => 0,
+    refreshIntervalMs: 0,
+  });
--- a/packages/entry-host/src/streams/stream-versions.ts
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -1,4 +1,4 @@
-import {rankByRendezvous} from '@basilworks/core';
+import {elapsedMs, type Instant, rankByRendezvous} from '@basilworks/core';
 import {
   hostRecordName,
   SoftwareVersions,
@@ -8,6 +8,12 @@
 
 import type {EntryHostContext} from '../context.js';
 import type {PeerConnection} from '../peers/index.js';
+import {
+  createStrictGate,
+  NO_VIEW_SOURCES,
+  type ViewGate,
+  type ViewSources,
+} from '../store/index.js';
 import {StreamJournal} from './stream-journal.js';
 import {VersionRecords} from './version-records.js';
 
@@ -20,12 +26,17 @@
 /** Streams in one report at most. */
 const MAXIMUM_REPORTED = 500;
 
+/** Interval of checks whether this host stood still, milliseconds. */
+const STANDSTILL_CHECK_MS = 500;
+
+/** Time without a check after which it did, milliseconds. */
+const STANDSTILL_MS = 1_500;
+
 /**
- * Age of the view of the records up to which a host knows all versions,
- * milliseconds. Beyond that it has to reach most other hosts: then nobody can
- * have read of another version.
+ * Time of an outage of the store after which all hosts that reach each other
+ * have the newest view that any of them read, milliseconds: several exchanges.
  */
-const CURRENT_RECORDS_MS = 3_000;
+const SHARED_VIEWS_MS = 2_000;
 
 /** Prefix of the names of the records of hosts. */
 const HOST_RECORDS = hostRecordName('');
@@ -69,11 +80,22 @@
   private readonly mixed = new Set<string>();
   private unreported: StreamOrigin[] = [];
   private reportScheduled = false;
+  /** Gates of the views that show which versions there are. */
+  private readonly gates: readonly ViewGate[];
+  private checkedAt: Instant;
+  /** When this host last began to run without standing still. */
+  private runningSince: Instant;
 
   constructor(
     private readonly context: EntryHostContext,
     private readonly linkTo: (host: string) => PeerConnection | undefined,
+    private readonly sourceOf: ViewSources = NO_VIEW_SOURCES,
   ) {
+    this.checkedAt = context.clock.now();
+    this.runningSince = this.checkedAt;
+    this.gates = (['records', 'servers'] as const).map((kind) =>
+      createStrictGate(context, kind, sourceOf),
+    );
     this.records = new VersionRecords(context, this.versions);
     this.journal = new StreamJournal(
       context,
@@ -85,8 +107,22 @@
   }
 
   start(): void {
+    const {timers, signal} = this.context;
     this.records.start();
     this.journal.start();
+    const review = () => {
+      this.review();
+    };
+    timers.every('streams/standstill', STANDSTILL_CHECK_MS, review, {signal});
+  }
+
+  /** Notices that this host stood still, as it is called at an interval. */
+  review(): void {
+    const at = this.context.clock.now();
+    if (elapsedMs(this.checkedAt, at) > STANDSTILL_MS) {
+      this.runningSince = at;
+    }
+    this.checkedAt = at;
   }
 
   /** Applies the latest view of the records in the store. */
@@ -123,8 +159,9 @@
       return {type: 'known', softwareVersion: own};
     }
     if (
-      this.versions.possible(service, this.context.clock.now()).size <= 1 &&
-      this.knowsAllVersions()
+      this.hasOneVersion(service) &&
+      (await this.knowsAllVersions()) &&
+      this.hasOneVersion(service)
     ) {
       return {type: 'any'};
     }
@@ -148,14 +185,36 @@
     return this.origins.get(requestId);
   }
 
-  private knowsAllVersions(): boolean {
+  private hasOneVersion(service: string): boolean {
+    return this.versions.possible(service, this.context.clock.now()).size <= 1;
+  }
+
+  /**
+   * Whether there can be no version that this host doesn't know: a read that
+   * began after the question shows all, since a stream begins only at a version
+   * on record or, before there is a record, at one that serves. While nobody
+   * can read the store, most hosts have to know of no other.
+   */
+  private async knowsAllVersions(): Promise<boolean> {
+    const since = this.context.clock.now();
+    const confirmed = await Promise.all(
+      this.gates.map((gate) => gate.confirm(since)),
+    );
+    return confirmed.every(Boolean) || this.sharesViews();
+  }
+
+  /** Whether this host has the newest views of most hosts in an outage. */
+  private sharesViews(): boolean {
     const {views, clock, membership} = this.context;
+    this.review();
+    const runningMs = elapsedMs(this.runningSince, clock.now());
+    const failingMs = this.sourceOf('records').failingMs();
     const items = views.get('records')?.snapshot.items ?? [];
     const hosts = items.filter(({name}) =>
       name.startsWith(HOST_RECORDS),
     ).length;
     return (
-      views.ageMs('records', clock.now()) <= CURRENT_RECORDS_MS ||
+      Math.min(runningMs, failingMs) >= SHARED_VIEWS_MS &&
       membership.live().length * 2 > hosts
     );
   }
