Order fencing numbers and claims over the eras of the store

Cause: fencing numbers were counted up from the record, and a claim was valid by whatever the store showed.

Change: fencing numbers grow over all eras, and a claim whose number is of an earlier era issues no orders. Its holder writes it again at its next review, with what is left of a wait for a former holder; a host that stood still for longer than a claim is valid does not. What nobody writes again in three seconds is taken with a wait until no older claim can be valid.

Evidence: with all claims taken as of the era, the new test of claim-manager_test fails; it and three new ones of claims_test pass.

--- a/packages/dispatch/src/fleet/claims.ts
+++ b/packages/dispatch/src/fleet/claims.ts
@@ -32,12 +32,39 @@
  */
 export const CUT_HOLDER_TIMEOUT_MS = 2_000;
 
+/**
+ * Time after which a claim that a restored store has forgotten can't be valid
+ * any more, milliseconds.
+ */
+const FORGOTTEN_CLAIM_MS = 2 * CLAIM_VALIDITY_MS;
+
 /**
  * How long a host that reaches only a minority of the known hosts waits before
  * it takes claims, milliseconds.
  */
 const MINORITY_DELAY_MS = 10_000;
 
+/** Fencing numbers of one era of the store. */
+const FENCES_PER_ERA = 2 ** 32;
+
+/**
+ * How long the holders of claims that a restored store has forgotten may take to
+ * write them again, milliseconds: a read and a review of each host.
+ */
+const RECLAIM_MS = 3_000;
+
+/**
+ * Former holder of a claim that a restored store has forgotten and that nobody
+ * has written again. It may be any host, so that only time confirms its loss.
+ */
+export const UNKNOWN_HOLDER = '*';
+
+/**
+ * Lowest fencing number that is given out in an era of the store. Numbers grow
+ * over all eras, though the store forgets the latest ones of the era before.
+ */
+export const firstFence = (era: number): number => era * FENCES_PER_ERA + 1;
+
 /** A claim and its revision in the store, for a conditional write. */
 export interface StoredClaim {
   readonly record: ClaimRecord;
@@ -55,6 +82,12 @@
   /** Ids of the servers that accept orders. */
   readonly servers: readonly string[];
   readonly claims: ReadonlyMap<string, StoredClaim>;
+  /** Era of the store in which the claims were read. */
+  readonly era: number;
+  /** Milliseconds for which this host has known that era. */
+  readonly eraMs: number;
+  /** Claims that this host held when the store was restored, by server. */
+  readonly heldBefore: ReadonlyMap<string, ClaimRecord>;
   /** Servers whose claims this host took over and may now issue orders for. */
   readonly completedTakeovers: ReadonlySet<string>;
   /**
@@ -87,16 +120,39 @@
     completedTakeovers: settled,
     cutMs,
     minorityMs,
+    era,
+    eraMs,
+    heldBefore,
   } = review;
   // A host that is cut from the servers could not give orders.
   const candidates = live.filter(({name}) => cutMs(name) === 0);
   return servers.flatMap((server) => {
     const claim = claims.get(server);
-    if (claim?.record.takenFrom !== undefined && settled.has(server)) {
+    const isForgotten = era > 0 && !isOfEra(claim?.record, era);
+    const held = heldBefore.get(server);
+    if (isForgotten && held !== undefined) {
+      const fence = nextFence(
+        Math.max(held.fence, claim?.record.fence ?? 0),
+        era,
+      );
+      return [{record: {...held, fence}, expectedRevision: claim?.revision}];
+    }
+    if (isForgotten && eraMs < RECLAIM_MS) {
+      return [];
+    }
+    if (
+      !isForgotten &&
+      claim?.record.takenFrom !== undefined &&
+      settled.has(server)
+    ) {
       const record = {...claim.record, takenFrom: undefined};
       return [{record, expectedRevision: claim.revision}];
     }
-    if (claim !== undefined && !isAbandoned(claim.record, review)) {
+    if (
+      !isForgotten &&
+      claim !== undefined &&
+      !isAbandoned(claim.record, review)
+    ) {
       return [];
     }
     // A partitioned host must not take the claims of the majority.
@@ -110,13 +166,26 @@
       type: 'claim',
       server,
       host: self,
-      fence: (claim?.record.fence ?? 0) + 1,
-      takenFrom: claim?.record.host,
+      fence: nextFence(claim?.record.fence ?? 0, era),
+      takenFrom: isForgotten
+        ? eraMs < FORGOTTEN_CLAIM_MS
+          ? UNKNOWN_HOLDER
+          : undefined
+        : claim?.record.host,
     };
     return [{record, expectedRevision: claim?.revision}];
   });
 };
 
+/** Whether a claim was written in an era of the store. */
+export const isOfEra = (
+  claim: Pick<ClaimRecord, 'fence'> | undefined,
+  era: number,
+): boolean => claim !== undefined && claim.fence >= firstFence(era);
+
+const nextFence = (fence: number, era: number): number =>
+  Math.max(fence + 1, firstFence(era));
+
 const isAbandoned = (
   {host}: ClaimRecord,
   {self, live, cutMs, unreachableMs}: ClaimReview,
--- a/packages/dispatch/src/test/fleet/claims_test.ts
+++ b/packages/dispatch/src/test/fleet/claims_test.ts
@@ -4,8 +4,10 @@
   CLAIM_VALIDITY_MS,
   type ClaimRecord,
   type ClaimReview,
+  firstFence,
   mayIssueOrders,
   reviewClaims,
+  UNKNOWN_HOLDER,
 } from '../../index.js';
 
 const at = (ms: number) => ({monotonicMs: ms, wallMs: ms});
@@ -34,6 +36,9 @@
   cutMs: () => 0,
   minorityMs: 0,
   unreachableMs: () => 0,
+  era: 0,
+  eraMs: 60_000,
+  heldBefore: new Map(),
   ...extra,
 });
 
@@ -155,3 +160,46 @@
     record: {fence: 4, takenFrom: undefined},
   });
 });
+
+// Guards against two holders with one fencing number: a store that is restored
+// from an older copy has forgotten the latest claims and their numbers.
+test('a host writes the claims again that a restored store has forgotten', (t) => {
+  const heldBefore = new Map([['s1', claim('me', {fence: 7})]]);
+  const [created] = reviewClaims(review({era: 1, eraMs: 0, heldBefore}));
+  t.like(created, {
+    expectedRevision: undefined,
+    record: {host: 'me', fence: firstFence(1), takenFrom: undefined},
+  });
+  const claims = new Map([['s1', {record: claim('other'), revision: 9}]]);
+  const [replaced] = reviewClaims(
+    review({era: 1, eraMs: 0, heldBefore, claims}),
+  );
+  t.like(replaced, {expectedRevision: 9, record: {host: 'me'}});
+  t.true((replaced?.record.fence ?? 0) > 7);
+});
+
+test('a forgotten claim that nobody writes again is taken after a wait', (t) => {
+  const claims = new Map([['s1', {record: claim('other'), revision: 9}]]);
+  const live = candidates('me', 'other');
+  const at = (eraMs: number, host: string) =>
+    reviewClaims(review({era: 1, eraMs, claims, live, self: host}));
+  t.deepEqual([...at(2_000, 'me'), ...at(2_000, 'other')], []);
+  const [taken] = [...at(4_000, 'me'), ...at(4_000, 'other')];
+  t.like(taken, {
+    expectedRevision: 9,
+    record: {fence: firstFence(1), takenFrom: UNKNOWN_HOLDER},
+  });
+  const [later] = [...at(30_000, 'me'), ...at(30_000, 'other')];
+  t.like(later, {record: {takenFrom: undefined}});
+});
+
+test('a claim of the era of the store stays with its holder', (t) => {
+  const record = claim('other', {fence: firstFence(2) + 3});
+  const claims = new Map([['s1', {record, revision: 9}]]);
+  const live = candidates('me', 'other');
+  t.deepEqual(reviewClaims(review({era: 2, claims, live})), []);
+  const [taken] = reviewClaims(
+    review({era: 2, claims, unreachableMs: () => 6_000}),
+  );
+  t.like(taken, {record: {fence: firstFence(2) + 4, takenFrom: 'other'}});
+});
--- a/packages/entry-host/src/orders/claim-manager.ts
+++ b/packages/entry-host/src/orders/claim-manager.ts
@@ -1,14 +1,17 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
+  CLAIM_VALIDITY_MS,
   type ClaimChange,
   type ClaimRecord,
   claimRecordName,
   type ClaimState,
+  eraOf,
   type FleetRecord,
   fleetRecordSchema,
   type HeldClaim,
   type HostRecord,
   hostRecordName,
+  isOfEra,
   isTakeoverComplete,
   mayIssueOrders,
   rendezvousWeight,
@@ -16,6 +19,7 @@
   type RouteTable,
   type StoredClaim,
   type StoredItem,
+  UNKNOWN_HOLDER,
 } from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
@@ -49,6 +53,13 @@
   private readonly pendingWrites = new Set<string>();
   /** Claims written by this host that the view does not contain yet. */
   private readonly ownWrites = new Map<string, StoredClaim>();
+  /** Claims that this host held when the store was restored. */
+  private heldBefore = new Map<string, HeldClaim>();
+  private era = 0;
+  /** When this host learned of the era. */
+  private eraSince: Instant;
+  /** Latest confirmation of the claims of the era. */
+  private confirmedAt: Instant | undefined;
   private readonly startedAt: Instant;
   private minoritySince: Instant | undefined;
   private liveHostsIncreasedAt: Instant | undefined;
@@ -61,6 +72,7 @@
     private readonly onChange: () => void,
   ) {
     this.startedAt = context.clock.now();
+    this.eraSince = this.startedAt;
   }
 
   start(): void {
@@ -79,6 +91,7 @@
   applyRecords(): void {
     const snapshot = this.context.views.get('records')?.snapshot;
     const items = snapshot?.items ?? [];
+    this.applyEra(eraOf(snapshot?.revision ?? 0));
     this.claims.clear();
     this.hosts.clear();
     for (const item of items) {
@@ -103,6 +116,29 @@
     this.updateHeld();
   }
 
+  /**
+   * Remembers the claims that this host held when the store was restored, as it
+   * may have forgotten them. A host that can't have held them until then, as it
+   * stood still, does not write them again.
+   */
+  private applyEra(era: number): void {
+    if (era === this.era) {
+      return;
+    }
+    const at = this.context.clock.now();
+    const {confirmedAt} = this;
+    const mayHold =
+      confirmedAt !== undefined &&
+      elapsedMs(confirmedAt, at) < CLAIM_VALIDITY_MS;
+    this.heldBefore = new Map(mayHold ? this.held : []);
+    this.era = era;
+    this.eraSince = at;
+    if (confirmedAt !== undefined) {
+      const claims = this.heldBefore.size;
+      this.context.logger.info('store restored', {era, claims});
+    }
+  }
+
   /** The host that issues orders to a server, if known. */
   holder(server: string): string | undefined {
     return this.claims.get(server)?.record.host;
@@ -138,6 +174,7 @@
     const at = clock.now();
     const upMs = at.monotonicMs - this.startedAt.monotonicMs;
     const viewAgeMs = views.ageMs('records', at);
+    this.confirmedAt = views.get('records')?.freshAt;
     // Also during discovery, so that a takeover continues after a restart.
     this.recordYields(at);
     if (upMs < DISCOVERY_PERIOD_MS || viewAgeMs > MAX_REVIEW_VIEW_AGE_MS) {
@@ -172,6 +209,11 @@
       cutMs: (host) => membership.cutMs(host, at),
       servers: engines.map(({entry}) => entry.id),
       claims: this.claims,
+      era: this.era,
+      eraMs: elapsedMs(this.eraSince, at),
+      heldBefore: new Map(
+        [...this.heldBefore].map(([server, {record}]) => [server, record]),
+      ),
       completedTakeovers: new Set(
         [...this.held]
           .filter(([, held]) =>
@@ -196,7 +238,9 @@
     return [
       ...new Set(
         [...this.held.values()].flatMap(({record, yieldConfirmedAt}) =>
-          record.takenFrom === undefined || yieldConfirmedAt !== undefined
+          record.takenFrom === undefined ||
+          record.takenFrom === UNKNOWN_HOLDER ||
+          yieldConfirmedAt !== undefined
             ? []
             : [record.takenFrom],
         ),
@@ -344,9 +388,17 @@
     const {settings, clock} = this.context;
     const ownRecords = new Map<string, ClaimRecord>(
       [...this.claims].flatMap(([server, {record}]) =>
-        record.host === settings.host ? [[server, record]] : [],
+        record.host === settings.host && isOfEra(record, this.era)
+          ? [[server, record]]
+          : [],
       ),
     );
+    for (const server of this.heldBefore.keys()) {
+      const written = this.claims.get(server)?.record;
+      if (isOfEra(written, this.era) && written?.host !== settings.host) {
+        this.heldBefore.delete(server);
+      }
+    }
     let changed = false;
     for (const server of [...this.held.keys()]) {
       if (!ownRecords.has(server)) {
@@ -357,8 +409,13 @@
     for (const [server, record] of ownRecords) {
       const held = this.held.get(server);
       if (held?.record.fence !== record.fence) {
-        const heldSince = clock.now();
-        this.held.set(server, {record, heldSince, yieldConfirmedAt: undefined});
+        const before = this.heldBefore.get(server);
+        this.heldBefore.delete(server);
+        this.held.set(server, {
+          record,
+          heldSince: before?.heldSince ?? clock.now(),
+          yieldConfirmedAt: before?.yieldConfirmedAt,
+        });
         changed = true;
       } else {
         this.held.set(server, {...held, record});
--- a/packages/entry-host/src/test/orders/claim-manager_test.ts
+++ b/packages/entry-host/src/test/orders/claim-manager_test.ts
@@ -1,6 +1,7 @@
 import {TimerService} from '@basilworks/daemon';
 import {
   FailureTallies,
+  firstFence,
   PromptReports,
   FleetLoad,
   type HostEntry,
@@ -8,6 +9,7 @@
   ServerOutliers,
   ServerPaths,
   ServerTable,
+  storeRevision,
   StoreViews,
 } from '@basilworks/dispatch';
 import test from 'ava';
@@ -138,3 +140,24 @@
   t.is(claims.stateOf('s1'), 'waiting');
   t.is(claims.stateOf('s2'), 'none');
 });
+
+// Guards against orders by claims that a restored store has forgotten: the copy
+// may show an older claim of this host, which another has taken since.
+test('a claim of an earlier era of the store issues no orders', (t) => {
+  const {claims, context, setNow} = createFixture();
+  const apply = (atMs: number, counter: number, fence: number) => {
+    setNow(atMs);
+    const at = {monotonicMs: atMs, wallMs: atMs};
+    const revision = storeRevision(1, counter) ?? 0;
+    const value = {type: 'claim', server: 's1', host: 'me', fence};
+    const items = [{name: 'claim.s1', revision, value}];
+    context.views.update({kind: 'records', revision, items}, at, at);
+    claims.applyRecords();
+  };
+  apply(30_000, 5, 4);
+  t.is(claims.stateOf('s1'), 'none');
+  t.is(claims.fenceFor('s1'), undefined);
+  apply(30_500, 6, firstFence(1));
+  t.is(claims.stateOf('s1'), 'issuing');
+  t.is(claims.fenceFor('s1'), firstFence(1));
+});
