State the max-min property for the smallest numbers too, by seeds

The product has no such fault: demands are requests a second.

Change: the bound on the level allows four of the smallest steps as well, so that it is as strict as before for every other number, and three seeds of 1,000 draws each are fixed and printed; seed 3 is the one that failed.

--- a/packages/dispatch/src/test/tenants/fair-shares_test.ts
+++ b/packages/dispatch/src/test/tenants/fair-shares_test.ts
@@ -71,24 +71,33 @@
   t.deepEqual(served, without.served);
 });
 
+/** Seeds of the property; 3 draws subnormal numbers. */
+const PROPERTY_SEEDS = [1, 2, 3];
+
+/** Steps between the smallest numbers: relative errors mean nothing there. */
+const SMALLEST_STEPS = 4 * Number.MIN_VALUE;
+
 test('the max-min level uses the capacity and is at least the equal share', (t) => {
   const amounts = fc.array(fc.double({min: 0, max: 1e6, noNaN: true}), {
     minLength: 1,
   });
   const capacities = fc.double({min: 0, max: 1e7, noNaN: true});
-  fc.assert(
-    fc.property(amounts, capacities, (asked, capacity) => {
-      const level = maxMinFairLevel(asked, capacity);
-      const given = total(asked.map((amount) => Math.min(amount, level)));
-      t.true(given <= capacity * (1 + 1e-9) + 1e-9);
-      t.true(level >= (capacity / asked.length) * (1 - 1e-9));
-      if (level === Infinity) {
-        t.is(given, total(asked));
-      } else {
-        t.true(given >= capacity * (1 - 1e-9) - 1e-9);
-      }
-    }),
-  );
+  const property = fc.property(amounts, capacities, (asked, capacity) => {
+    const level = maxMinFairLevel(asked, capacity);
+    const given = total(asked.map((amount) => Math.min(amount, level)));
+    t.true(given <= capacity * (1 + 1e-9) + 1e-9);
+    const equalShare = capacity / asked.length;
+    t.true(level >= equalShare * (1 - 1e-9) - SMALLEST_STEPS);
+    if (level === Infinity) {
+      t.is(given, total(asked));
+    } else {
+      t.true(given >= capacity * (1 - 1e-9) - 1e-9);
+    }
+  });
+  for (const seed of PROPERTY_SEEDS) {
+    t.log('seed', seed);
+    fc.assert(property, {seed, numRuns: 1_000});
+  }
 });
 
 test('without reports nothing is refused, and small demand never is', (t) => {
