Send no plain request again once its answer has begun

Cause: after an answer that broke off, the request was sent again without regard to the part that had been passed on, and the second body was appended.

Change: only a stream is followed by another run once its answer has begun.

The new test of next-step_test failed before and passes.

--- a/packages/dispatch/src/requests/next-step.ts
+++ b/packages/dispatch/src/requests/next-step.ts
@@ -59,8 +59,13 @@
 const canSendAgain = ({sends, remainingMs}: RequestProgress): boolean =>
   sends < MAXIMUM_SENDS && remainingMs > LEAST_USEFUL_MS;
 
+/** Only a stream goes on where it broke off; other answers would be joined. */
+const canFollow = ({answerStarted, route}: RequestProgress): boolean =>
+  !answerStarted || route.kind === 'stream';
+
 const canRunAgain = (progress: RequestProgress): boolean =>
   canSendAgain(progress) &&
+  canFollow(progress) &&
   isRepeatable(progress.route) &&
   progress.runs < progress.route.maximumAttempts;
 
--- a/packages/dispatch/src/test/requests/next-step_test.ts
+++ b/packages/dispatch/src/test/requests/next-step_test.ts
@@ -132,3 +132,18 @@
     ),
   );
 });
+
+// Guards against answers of two servers in one body: an idempotent request was
+// sent again after a part of its large answer had been passed on.
+test('a plain answer that broke off is not followed by another', (t) => {
+  const begun = {route: IDEMPOTENT, runs: 1, answerStarted: true};
+  t.is(
+    nextStep('unknown', progress(begun), () => true),
+    'fail',
+  );
+  const stream = {...IDEMPOTENT, kind: 'stream' as const, resumable: true};
+  t.is(
+    nextStep('unknown', progress({...begun, route: stream}), () => true),
+    'send-again',
+  );
+});
