Let no older entry bring back a server that was leaving

Requests would have reached servers that had left, or were about to, after the store was restored from a copy in which their entries still said ready (DRAIN).

Cause: the newest entry of an instance replaced whatever was known of it.

Change: an instance that was leaving stays so, and one that was removed then is remembered for a minute, longer than its entry takes to lapse. Instances that name no start, and can't be told from later ones, are taken as before.

--- a/packages/dispatch/src/servers/server-table.ts
+++ b/packages/dispatch/src/servers/server-table.ts
@@ -47,10 +47,18 @@
  */
 const LAPSE_GRACE_MS = 2_000;
 
+/**
+ * Time for which instances that left are remembered, milliseconds: a restored
+ * store may show their earlier entries until they lapse.
+ */
+const DEPARTED_MS = 60_000;
+
 /** The upstream servers that this host knows. */
 export class ServerTable {
   private readonly servers = new Map<string, Server>();
   private byService = new Map<string, Server[]>();
+  /** When instances that were leaving were removed, by key. */
+  private readonly departed = new Map<string, Instant>();
 
   /**
    * Applies the store's entries. Soon after an outage of the store, missing
@@ -66,8 +74,11 @@
     const present = new Set<string>();
     for (const {entry, revision} of entries) {
       const key = serverInstanceKey(entry);
-      present.add(key);
       const known = this.servers.get(key);
+      if (known === undefined && this.hasDeparted(key, at)) {
+        continue;
+      }
+      present.add(key);
       const from = known === undefined ? 'absent' : stateOf(known);
       const server: Server = known ?? {
         key,
@@ -77,7 +88,9 @@
         notices: new ServerNotices(),
         outageEndedAt: undefined,
       };
-      server.entry = entry;
+      // An older entry, which a restored store may show, doesn't revoke it.
+      const stillLeaves = isIdentified(entry) && server.entry.leaving;
+      server.entry = stillLeaves ? {...entry, leaving: true} : entry;
       server.revision = revision;
       server.outageEndedAt = undefined;
       this.servers.set(key, server);
@@ -97,6 +110,9 @@
         recordChange(changes, server, from, 'missing');
       } else {
         this.servers.delete(key);
+        if (server.entry.leaving && isIdentified(server.entry)) {
+          this.departed.set(key, at);
+        }
         recordChange(changes, server, from, 'absent');
       }
     }
@@ -157,6 +173,16 @@
     return [...this.servers.values()];
   }
 
+  private hasDeparted(key: string, at: Instant): boolean {
+    for (const [departed, since] of this.departed) {
+      if (elapsedMs(since, at) < DEPARTED_MS) {
+        break;
+      }
+      this.departed.delete(departed);
+    }
+    return this.departed.has(key);
+  }
+
   private index(): void {
     this.byService = new Map();
     for (const server of this.servers.values()) {
@@ -170,6 +196,10 @@
   }
 }
 
+/** Whether the instance can be told from a later one under its id. */
+const isIdentified = ({startedAtWallMs}: ServerEntry): boolean =>
+  startedAtWallMs > 0;
+
 /** Whether the grace period after an outage has ended. */
 const isGraceOver = (outageEndedAt: Instant, at: Instant): boolean =>
   elapsedMs(outageEndedAt, at) > LAPSE_GRACE_MS;
--- a/packages/dispatch/src/test/servers/servers_test.ts
+++ b/packages/dispatch/src/test/servers/servers_test.ts
@@ -318,3 +318,24 @@
   t.is(reportedOccupancy(servers.all(), at(20)), 7 / 8);
   t.is(reportedOccupancy(servers.all(), at(9_000)), undefined);
 });
+
+// Guards against requests to servers that left: a store that is restored from an
+// older copy shows their entries of before, until they lapse.
+test('an instance that left stays away whatever an older entry says', (t) => {
+  const table = new ServerTable();
+  const recorded = (extra: Partial<ServerEntry>) => [
+    {entry: entry('s', {startedAtWallMs: 7, ...extra}), revision: 1},
+  ];
+  const isOpen = (nowMs: number) =>
+    table.open(entry('s').service, at(nowMs)).length > 0;
+  table.update(recorded({}), undefined, at(0));
+  t.true(isOpen(0));
+  table.update(recorded({leaving: true}), undefined, at(100));
+  table.update(recorded({}), at(200), at(200));
+  t.false(isOpen(200), 'an older entry of a leaving instance');
+  table.update([], undefined, at(300));
+  table.update(recorded({}), undefined, at(400));
+  t.false(isOpen(400), 'an older entry of a removed instance');
+  table.update(recorded({startedAtWallMs: 9}), undefined, at(500));
+  t.true(isOpen(500), 'a later instance');
+});
