Keep keys in quarantine over a restoration of the store

Cause: a record that is missing was taken for one that an operator deleted, which releases its key.

Change: keys whose records are missing in the first view of an era stay in quarantine for ten seconds, and the host that removes expired records writes theirs again. A record that is deleted later releases its key as before.

Without the check of the era both tests of quarantine-records_test fail; they pass with it.

--- a/packages/entry-host/src/crashes/quarantine-records.ts
+++ b/packages/entry-host/src/crashes/quarantine-records.ts
@@ -1,6 +1,7 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   ANNOUNCEMENT_MS,
+  eraOf,
   type Quarantine,
   quarantineRecordName,
   type QuarantineRecord,
@@ -18,6 +19,12 @@
 /** Interval between announcements of a key without a record, milliseconds. */
 const ANNOUNCEMENT_PERIOD_MS = ANNOUNCEMENT_MS / 3;
 
+/**
+ * Time for which keys stay in quarantine whose records a restored store has
+ * forgotten, milliseconds: their records are written again by then.
+ */
+const RESTORATION_MS = 10_000;
+
 /**
  * The quarantine in the metadata store, from which hosts that start, all of
  * them included, learn it. A record that an operator deletes releases its key.
@@ -28,8 +35,11 @@
   /** When keys without a record were last announced. */
   private readonly announcedAt = new Map<string, Instant>();
   private readonly pending = new Set<string>();
-  /** Names and revisions of the records in the store by their keys. */
-  private stored = new Map<string, {name: string; revision: number}>();
+  /** Records in the store by their keys. */
+  private stored = new Map<string, StoredRecord>();
+  /** Keys whose records a restored store has forgotten, and since when. */
+  private readonly forgotten = new Map<string, Instant>();
+  private era = 0;
 
   constructor(
     private readonly context: EntryHostContext,
@@ -63,21 +73,58 @@
   /** Applies the latest view of the records in the store. */
   applyRecords(): void {
     const {views, clock, logger} = this.context;
-    const items = views.get('records')?.snapshot.items ?? [];
+    const {items = [], revision: viewRevision = 0} =
+      views.get('records')?.snapshot ?? {};
+    const before = this.stored;
+    const at = clock.now();
     this.stored = new Map(
       items.flatMap(({name, revision, value}) => {
         const record = quarantineRecordSchema.safeParse(value).data;
-        return record === undefined ? [] : [[record.key, {name, revision}]];
+        return record === undefined
+          ? []
+          : [[record.key, {name, revision, record}]];
       }),
     );
-    const keys = [...this.stored.keys()];
-    const released = this.quarantine.applyRecorded(keys, clock.now());
+    if (eraOf(viewRevision) > this.era) {
+      this.era = eraOf(viewRevision);
+      this.restore(before, at);
+    }
+    const keys = [...this.stored.keys(), ...this.forgottenKeys(at)];
+    const released = this.quarantine.applyRecorded(keys, at);
     if (released.length > 0) {
       logger.info('keys released from quarantine', {keys: released.join(',')});
       this.onReleased(released);
     }
   }
 
+  /**
+   * Keeps the keys in quarantine whose records a restored store has forgotten,
+   * as no operator has deleted them. One host writes them again.
+   */
+  private restore(
+    before: ReadonlyMap<string, StoredRecord>,
+    at: Instant,
+  ): void {
+    for (const [key, {record}] of before) {
+      if (!this.stored.has(key)) {
+        this.forgotten.set(key, at);
+        if (this.removesExpired()) {
+          this.unwritten.set(key, record);
+        }
+      }
+    }
+  }
+
+  /** Keys whose records are missing and have not been written again yet. */
+  private forgottenKeys(at: Instant): readonly string[] {
+    for (const [key, since] of this.forgotten) {
+      if (this.stored.has(key) || elapsedMs(since, at) > RESTORATION_MS) {
+        this.forgotten.delete(key);
+      }
+    }
+    return [...this.forgotten.keys()];
+  }
+
   private review(): void {
     for (const [key, record] of this.unwritten) {
       void this.write(key, record);
@@ -140,3 +187,10 @@
     metrics.storeCalls.inc({operation: 'remove', end});
   }
 }
+
+/** A record in the store. */
+interface StoredRecord {
+  readonly name: string;
+  readonly revision: number;
+  readonly record: QuarantineRecord;
+}
