--- a/packages/entry-host/src/streams/stream-journal.ts
+++ b/packages/entry-host/src/streams/stream-journal.ts
@@ -1,4 +1,5 @@
 import {
+  eraOf,
   type StreamOrigin,
   StreamOrigins,
   type StreamRecord,
@@ -31,6 +32,8 @@
 export class StreamJournal {
   private readonly open = new StreamOrigins();
   private savedText = EMPTY;
+  /** Era of the store in which it was saved. */
+  private savedEra = 0;
   private saving = false;
   private loaded = false;
   private loading: Promise<void> | undefined;
@@ -125,7 +128,9 @@
           ])
       : [];
     const text = JSON.stringify(streams);
-    if (text === this.savedText) {
+    const era = eraOf(this.context.views.revision('records'));
+    const restored = era > this.savedEra && text !== EMPTY;
+    if (text === this.savedText && !restored) {
       return;
     }
     this.saving = true;
@@ -138,6 +143,7 @@
     metrics.storeCalls.inc({operation: 'replace', end});
     if (result.isOk()) {
       this.savedText = text;
+      this.savedEra = era;
     }
   }
 }
