Apply reloaded bounds to the gates of views

The gates of servers and versions kept the bounds of the start when settings were reloaded: they were created from the settings object, which a reload replaces.

Change: the bounds are read from the settings at each question.

Evidence: the new test of outdated-views_test failed before and passes.

--- a/packages/entry-host/src/store/view-gate.ts
+++ b/packages/entry-host/src/store/view-gate.ts
@@ -191,17 +191,17 @@
   context: ViewContext & Pick<EntryHostContext, 'settings'>,
   sourceOf: ViewSources,
 ): SelectionGates => {
-  const {settings} = context;
   const gate = (kind: StoreKind, boundMs: () => number) =>
     createGate(context, kind, sourceOf(kind), {
       maximumAgeMs: () => boundMs() - DECISION_TRANSIT_MS,
       refreshIntervalMs: REFRESH_INTERVAL_MS,
     });
   return {
-    servers: gate('servers', () => settings.newsBounds.leavingServerMs),
+    // Settings are replaced when they are reloaded.
+    servers: gate('servers', () => context.settings.newsBounds.leavingServerMs),
     adapterVersions: gate(
       'adapter-versions',
-      () => settings.newsBounds.adapterVersionMs,
+      () => context.settings.newsBounds.adapterVersionMs,
     ),
   };
 };
--- a/packages/entry-host/src/test/front/outdated-views_test.ts
+++ b/packages/entry-host/src/test/front/outdated-views_test.ts
@@ -38,9 +38,24 @@
 const createWorld = (ageMs: number) => {
   const fleet = new FleetSimulation(1);
   const {context: hostContext} = fleet.startHost('h0');
-  const world = {at: {monotonicMs: 90_000, wallMs: 90_000}};
+  const world = {
+    at: {monotonicMs: 90_000, wallMs: 90_000},
+    leavingServerMs: 2_000,
+  };
   const clock = {now: () => world.at};
-  const context = {...hostContext, clock, platform: PLATFORM};
+  const context = {
+    ...hostContext,
+    clock,
+    platform: PLATFORM,
+    get settings() {
+      const {leavingServerMs} = world;
+      const {newsBounds} = hostContext.settings;
+      return {
+        ...hostContext.settings,
+        newsBounds: {...newsBounds, leavingServerMs},
+      };
+    },
+  };
   const versions = new AdapterVersions();
   const store: Store = {
     leaving: undefined,
@@ -150,6 +165,14 @@
   fleet.close();
 });
 
+test('reloaded bounds apply to the views', async (t) => {
+  const {world, store, select, fleet} = createWorld(1_000);
+  world.leavingServerMs = 500;
+  t.like(await select(), {type: 'server'});
+  t.is(store.reads, 1);
+  fleet.close();
+});
+
 test('a store that is away for hours holds no request', async (t) => {
   const hoursMs = 3 * 3_600_000;
   const {store, select, fleet} = createWorld(hoursMs);
