Keep the bytes of event ids in the heads of requests

A server could write lines of its own into the head of a request to another server (UNASKED): nobody saw it, it was found by reading what becomes of a server's bytes.

Cause: the id of an event was decoded as UTF-8 and written as Latin-1 with the request that resumes its stream, so that U+010D and U+010A became CR and LF.

Change: ids are decoded as Latin-1, byte for byte.

Evidence: the new test of event-splitter_test failed before and passes.

--- a/packages/entry-host/src/front/event-splitter.ts
+++ b/packages/entry-host/src/front/event-splitter.ts
@@ -2,6 +2,7 @@
 
 /** A complete event of a server-sent event stream. */
 export interface ServerSentEvent {
+  /** One character for each byte, as heads of requests are written. */
   readonly id: string | undefined;
   /** The event's bytes, including the blank line at its end. */
   readonly bytes: Buffer;
@@ -123,7 +124,7 @@
       this.buffer(rest);
       bytes = this.buffered.take();
     }
-    return {id: ID_LINE.exec(bytes.toString('utf8'))?.[1], bytes};
+    return {id: ID_LINE.exec(bytes.toString('latin1'))?.[1], bytes};
   }
 
   private buffer(bytes: Buffer): void {
--- a/packages/entry-host/src/test/front/event-splitter_test.ts
+++ b/packages/entry-host/src/test/front/event-splitter_test.ts
@@ -52,3 +52,16 @@
     {instanceOf: EventTooLongError},
   );
 });
+
+// Guards against requests that are smuggled into a server's connection: the id
+// of an event goes into the head of the request that resumes its stream, where
+// U+010D and U+010A became CR and LF.
+test('an id is the same bytes in the head of the next request', (t) => {
+  const id = Buffer.from('7\u010d\u010aX: y');
+  const [event] = new EventSplitter().feed(
+    Buffer.concat([Buffer.from('id: '), id, Buffer.from('\ndata: a\n\n')]),
+  );
+  const written = Buffer.from(event?.id ?? '', 'latin1');
+  t.deepEqual(written, id);
+  t.false(written.includes('\n'));
+});
