Log the version of each send and the age of a newer one

The record of the older versions can't tell a host that decided by an outdated view from a request that waited at its server: no line has the version that a send expected, the first event, or when a newer version was announced.

`send ended` has the version, the time to the first event and the first newer version with its age; a histogram has that age at first events.

--- a/packages/dispatch/src/fleet/store-views.ts
+++ b/packages/dispatch/src/fleet/store-views.ts
@@ -39,6 +39,11 @@
    * when the store was found to have been restored from an older copy.
    */
   readonly outageEndedAt: Instant | undefined;
+  /**
+   * Latest instant at which the snapshot before this one was known to be
+   * current; undefined for the first one.
+   */
+  readonly changedAfter: Instant | undefined;
 }
 
 /**
@@ -88,8 +93,15 @@
     this.views.set(
       snapshot.kind,
       known === undefined
-        ? {snapshot, freshAt, outageEndedAt: undefined}
-        : replaceView(known, newer ? snapshot : known.snapshot, freshAt, at),
+        ? {
+            snapshot,
+            freshAt,
+            outageEndedAt: undefined,
+            changedAfter: undefined,
+          }
+        : newer
+          ? replaceView(known, snapshot, freshAt, at)
+          : confirmView(known, freshAt, at),
     );
     return newer;
   }
@@ -119,7 +131,8 @@
   freshAt: Instant,
   at: Instant,
 ): StoreView => {
-  const view = confirmView({...known, snapshot}, freshAt, at);
+  const changed = {...known, snapshot, changedAfter: known.freshAt};
+  const view = confirmView(changed, freshAt, at);
   const restored = eraOf(snapshot.revision) > eraOf(known.snapshot.revision);
   return restored ? {...view, freshAt, outageEndedAt: at} : view;
 };
--- a/packages/dispatch/src/test/fleet/store-views_test.ts
+++ b/packages/dispatch/src/test/fleet/store-views_test.ts
@@ -81,3 +81,17 @@
   t.is(storeRevision(-1, 5), undefined);
   t.is(storeRevision(NaN, 5), undefined);
 });
+
+test('a changed view tells when the one before was last current', (t) => {
+  const views = new StoreViews();
+  const at = (monotonicMs: number) => ({monotonicMs, wallMs: monotonicMs});
+  const kind = 'adapter-versions';
+  const changedAfter = () => views.get(kind)?.changedAfter?.monotonicMs;
+  views.update({kind, revision: 1, items: []}, at(100), at(110));
+  t.is(changedAfter(), undefined);
+  views.confirm(kind, 1, at(500), at(510));
+  views.update({kind, revision: 2, items: []}, at(900), at(910));
+  t.is(changedAfter(), 500);
+  views.confirm(kind, 2, at(1_400), at(1_410));
+  t.is(changedAfter(), 500);
+});
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -480,10 +480,10 @@
 
   /** Applies the latest view of the adapter versions. */
   applyAdapterVersions(): void {
-    const {views, logger} = this.context;
-    const items = views.get('adapter-versions')?.snapshot.items ?? [];
+    const {views, clock, logger} = this.context;
+    const {snapshot, changedAfter} = views.get('adapter-versions') ?? {};
     this.versions.update(
-      items.flatMap(({name, value}) => {
+      (snapshot?.items ?? []).flatMap(({name, value}) => {
         const parsed = adapterVersionRecordSchema.safeParse(value);
         if (!parsed.success) {
           logger.warn('malformed adapter version ignored', {name});
@@ -491,6 +491,8 @@
         }
         return [parsed.data];
       }),
+      clock.now(),
+      changedAfter,
     );
   }
 
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -312,6 +312,11 @@
       resumes: this.callerHeader('resumes'),
       chosen: reason,
       ...send.logFields,
+      ...this.parts.selector.versionLogFields(
+        this.request,
+        {server, version},
+        send.startedAt,
+      ),
       load: server.health.load(context.clock.now()),
       end: outcome,
       status: statusOf(result),
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -92,10 +92,14 @@
   /** Revision and age of the view of all servers at the selection. */
   readonly viewRevision: number;
   readonly viewAgeMs: number;
+  /** Age of the view of adapter versions at the first byte. */
+  readonly versionViewAgeMs: number | undefined;
   /** Request rate limit that the server had reported, if any. */
   readonly requestsPerSecond: number | undefined;
   /** Time from the selection to the first byte; undefined if none was sent. */
   readonly delayMs: number | undefined;
+  /** Time from the selection to the first event; undefined if none came. */
+  readonly startedMs: number | undefined;
 }
 
 /** One send of a request to one server. */
@@ -111,9 +115,14 @@
   private answerStarted = false;
   private settle: (result: SendResult) => void = () => undefined;
   private readonly selectedAt: Instant;
-  private readonly selectionLogFields: Omit<SendLogFields, 'delayMs'>;
+  private readonly selectionLogFields: Omit<
+    SendLogFields,
+    'delayMs' | 'startedMs' | 'versionViewAgeMs'
+  >;
   private estimate: ServerEstimate | undefined;
   private delayMs: number | undefined;
+  private versionViewAgeMs: number | undefined;
+  private firstDataAt: Instant | undefined;
 
   constructor(
     private readonly context: EntryHostContext,
@@ -142,9 +151,19 @@
       ...estimateLogFields(this.estimate),
       ...this.timingLogFields,
       delayMs: this.delayMs,
+      versionViewAgeMs: this.versionViewAgeMs,
+      startedMs:
+        this.firstDataAt === undefined
+          ? undefined
+          : Math.round(elapsedMs(this.selectedAt, this.firstDataAt)),
     };
   }
 
+  /** When the first event, or the first bytes of a body, came from the server. */
+  get startedAt(): Instant | undefined {
+    return this.firstDataAt;
+  }
+
   /** Whether only the end of the connection marked the end of the answer. */
   get endedWithConnection(): boolean {
     return this.head?.endsWithConnection ?? false;
@@ -201,6 +220,9 @@
           },
           data: (chunk) => {
             const at = clock.now();
+            if (this.mode === 'pass-on') {
+              this.firstDataAt ??= at;
+            }
             health.recordActivity(at);
             this.context.paths.recordActivity(at);
             const gapMs = timing.recordChunk(at);
@@ -256,6 +278,7 @@
     const {service} = this.server.entry;
     const delayMs = elapsedMs(this.selectedAt, at);
     this.delayMs = Math.round(delayMs);
+    this.versionViewAgeMs = Math.round(views.ageMs('adapter-versions', at));
     metrics.sendDelaySeconds.observe({service}, delayMs / 1_000);
     metrics.sendViewAgeSeconds.observe(views.ageMs('servers', at) / 1_000);
     return true;
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -180,6 +180,14 @@
     registers: [this.registry],
   });
 
+  readonly outdatedStartSeconds = new Histogram({
+    name: 'basilworks_outdated_start_seconds',
+    help: 'Age of a newer version at first events of requests sent before it.',
+    labelNames: ['service'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
   readonly longestGapRatio = new Histogram({
     name: 'basilworks_longest_gap_ratio',
     help: 'Longest event gap of a stream against its target.',
--- a/packages/entry-host/src/test/front/outdated-views_test.ts
+++ b/packages/entry-host/src/test/front/outdated-views_test.ts
@@ -78,7 +78,7 @@
       revision,
     }));
     context.servers.update(entries, undefined, world.at);
-    versions.update([{...ADAPTER_NAME, version: store.version}]);
+    versions.update([{...ADAPTER_NAME, version: store.version}], world.at);
   };
   update('servers', world.at.monotonicMs - ageMs);
   update('adapter-versions', world.at.monotonicMs - ageMs);
--- a/packages/entry-host/src/test/front/server-selection_test.ts
+++ b/packages/entry-host/src/test/front/server-selection_test.ts
@@ -173,7 +173,8 @@
 // version older than one announced in the meantime.
 test('a version superseded during the wait is not used', async (t) => {
   const {selection, prepared} = await select(({versions}) => () => {
-    versions.update([{...ADAPTER_NAME, version: 2}]);
+    const learnedAt = {monotonicMs: 0, wallMs: 0};
+    versions.update([{...ADAPTER_NAME, version: 2}], learnedAt);
   });
   t.deepEqual(
     prepared.map(([, version]) => version),
