--- a/packages/entry-host/src/test/front/quota-requests_test.ts
+++ b/packages/entry-host/src/test/front/quota-requests_test.ts
@@ -111,6 +111,7 @@
     select,
     isCurrent: () => true,
     requestStarted: ignore,
+    versionLogFields: () => ({}),
     requestEnded: ignore,
     markAdapterAbsent: ignore,
   };
--- a/packages/entry-host/src/test/front/server-send_test.ts
+++ b/packages/entry-host/src/test/front/server-send_test.ts
@@ -84,6 +84,8 @@
     viewAgeMs: 0,
     requestsPerSecond: undefined,
     delayMs: 0,
+    startedMs: undefined,
+    versionViewAgeMs: Infinity,
   });
 });
 
--- a/packages/entry-host/src/test/front/simulated-listener.ts
+++ b/packages/entry-host/src/test/front/simulated-listener.ts
@@ -124,6 +124,7 @@
     select,
     isCurrent: () => true,
     requestStarted: noop,
+    versionLogFields: () => ({}),
     requestEnded: noop,
     markAdapterAbsent: noop,
   };
--- a/packages/entry-host/src/test/front/slow-callers_test.ts
+++ b/packages/entry-host/src/test/front/slow-callers_test.ts
@@ -163,6 +163,7 @@
       select: () => Promise.resolve({type: 'server', server, reason: 'only'}),
       isCurrent: () => true,
       requestStarted: () => undefined,
+      versionLogFields: () => ({}),
       requestEnded: () => undefined,
     } as unknown as RequestHandlerParts['selector'];
     const start = (
