Keep waiting requests from beginning on a replaced version

What callers saw: answers of an older version of an adapter, longer than the bound after a newer one was announced; 302 on the users' real processes.

Cause: a request was judged when it was sent, and it begins with its first event. Where prompts wait at a server, seconds lie between; nobody looked at the request again, and issuers have a version replaced only when a request asks for the newer one at that server, which full servers refuse as crowded.

The change: VersionGuard tracks sends until their first event. Half the bound before its end the server's issuer is asked for the newer version, however full the server is; the order refuses what has not begun, with a proof, also what may run once only. 400 ms before the end, but not within a second of the news, what still waits is withdrawn. The bound begins when the version may have been announced, and a series of versions extends nothing. Views are confirmed while requests wait.

--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -185,7 +185,7 @@
       if (this.isFinished()) {
         break;
       }
-      this.handleResult(result, selection.server);
+      this.handleResult(result, selection);
     }
   }
 
@@ -261,7 +261,15 @@
     this.bufferedChunks.length = 0;
     this.bufferedBytes = 0;
     this.bufferedHead = undefined;
-    const send = new ServerSend(
+    const {versionGuard} = this.parts.selector;
+    const tracked = {
+      requestId: this.request.id,
+      model: this.request.model,
+      version,
+      server,
+      priority: this.route.priority,
+    };
+    const send: ServerSend = new ServerSend(
       context,
       pools,
       server,
@@ -272,6 +280,7 @@
           this.handleHead(head);
         },
         data: (chunk) => {
+          endTracking();
           this.handleData(chunk);
         },
       },
@@ -280,6 +289,12 @@
         this.quarantinedKey() === undefined &&
         this.parts.selector.isCurrent(this.request, {server, version}),
     );
+    const endTracking = versionGuard.track({
+      ...tracked,
+      withdraw: () => {
+        send.withdraw();
+      },
+    });
     this.send = send;
     this.latestSend = send;
     this.parts.selector.requestStarted(this.request, server);
@@ -298,6 +313,7 @@
       gapTargetMs: this.route.eventGapMs,
       caller: this.caller,
     });
+    endTracking();
     const result = this.brokeWithinEvent(end, send) ? WITHIN_EVENT : end;
     this.send = undefined;
     this.buffers.clearSource();
@@ -312,11 +328,7 @@
       resumes: this.callerHeader('resumes'),
       chosen: reason,
       ...send.logFields,
-      ...this.parts.selector.versionLogFields(
-        this.request,
-        {server, version},
-        send.startedAt,
-      ),
+      ...versionGuard.logFields(tracked, send.startedAt),
       load: server.health.load(context.clock.now()),
       end: outcome,
       status: statusOf(result),
@@ -392,7 +404,10 @@
     }
   }
 
-  private handleResult(result: SendResult, server: Server): void {
+  private handleResult(
+    result: SendResult,
+    selection: Selection & {type: 'server'},
+  ): void {
     if (result.type === 'answered') {
       this.complete();
       return;
@@ -403,9 +418,17 @@
       this.runs += 1;
     }
     if (outcome === 'not-run' && result.type === 'no-answer') {
+      const {server} = selection;
+      const {selector} = this.parts;
       if (result.status === 421) {
-        this.parts.selector.markAdapterAbsent(this.request, server);
-        // The adapter may be resident by the next attempt.
+        selector.markAdapterAbsent(this.request, server);
+      }
+      if (
+        result.status === 421 ||
+        !selector.isCurrent(this.request, selection)
+      ) {
+        // The adapter, or its newer version, may be resident by the next
+        // attempt.
         this.tried.delete(server.key);
       }
     }
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -1,4 +1,3 @@
-import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   AdapterSpreads,
   type AdapterVersions,
@@ -33,6 +32,7 @@
 } from '../store/index.js';
 import type {CallerRequest} from './caller-request.js';
 import {estimateLogFields, readPromptTokens} from './send-estimate.js';
+import {VersionGuard} from './version-guard.js';
 
 /** The server to send a request to next, or why there is none. */
 export type Selection =
@@ -59,21 +59,6 @@
       readonly retryAfterMs: number;
     };
 
-/** Log fields of the adapter version of a send. */
-export interface VersionLogFields {
-  /** Version that it was sent for. */
-  readonly version?: number;
-  /** The first newer version that this host knows. */
-  readonly newerVersion?: number;
-  /**
-   * Time from when that version may have been announced, and from when this
-   * host knew it, to the first event or the end of the send, milliseconds.
-   * Negative if the send began before.
-   */
-  readonly newerAgeMs?: number;
-  readonly newerKnownMs?: number;
-}
-
 type FoundServer = Selection & {readonly type: 'server'};
 
 /** A request for which a server is to be selected, and its progress. */
@@ -137,6 +122,8 @@
 export class ServerSelector {
   private readonly spreads = new AdapterSpreads();
   private readonly rankings = new RendezvousCache();
+  /** Tracks requests that wait at servers. */
+  readonly versionGuard: VersionGuard;
 
   constructor(
     private readonly context: EntryHostContext,
@@ -150,7 +137,14 @@
       context,
       NO_VIEW_SOURCES,
     ),
-  ) {}
+  ) {
+    this.versionGuard = new VersionGuard(
+      context,
+      versions,
+      gates.waitingVersions,
+      (server, request) => this.requestLease(server, request, context.signal),
+    );
+  }
 
   /**
    * Selects a server. If the request names an adapter, waits until that is
@@ -230,36 +224,6 @@
     );
   }
 
-  /** Describes the version of a send whose first event came at `startedAt`. */
-  versionLogFields(
-    {model: reference = ''}: CallerRequest,
-    {server, version}: Pick<FoundServer, 'server' | 'version'>,
-    startedAt: Instant | undefined,
-  ): VersionLogFields {
-    const {model, adapter} = parseModelReference(reference);
-    if (adapter === undefined) {
-      return {};
-    }
-    const sent = version ?? FIRST_VERSION;
-    const newer = this.versions.firstNewer({model, adapter}, sent);
-    if (newer === undefined) {
-      return {version: sent};
-    }
-    const at = startedAt ?? this.context.clock.now();
-    const newerAgeMs = elapsedMs(newer.announcedAfter, at);
-    if (startedAt !== undefined && newerAgeMs > 0) {
-      const {service} = server.entry;
-      const {outdatedStartSeconds} = this.context.metrics;
-      outdatedStartSeconds.observe({service}, newerAgeMs / 1_000);
-    }
-    return {
-      version: sent,
-      newerVersion: newer.version,
-      newerAgeMs: Math.round(newerAgeMs),
-      newerKnownMs: Math.round(elapsedMs(newer.learnedAt, at)),
-    };
-  }
-
   /** Has the views confirmed by which a server is chosen, where possible. */
   private async confirmViews({model}: CallerRequest): Promise<void> {
     const {servers, adapterVersions} = this.gates;
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -112,6 +112,7 @@
   private readonly bufferedChunks: Buffer[] = [];
   private bufferedBytes = 0;
   private cancelled = false;
+  private withdrawn = false;
   private answerStarted = false;
   private settle: (result: SendResult) => void = () => undefined;
   private readonly selectedAt: Instant;
@@ -256,6 +257,15 @@
     this.handle?.resume();
   }
 
+  /**
+   * Cancels the send before its answer, for a reason that says nothing of the
+   * server.
+   */
+  withdraw(): void {
+    this.withdrawn = true;
+    this.cancel();
+  }
+
   /** Cancels the send and closes its connection. */
   cancel(): void {
     this.cancelled = true;
@@ -388,7 +398,8 @@
       attemptOutcome === 'cancelled'
         ? unanswered || undefined
         : FAILED_BY_OUTCOME[attemptOutcome];
-    if (failed !== undefined && !(failed && this.context.paths.isCut)) {
+    const isBlameless = this.withdrawn || this.context.paths.isCut;
+    if (failed !== undefined && !(failed && isBlameless)) {
       this.context.tallies.record(entry.service, key, failed, at);
     }
   }
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -58,6 +58,12 @@
     [],
   );
 
+  readonly outdatedSends = this.counter(
+    'basilworks_outdated_sends_total',
+    'Actions on requests that wait at a server for an older version.',
+    ['service', 'action'],
+  );
+
   readonly orders = this.counter(
     'basilworks_orders_total',
     'Load and unload orders by operation and how they ended.',
--- a/packages/entry-host/src/store/view-gate.ts
+++ b/packages/entry-host/src/store/view-gate.ts
@@ -27,6 +27,12 @@
 /** Time from a decision to its effect at a server, milliseconds. */
 export const DECISION_TRANSIT_MS = 200;
 
+/**
+ * Time to learn of a version and to have a server refuse requests that wait
+ * there for an older one, milliseconds.
+ */
+const WAIT_END_LEAD_MS = 1_500;
+
 /** Reads one kind of objects for a gate. */
 export interface ViewSource {
   /** Reads it now; resolves to whether the read succeeded, however late. */
@@ -184,6 +190,8 @@
 export interface SelectionGates {
   readonly servers: ViewGate;
   readonly adapterVersions: ViewGate;
+  /** Of the versions for which requests wait at servers. */
+  readonly waitingVersions: ViewGate;
 }
 
 /** Creates the gates of the views by which servers are chosen. */
@@ -191,17 +199,28 @@
   context: ViewContext & Pick<EntryHostContext, 'settings'>,
   sourceOf: ViewSources,
 ): SelectionGates => {
-  const gate = (kind: StoreKind, boundMs: () => number) =>
+  const gate = (kind: StoreKind, boundMs: () => number, leadMs: number) =>
     createGate(context, kind, sourceOf(kind), {
-      maximumAgeMs: () => boundMs() - DECISION_TRANSIT_MS,
+      maximumAgeMs: () => boundMs() - leadMs,
       refreshIntervalMs: REFRESH_INTERVAL_MS,
     });
+  const adapterVersionMs = () => context.settings.newsBounds.adapterVersionMs;
   return {
     // Settings are replaced when they are reloaded.
-    servers: gate('servers', () => context.settings.newsBounds.leavingServerMs),
+    servers: gate(
+      'servers',
+      () => context.settings.newsBounds.leavingServerMs,
+      DECISION_TRANSIT_MS,
+    ),
     adapterVersions: gate(
       'adapter-versions',
-      () => context.settings.newsBounds.adapterVersionMs,
+      adapterVersionMs,
+      DECISION_TRANSIT_MS,
+    ),
+    waitingVersions: gate(
+      'adapter-versions',
+      adapterVersionMs,
+      WAIT_END_LEAD_MS,
     ),
   };
 };
--- a/packages/entry-host/src/test/front/quota-requests_test.ts
+++ b/packages/entry-host/src/test/front/quota-requests_test.ts
@@ -111,7 +111,7 @@
     select,
     isCurrent: () => true,
     requestStarted: ignore,
-    versionLogFields: () => ({}),
+    versionGuard: {track: () => () => undefined, logFields: () => ({})},
     requestEnded: ignore,
     markAdapterAbsent: ignore,
   };
--- a/packages/entry-host/src/test/front/simulated-listener.ts
+++ b/packages/entry-host/src/test/front/simulated-listener.ts
@@ -124,7 +124,7 @@
     select,
     isCurrent: () => true,
     requestStarted: noop,
-    versionLogFields: () => ({}),
+    versionGuard: {track: () => () => undefined, logFields: () => ({})},
     requestEnded: noop,
     markAdapterAbsent: noop,
   };
--- a/packages/entry-host/src/test/front/slow-callers_test.ts
+++ b/packages/entry-host/src/test/front/slow-callers_test.ts
@@ -163,7 +163,7 @@
       select: () => Promise.resolve({type: 'server', server, reason: 'only'}),
       isCurrent: () => true,
       requestStarted: () => undefined,
-      versionLogFields: () => ({}),
+      versionGuard: {track: () => () => undefined, logFields: () => ({})},
       requestEnded: () => undefined,
     } as unknown as RequestHandlerParts['selector'];
     const start = (
