Bound the answers of the store

What callers would see: a host that ends for lack of memory, or that never knows a configuration, while the store sends bytes or pages without end.

--- a/packages/entry-host/src/ports.ts
+++ b/packages/entry-host/src/ports.ts
@@ -21,8 +21,10 @@
  * - `history-gone`: the store has compacted the history that a watch needs, or
  *   has been restored from an older copy since.
  * - `malformed`: the response could not be parsed.
+ * - `too-large`: the response exceeded a bound; a write may have been executed.
  */
-export type StoreFailure = 'refused' | 'missing' | 'history-gone' | 'malformed';
+export type StoreFailure =
+  'refused' | 'missing' | 'history-gone' | 'malformed' | 'too-large';
 
 /** A failed call to the metadata store. */
 export class StoreError extends Error {
--- a/packages/entry-host/src/store/store-client.ts
+++ b/packages/entry-host/src/store/store-client.ts
@@ -8,7 +8,8 @@
 import type {TimerService} from '@basilworks/daemon';
 import {err, ok, type Result, ResultAsync} from 'neverthrow';
 
-import {StoreError} from '../ports.js';
+import {GrowingBuffer} from '../lib/growing-buffer.js';
+import {StoreError, type StoreFailure} from '../ports.js';
 
 /** Time-out of connecting to the store, milliseconds. */
 const CONNECT_TIMEOUT_MS = 3_000;
@@ -19,6 +20,12 @@
 /** Idle time before the system sends TCP keep-alive probes, milliseconds. */
 const PROBE_MS = 60_000;
 
+/**
+ * Largest response body, bytes: a page has about one megabyte, and an object
+ * with all its changes since a watch began may be as large.
+ */
+const MAXIMUM_BODY_BYTES = 8 * 1_048_576;
+
 /** An HTTP request to the store. */
 export interface StoreCall {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
@@ -94,8 +101,11 @@
           timers.cancel(`${timer}/connect`);
           resolve(result);
         };
-        const fail = (detail: string) => {
-          settle(err(new StoreError(sent ? 'missing' : 'refused', detail)));
+        const fail = (
+          detail: string,
+          failure: StoreFailure = sent ? 'missing' : 'refused',
+        ) => {
+          settle(err(new StoreError(failure, detail)));
           request.destroy();
         };
         const onConnected = () => {
@@ -132,17 +142,22 @@
 
 const readBody = (
   response: IncomingMessage,
-  onFailure: (detail: string) => void,
+  onFailure: (detail: string, failure?: StoreFailure) => void,
   onEnd: (text: string) => void,
 ): void => {
-  const chunks: Buffer[] = [];
+  const body = new GrowingBuffer();
   response.on('data', (chunk: Buffer) => {
-    chunks.push(chunk);
+    if (body.length + chunk.length > MAXIMUM_BODY_BYTES) {
+      body.take();
+      onFailure(`over ${MAXIMUM_BODY_BYTES} bytes`, 'too-large');
+      return;
+    }
+    body.append(chunk);
   });
   response.on('error', ({message}) => {
     onFailure(message);
   });
   response.on('end', () => {
-    onEnd(Buffer.concat(chunks).toString());
+    onEnd(body.take().toString());
   });
 };
--- a/packages/entry-host/src/test/store/store-client_test.ts
+++ b/packages/entry-host/src/test/store/store-client_test.ts
@@ -68,3 +68,26 @@
   const client = new StoreClient('127.0.0.1:1', new TimerService());
   t.is(await failureOf(client), 'refused');
 });
+
+// Guards against a store whose answer has no end: it was kept until the call
+// timed out, and the host ran out of memory.
+test('an answer without end is given up at a bound', async (t) => {
+  const mebibyte = 1_048_576;
+  let writtenBytes = 0;
+  const {client} = await serve(t, (_request, response) => {
+    const piece = Buffer.alloc(mebibyte / 16, 'x');
+    const write = () => {
+      while (!response.destroyed && writtenBytes < 200 * mebibyte) {
+        writtenBytes += piece.length;
+        if (!response.write(piece)) {
+          response.once('drain', write);
+          return;
+        }
+      }
+      response.end();
+    };
+    write();
+  });
+  t.is(await failureOf(client), 'too-large');
+  t.true(writtenBytes < 40 * mebibyte);
+});
