Keep answers in tiny pieces in one buffer

What callers would see: a host that ends for lack of memory while servers send answers in chunks of a byte.

Cause: a plain answer and the body of a failure were kept as lists of their pieces; each costs some hundred bytes beside its own, and only its own were counted. The two tests failed before.

--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -28,6 +28,7 @@
 import {type CallerRequest, endToEndHeaders} from './caller-request.js';
 import type {StreamVersionGuard} from '../streams/index.js';
 import {describeError} from '../lib/describe-error.js';
+import {GrowingBuffer} from '../lib/growing-buffer.js';
 import {EventBoundaries, EventSplitter} from './event-splitter.js';
 import type {RequestBufferTracker} from './request-buffer-tracker.js';
 import {type SendResult, ServerSend} from './server-send.js';
@@ -75,9 +76,9 @@
   private readonly splitter = new EventSplitter();
   /** Shows whether a stream that is passed on as it comes is within an event. */
   private readonly boundaries = new EventBoundaries();
-  private readonly bufferedChunks: Buffer[] = [];
+  /** The plain answer so far, until it is complete or passed on. */
+  private readonly buffered = new GrowingBuffer();
   private readonly timer = `run/${(serial += 1)}`;
-  private bufferedBytes = 0;
   private bufferedHead: ResponseHead | undefined;
   private send: ServerSend | undefined;
   private latestSend: ServerSend | undefined;
@@ -258,8 +259,7 @@
     this.tried.add(server.key);
     this.splitter.reset();
     this.boundaries.reset();
-    this.bufferedChunks.length = 0;
-    this.bufferedBytes = 0;
+    this.buffered.take();
     this.bufferedHead = undefined;
     const {versionGuard} = this.parts.selector;
     const tracked = {
@@ -517,20 +517,19 @@
       this.writeToCaller(chunk);
       return;
     }
-    this.bufferedChunks.push(chunk);
-    this.bufferedBytes += chunk.length;
+    this.buffered.append(chunk);
+    const {length} = this.buffered;
     if (
-      this.bufferedBytes <= MAXIMUM_BUFFERED_BYTES &&
+      length <= MAXIMUM_BUFFERED_BYTES &&
       this.buffers.canBufferWholeAnswers
     ) {
-      this.buffers.setAnswerBytes(this.bufferedBytes);
+      this.buffers.setAnswerBytes(length);
       return;
     }
     const head = this.bufferedHead;
     this.bufferedHead = undefined;
     this.beginAnswer(head);
-    this.writeToCaller(Buffer.concat(this.bufferedChunks));
-    this.bufferedChunks.length = 0;
+    this.writeToCaller(this.buffered.take());
     this.buffers.setAnswerBytes(0);
   }
 
@@ -541,7 +540,7 @@
       this.answer.send(
         bufferedHead.status,
         callerHeaders(bufferedHead),
-        Buffer.concat(this.bufferedChunks),
+        this.buffered.take(),
         bufferedHead.endsWithConnection,
       );
       return;
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -7,6 +7,7 @@
 } from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
+import {GrowingBuffer} from '../lib/growing-buffer.js';
 import {
   applyServerNotice,
   type ExchangeHandle,
@@ -55,7 +56,7 @@
 /** Statuses which assert that a request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
-/** Largest body of a failure or refusal that is buffered, bytes. */
+/** Largest body of a failure that is buffered, or of a refusal, bytes. */
 const MAXIMUM_FAILURE_BYTES = 65_536;
 
 /** Share of a server's connections that is split evenly among all hosts. */
@@ -109,8 +110,9 @@
   private timing: StreamTiming | undefined;
   private mode: 'pending' | 'pass-on' | 'failure' | 'refused' = 'pending';
   private head: ResponseHead | undefined;
-  private readonly bufferedChunks: Buffer[] = [];
-  private bufferedBytes = 0;
+  /** The body of a failure. */
+  private readonly failureBody = new GrowingBuffer();
+  private refusalBytes = 0;
   private cancelled = false;
   private withdrawn = false;
   private answerStarted = false;
@@ -325,9 +327,12 @@
       this.observer.data(chunk);
       return;
     }
-    this.bufferedChunks.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > MAXIMUM_FAILURE_BYTES) {
+    if (this.mode === 'failure') {
+      this.failureBody.append(chunk);
+    } else {
+      this.refusalBytes += chunk.length;
+    }
+    if (this.failureBody.length + this.refusalBytes > MAXIMUM_FAILURE_BYTES) {
       // A truncated body would look complete to the caller.
       this.handle?.cancel();
     }
@@ -340,7 +345,7 @@
       this.settle({
         type: 'failure',
         head,
-        body: Buffer.concat(this.bufferedChunks),
+        body: this.failureBody.take(),
       });
     } else if (this.mode === 'refused') {
       const detail = `the server refused with ${status ?? 0}`;
--- /dev/null
+++ b/packages/entry-host/src/test/front/endless-answers_test.ts
@@ -0,0 +1,64 @@
+import test from 'ava';
+
+import {
+  type CallerExchange,
+  ROUTE,
+  settle,
+  SlowCallerHarness,
+} from './slow-caller-harness.js';
+
+/** Memory of a small machine, megabytes, and what an idle host uses of it. */
+const MACHINE_MB = 250;
+const IDLE_MB = 100;
+
+/** Bytes that the process holds, within and outside of the heap. */
+const usedBytes = (): number => {
+  const {heapUsed, external} = process.memoryUsage();
+  return heapUsed + external;
+};
+
+/**
+ * Starts requests whose answers stop before their end, and returns how much
+ * memory they need.
+ */
+const holdAnswers = async (
+  harness: SlowCallerHarness,
+  count: number,
+  route: Partial<typeof ROUTE>,
+): Promise<{bytes: number; exchanges: readonly CallerExchange[]}> => {
+  const before = usedBytes();
+  let peak = before;
+  const exchanges: CallerExchange[] = [];
+  for (let index = 0; index < count; index += 1) {
+    const exchange = harness.startExchange(`r${index}`, {...ROUTE, ...route});
+    exchange.caller.acceptBytes(Infinity);
+    exchanges.push(exchange);
+    await settle(harness);
+    peak = Math.max(peak, usedBytes());
+  }
+  return {bytes: peak - before, exchanges};
+};
+
+const MAXIMUM_BYTES = (MACHINE_MB - IDLE_MB) * 1_000_000;
+
+// Guards against answers in tiny pieces, which cost a hundred times the memory
+// that was counted for them.
+for (const [name, status] of [
+  ['an answer', 200],
+  ['a failure', 500],
+] as const) {
+  test.serial(
+    `${name} in tiny pieces costs little more than its bytes`,
+    async (t) => {
+      const harness = new SlowCallerHarness(MACHINE_MB, 60_000, {
+        status,
+        pieceBytes: 1,
+        isUnfinished: true,
+      });
+      const {bytes} = await holdAnswers(harness, 100, {kind: 'idempotent'});
+      t.log(`${Math.round(bytes / 1_000_000)} MB`);
+      t.true(bytes < MAXIMUM_BYTES);
+      harness.close();
+    },
+  );
+}
