Count incomplete events against the buffer budget

What callers would see: a small host that ends for lack of memory while servers send events without end on resumable streams.

Cause: each incomplete event is bounded by 1 MiB, and nothing counted them together. Events of over 16 KiB now count as buffered answers do, and at half of the budget a stream is broken off as malformed, which retries elsewhere if allowed. The buffer is let go when an event is rejected.

--- a/packages/entry-host/src/front/event-splitter.ts
+++ b/packages/entry-host/src/front/event-splitter.ts
@@ -129,6 +129,7 @@
 
   private buffer(bytes: Buffer): void {
     if (this.buffered.length + bytes.length > MAXIMUM_EVENT_BYTES) {
+      this.buffered.take();
       throw new EventTooLongError(
         `an event exceeds ${MAXIMUM_EVENT_BYTES} bytes`,
       );
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -29,7 +29,11 @@
 import type {StreamVersionGuard} from '../streams/index.js';
 import {describeError} from '../lib/describe-error.js';
 import {GrowingBuffer} from '../lib/growing-buffer.js';
-import {EventBoundaries, EventSplitter} from './event-splitter.js';
+import {
+  EventBoundaries,
+  EventSplitter,
+  EventTooLongError,
+} from './event-splitter.js';
 import type {RequestBufferTracker} from './request-buffer-tracker.js';
 import {type SendResult, ServerSend} from './server-send.js';
 import type {Selection, ServerSelector} from './server-selection.js';
@@ -52,6 +56,9 @@
 /** Largest plain answer that is buffered until it is complete, bytes. */
 const MAXIMUM_BUFFERED_BYTES = 262_144;
 
+/** Incomplete events up to this size are not counted as buffered, bytes. */
+const UNCOUNTED_EVENT_BYTES = 16_384;
+
 /** Ends requests whose keys may have been revoked in the meantime. */
 const KEY_UNCONFIRMED = {
   type: 'none',
@@ -78,6 +85,7 @@
   private readonly boundaries = new EventBoundaries();
   /** The plain answer so far, until it is complete or passed on. */
   private readonly buffered = new GrowingBuffer();
+  private countedEventBytes = 0;
   private readonly timer = `run/${(serial += 1)}`;
   private bufferedHead: ResponseHead | undefined;
   private send: ServerSend | undefined;
@@ -258,6 +266,7 @@
       promptWaitMs === undefined ? undefined : Math.round(promptWaitMs);
     this.tried.add(server.key);
     this.splitter.reset();
+    this.countIncompleteEvent();
     this.boundaries.reset();
     this.buffered.take();
     this.bufferedHead = undefined;
@@ -493,6 +502,7 @@
         }
         this.writeToCaller(bytes);
       }
+      this.countIncompleteEvent();
     } else {
       if (this.send?.endedWithConnection === true) {
         this.boundaries.feed(chunk);
@@ -501,6 +511,25 @@
     }
   }
 
+  /**
+   * Counts the incomplete event of a stream as buffered.
+   *
+   * @throws EventTooLongError if the host has no memory for it.
+   */
+  private countIncompleteEvent(): void {
+    const {pendingBytes} = this.splitter;
+    const counted = pendingBytes > UNCOUNTED_EVENT_BYTES ? pendingBytes : 0;
+    if (counted === this.countedEventBytes) {
+      return;
+    }
+    this.countedEventBytes = counted;
+    this.buffers.setAnswerBytes(counted);
+    if (counted > 0 && !this.buffers.canBufferWholeAnswers) {
+      this.splitter.reset();
+      throw new EventTooLongError('no memory for an incomplete event');
+    }
+  }
+
   private writeToCaller(chunk: Buffer): void {
     if (!this.answer.write(chunk) && this.send !== undefined) {
       this.buffers.pauseSource(this.send);
--- a/packages/entry-host/src/test/front/endless-answers_test.ts
+++ b/packages/entry-host/src/test/front/endless-answers_test.ts
@@ -62,3 +62,26 @@
     },
   );
 }
+
+// Guards against hundreds of events that have no end: each was within its bound,
+// and nothing counted them together.
+test.serial(
+  'hundreds of unfinished events stay within the buffer limit',
+  async (t) => {
+    const harness = new SlowCallerHarness(MACHINE_MB, 1_000_000, {
+      status: 200,
+      pieceBytes: 50_000,
+      isUnfinished: true,
+    });
+    const {bytes, exchanges} = await holdAnswers(harness, 400, {
+      kind: 'stream',
+      resumable: true,
+      maximumAttempts: 1,
+    });
+    t.log(`${Math.round(bytes / 1_000_000)} MB`);
+    t.true(bytes < MAXIMUM_BYTES);
+    t.true(harness.budget.bytes <= harness.limitBytes);
+    t.true(exchanges.some(({source}) => source?.cancelled === false));
+    harness.close();
+  },
+);
