Fail a peer's message, not the host, when its handling throws

What callers would see: a host that ends with all its requests, because another host, broken or of another build, sent what its handling doesn't expect.

Cause: messages are handled in an event of a gRPC stream, where nothing catches what is thrown. It is now logged, and the message gets no answer; a rejected request for an adapter likewise.

--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -292,6 +292,7 @@
       this.quotas,
       this.crashes,
       this.streams,
+      this.context.logger,
     );
     const selector = new ServerSelector(
       this.context,
--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -1,4 +1,4 @@
-import {ListenError} from '@basilworks/daemon';
+import {ListenError, type Logger} from '@basilworks/daemon';
 import type {
   CrashReport,
   IssuerUpdate,
@@ -12,8 +12,9 @@
   ServerCredentials,
   type ServerDuplexStream,
 } from '@grpc/grpc-js';
-import {ResultAsync} from 'neverthrow';
+import {Result, ResultAsync} from 'neverthrow';
 
+import {describeError} from '../lib/describe-error.js';
 import {
   decodeCrashReports,
   encodeCompletions,
@@ -70,6 +71,7 @@
     quotas: QuotaGranter,
     crashes: CrashParticipant,
     streams: StreamKeeper,
+    logger: Pick<Logger, 'error'>,
   ) {
     const service: fleet.FleetServiceServer = {
       converse: (call) => {
@@ -80,6 +82,7 @@
           quotas,
           crashes,
           streams,
+          logger,
         ] as const;
         new PeerConversation(call, ...handlers).start();
       },
@@ -129,13 +132,20 @@
     private readonly quotas: QuotaGranter,
     private readonly crashes: CrashParticipant,
     private readonly streams: StreamKeeper,
+    private readonly logger: Pick<Logger, 'error'>,
   ) {}
 
   start(): void {
-    this.call.on('data', ({serial, request}: fleet.PeerRequest) => {
-      if (request !== undefined) {
-        this.handlers[request.$case](serial, request.value as never);
-      }
+    this.call.on('data', (message: fleet.PeerRequest) => {
+      // Whatever a peer sends fails its message, not this process.
+      Result.fromThrowable(
+        () => {
+          this.handle(message);
+        },
+        (error) => {
+          this.logFailure(message, error);
+        },
+      )().unwrapOr(undefined);
     });
     const abortPrepares = () => {
       for (const controller of this.prepares.values()) {
@@ -150,6 +160,19 @@
     });
   }
 
+  private logFailure({request}: fleet.PeerRequest, error: unknown): void {
+    this.logger.error('handling a message of a peer failed', {
+      request: request?.$case,
+      error: describeError(error),
+    });
+  }
+
+  private handle({serial, request}: fleet.PeerRequest): void {
+    if (request !== undefined) {
+      this.handlers[request.$case](serial, request.value as never);
+    }
+  }
+
   private readonly handlers: Handlers = {
     exchange: (serial, request) => {
       const value = this.exchange.handleRequest(request);
@@ -166,6 +189,10 @@
           this.prepares.delete(serial);
           const value = encodePrepareAnswer(answer);
           this.call.write({serial, response: {$case: 'prepare', value}});
+        })
+        .catch((error: unknown) => {
+          this.prepares.delete(serial);
+          this.logFailure({serial, request: undefined}, error);
         });
     },
     permit: (serial, request) => {
--- a/packages/entry-host/src/test/peers/peer-link_test.ts
+++ b/packages/entry-host/src/test/peers/peer-link_test.ts
@@ -1,9 +1,12 @@
-import {TimerService} from '@basilworks/daemon';
+import {type Logger, TimerService} from '@basilworks/daemon';
 import {fleet} from '@basilworks/protocol';
 import {Server, ServerCredentials} from '@grpc/grpc-js';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 
-import {PeerLink} from '../../peers/index.js';
+import {FleetPeerService, PeerLink} from '../../peers/index.js';
+import type {KeyCompletion} from '../../peers/crash-codec.js';
+
+type ServiceParts = ConstructorParameters<typeof FleetPeerService>;
 
 const request = {
   requestId: 'r1',
@@ -91,3 +94,43 @@
   link.close();
   server.forceShutdown();
 });
+
+/** Starts a service that answers when requests with keys were completed. */
+const startService = async (
+  t: ExecutionContext,
+  completionsOf: (keys: readonly string[]) => readonly KeyCompletion[],
+) => {
+  const crashes = {completionsOf} as unknown as ServiceParts[4];
+  const logged: string[] = [];
+  const logger = {
+    error: (message: string) => logged.push(message),
+  } as unknown as Logger;
+  const unused = {} as never;
+  const service = new FleetPeerService(
+    ...([unused, unused, unused, unused, crashes, unused, logger] as const),
+  );
+  const port = (await service.listen('127.0.0.1:0'))._unsafeUnwrap();
+  const clock = {now: () => ({monotonicMs: 0, wallMs: 0})};
+  const timers = new TimerService();
+  const link = new PeerLink(`127.0.0.1:${port}`, timers, clock);
+  t.teardown(() => {
+    link.close();
+    service.close();
+    timers.close();
+  });
+  return {link, logged};
+};
+
+// Guards against a message of a peer that ends the process: whatever handled it
+// threw outside of any parser.
+test('a request whose handling throws fails alone', async (t) => {
+  const {link, logged} = await startService(t, ([key]) => {
+    if (key === 'bad') {
+      throw new Error('bad key');
+    }
+    return [];
+  });
+  t.is(await link.queryCompletions(['bad']), undefined);
+  t.deepEqual(await link.queryCompletions(['good']), []);
+  t.deepEqual(logged, ['handling a message of a peer failed']);
+});
