Bound requests and views of peers for small machines

What callers would see: a small host short of memory while peers send requests without end, or a compressed view that is small on the wire.

Cause: 16 MiB a message in both directions, though only answers carry views, and 64 MiB for a decompressed view, whose text is parsed after. Requests now have 4 MiB, views 16, as a list of the store. Both tests failed before: an 8 MB request was served, a view of 20 MB applied.

--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -24,6 +24,12 @@
 import type {PeerExchange} from './peer-exchange.js';
 import {PEER_CHANNEL_OPTIONS} from './peer-link.js';
 
+/**
+ * Largest request of a peer, bytes: reports on all servers of a large site.
+ * Only answers carry views.
+ */
+const MAXIMUM_REQUEST_BYTES = 4 * 1_048_576;
+
 /** Makes adapters resident on servers whose orders this host issues. */
 export interface AdapterPreparer {
   prepare(
@@ -62,7 +68,10 @@
 
 /** The gRPC server for other entry hosts. */
 export class FleetPeerService {
-  private readonly server = new Server(PEER_CHANNEL_OPTIONS);
+  private readonly server = new Server({
+    ...PEER_CHANNEL_OPTIONS,
+    'grpc.max_receive_message_length': MAXIMUM_REQUEST_BYTES,
+  });
 
   constructor(
     exchange: PeerExchange,
--- a/packages/entry-host/src/peers/view-codec.ts
+++ b/packages/entry-host/src/peers/view-codec.ts
@@ -25,7 +25,7 @@
 const DEFLATE_LEVEL = 1;
 
 /** Largest snapshot that is decompressed, bytes of JSON. */
-const MAXIMUM_SNAPSHOT_BYTES = 64 * 1_048_576;
+const MAXIMUM_SNAPSHOT_BYTES = 16 * 1_048_576;
 
 /** The items of a snapshot as a peer reads them. */
 type EncodedItems = Pick<fleet.ViewSnapshot, 'items' | 'deflatedItems'>;
--- a/packages/entry-host/src/test/peers/peer-link_test.ts
+++ b/packages/entry-host/src/test/peers/peer-link_test.ts
@@ -121,6 +121,19 @@
   return {link, logged};
 };
 
+// Guards against a peer's request that has no end: each message is kept until
+// it is complete.
+test('a request beyond the bound is rejected, and the next one is served', async (t) => {
+  const received: number[] = [];
+  const {link} = await startService(t, (keys) => {
+    received.push(keys.join('').length);
+    return [];
+  });
+  t.is(await link.queryCompletions(['x'.repeat(8_000_000)]), undefined);
+  t.deepEqual(await link.queryCompletions(['x'.repeat(100_000)]), []);
+  t.deepEqual(received, [100_000]);
+});
+
 // Guards against a message of a peer that ends the process: whatever handled it
 // threw outside of any parser.
 test('a request whose handling throws fails alone', async (t) => {
--- a/packages/entry-host/src/test/peers/view-codec_test.ts
+++ b/packages/entry-host/src/test/peers/view-codec_test.ts
@@ -1,3 +1,5 @@
+import {deflateRawSync} from 'node:zlib';
+
 import {StoreViews} from '@basilworks/dispatch';
 import test from 'ava';
 
@@ -43,3 +45,16 @@
   t.deepEqual(applyViews(received, broken, AT, AT), []);
   t.is(received.get('servers'), undefined);
 });
+
+// Guards against a view of a peer that is small on the wire and large in memory.
+test('a view that exceeds the bound once decompressed is left out', (t) => {
+  const query = {known: [], acceptsDeflate: true};
+  const sent = encodeViews(viewsWithServers(), query, new SnapshotCache(), AT);
+  const received = new StoreViews();
+  const items = `[${' '.repeat(20_000_000)}]`;
+  const inflated = sent.map((view) => ({
+    ...view,
+    deflatedItems: deflateRawSync(items),
+  }));
+  t.deepEqual(applyViews(received, inflated, AT, AT), []);
+});
