Bound the lines of a server's head

What callers would see: a small host short of memory while servers answer with heads of thousands of short lines and bodies that take long.

Cause: a head was bounded by its bytes, 64 KiB, and its lines are kept for as long as the request lasts; short ones cost many times their bytes. A head has 512 lines at most now. The new test failed before: 7,000 lines were taken. What hundreds of such heads need was worked out, not measured.

--- a/packages/entry-host/src/test/upstream/response-parser_test.ts
+++ b/packages/entry-host/src/test/upstream/response-parser_test.ts
@@ -234,3 +234,16 @@
   const {heads} = parse(`HTTP/1.1 204 No\r\nX: \t ${value}\t \r\n\r\n`);
   t.deepEqual(heads[0]?.rawHeaders, ['X', value]);
 });
+
+// Guards against heads of thousands of short lines, which cost some twenty times
+// their bytes for as long as their requests last.
+test('a head has a bounded number of lines', (t) => {
+  const head = (lines: number) =>
+    `HTTP/1.1 200 OK\r\n${'ab: cd\r\n'.repeat(lines)}\r\n`;
+  t.is(parse(head(100)).heads.length, 1);
+  t.throws(() => parse(head(7_000)), {instanceOf: MalformedResponseError});
+  const trailers = `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n`;
+  t.throws(() => parse(trailers + 'ab: cd\r\n'.repeat(12_000)), {
+    instanceOf: MalformedResponseError,
+  });
+});
--- a/packages/entry-host/src/upstream/response-parser.ts
+++ b/packages/entry-host/src/upstream/response-parser.ts
@@ -20,6 +20,9 @@
 /** Maximum size of a head, and of all trailers together, bytes. */
 const MAXIMUM_HEAD_BYTES = 65_536;
 
+/** Maximum number of lines of a head: each costs many times its bytes. */
+const MAXIMUM_HEAD_LINES = 512;
+
 /** Maximum length of a chunk size line or a trailer line, bytes. */
 const MAXIMUM_LINE_BYTES = 1_024;
 
@@ -131,6 +134,9 @@
     const [statusLine = '', ...lines] = bytes
       .toString('latin1', 0, end)
       .split('\r\n');
+    if (lines.length > MAXIMUM_HEAD_LINES) {
+      throw this.malformed('the head has too many lines');
+    }
     const status = Number(STATUS_LINE.exec(statusLine)?.[1]);
     if (Number.isNaN(status)) {
       throw this.malformed('no status line');
