Show that endless relayed answers hold little memory

A bound that no test reached: 256 relayed connections, as many as a peer carries, with answers without end that nobody reads.

--- a/packages/entry-host/src/test/relay/relay_test.ts
+++ b/packages/entry-host/src/test/relay/relay_test.ts
@@ -19,6 +19,18 @@
 } from '../../upstream/index.js';
 import {FleetSimulation, serverEntry} from '../views/fleet-simulation.js';
 
+/** As many connections as a peer relays at once. */
+const RELAYED = 256;
+
+/** Memory of a small machine beside what an idle host uses, megabytes. */
+const SMALL_MACHINE_MB = 150;
+
+/** Bytes that the process holds, within and outside of the heap. */
+const usedBytes = (): number => {
+  const {heapUsed, external} = process.memoryUsage();
+  return heapUsed + external;
+};
+
 const NOBODY: ConnectSocket = () => new Socket();
 const REFUSED: ConnectSocket = () =>
   new Socket().destroy(
@@ -197,3 +209,58 @@
   t.is(await dialer.check(known), 'refused');
   t.false(context.paths.usesRelay(known.key, context.clock.now()));
 });
+
+// Guards against relayed bytes without end that nobody reads: the peer and the
+// host that is cut hold the windows of their streams, not what the server sends.
+test.serial(
+  'hundreds of answers without end through a peer hold little memory',
+  async (t) => {
+    const piece = Buffer.alloc(65_536, 'x');
+    let writtenBytes = 0;
+    const {pool} = await startWorld(t, (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\n');
+      const write = () => {
+        while (!socket.destroyed) {
+          writtenBytes += piece.length;
+          if (!socket.write(piece)) {
+            return;
+          }
+        }
+      };
+      socket.on('drain', write);
+      write();
+    });
+    const before = usedBytes();
+    for (let index = 0; index < RELAYED; index += 1) {
+      const handle = pool.start(
+        {
+          method: 'GET',
+          head: 'GET / HTTP/1.1\r\nHost: h\r\n\r\n',
+          body: Buffer.alloc(0),
+          requestId: 'r',
+        },
+        RELAYED,
+        {
+          head: () => {
+            if (!(handle instanceof UpstreamError)) {
+              handle.pause();
+            }
+          },
+          data: () => undefined,
+          end: () => undefined,
+          failed: () => undefined,
+        },
+      );
+    }
+    // No more is written once all windows and buffers are full.
+    for (let earlierBytes = -1; earlierBytes < writtenBytes;) {
+      earlierBytes = writtenBytes;
+      await new Promise((resolve) => setTimeout(resolve, 500));
+    }
+    const usedMb = (usedBytes() - before) / 1_000_000;
+    t.log(
+      `${Math.round(usedMb)} MB of ${Math.round(writtenBytes / 1_000_000)}`,
+    );
+    t.true(usedMb < SMALL_MACHINE_MB);
+  },
+);
