Take requests in quarantine back from servers

What callers would see: a server crashes on a request whose key all hosts know to crash servers, and interrupts their answers.

A new quarantine refused requests that waited for a server; those that waited at one stayed. They are withdrawn now if their answer has not begun, with 502, as nothing shows that they have not run.

--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -404,12 +404,26 @@
     return this.parts.crashes.quarantined(() => this.keys());
   }
 
-  /** Refuses the request if it waits for a server and must not be sent. */
+  /**
+   * Refuses the request if it waits for a server and must not be sent, and takes
+   * it back from a server that has not begun to answer it.
+   */
   private handleQuarantine(): void {
-    const key = this.quarantinedKey();
-    if (!this.finished && this.send === undefined && key !== undefined) {
+    const key = this.finished ? undefined : this.quarantinedKey();
+    const {send} = this;
+    if (key === undefined) {
+      return;
+    }
+    if (send === undefined) {
       this.endWithoutServer(inQuarantine(key));
       this.abort.abort();
+    } else if (send.startedAt === undefined) {
+      this.parts.context.logger.info('request withdrawn from its server', {
+        requestId: this.request.id,
+        server: this.lastServer,
+        reason: `${key} crashes servers`,
+      });
+      send.withdraw();
     }
   }
 
--- a/packages/entry-host/src/test/front/slow-caller-harness.ts
+++ b/packages/entry-host/src/test/front/slow-caller-harness.ts
@@ -11,7 +11,7 @@
 } from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../../context.js';
-import {NO_CRASH_GUARD} from '../../crashes/index.js';
+import {type CrashGuard, NO_CRASH_GUARD} from '../../crashes/index.js';
 import {ANY_STREAM_VERSION} from '../../streams/index.js';
 import {CallerAnswer} from '../../front/caller-answer.js';
 import {RequestBufferTracker} from '../../front/request-buffer-tracker.js';
@@ -171,6 +171,7 @@
     memoryMb: number,
     answerBytes: number,
     shape: AnswerShape = USUAL_ANSWER,
+    crashes: CrashGuard = NO_CRASH_GUARD,
   ) {
     const {context: hostContext} = this.fleet.startHost('h0');
     const servers = new ServerTable();
@@ -217,7 +218,7 @@
         deposit: () => undefined,
         withdraw: () => false,
       } as unknown as RequestHandlerParts['budget'],
-      crashes: NO_CRASH_GUARD,
+      crashes,
       streams: ANY_STREAM_VERSION,
       authenticator: {mayStillSend: () => true},
     };
@@ -272,6 +273,10 @@
     return exchange;
   }
 
+  sourceOf(id: string): AnswerSource | undefined {
+    return this.exchanges.get(id)?.source;
+  }
+
   /** Runs a review of the buffer budget and everything that follows. */
   async review(): Promise<void> {
     const {time} = this.fleet;
