Ask less often whether an order is done, the longer it takes

Cause: the interval of the question was constant, made for loads of some 300 ms. It is now a sixteenth of the time that the order has taken, 12 ms at least, which delays an answer by as much.

--- a/packages/dispatch/src/adapters/slot-table.ts
+++ b/packages/dispatch/src/adapters/slot-table.ts
@@ -13,6 +13,12 @@
 /** Interval between queries of a load or unload, ms: a few round trips. */
 const CHECK_PERIOD_MS = 12;
 
+/**
+ * Share of the time that an order has taken after which it is queried again: a
+ * replacement waits for the requests that run on the version before.
+ */
+const CHECK_PERIOD_SHARE = 1 / 16;
+
 /** Half-life of the use count of an adapter, ms. */
 const USE_HALF_LIFE_MS = 6_000;
 
@@ -271,12 +277,10 @@
     : slot.checkAfterMs - elapsedMs(slot.orderedAt, at);
 
 /** Postpones the next query of the order in progress. */
-export const postponeCheck = (
-  slot: AdapterSlot,
-  at: Instant,
-  delayMs = CHECK_PERIOD_MS,
-): void => {
-  slot.checkAfterMs = elapsedMs(slot.orderedAt, at) + delayMs;
+export const postponeCheck = (slot: AdapterSlot, at: Instant): void => {
+  const tookMs = elapsedMs(slot.orderedAt, at);
+  const delayMs = Math.max(CHECK_PERIOD_MS, tookMs * CHECK_PERIOD_SHARE);
+  slot.checkAfterMs = tookMs + delayMs;
 };
 
 const decayedUsesAt = (slot: AdapterSlot, at: Instant): number =>
--- a/packages/dispatch/src/test/adapters/adapter-slots_test.ts
+++ b/packages/dispatch/src/test/adapters/adapter-slots_test.ts
@@ -222,6 +222,17 @@
   t.like(simulation.answers.get('r2'), {outcome: 'resident', version: 2});
 });
 
+// Guards against an order each 12 ms for as long as a replacement waits for the
+// requests that run on the version before.
+test('asks less often the longer an order takes', (t) => {
+  const simulation = new SlotsSimulation({...RELIABLE, loadMs: 5_000});
+  simulation.post({type: 'claim-changed', claim: 'issuing'});
+  simulation.prepare('r1', 'a1', {maximumWaitMs: 9_000});
+  simulation.advance(5_500);
+  t.like(simulation.answers.get('r1'), {outcome: 'resident'});
+  t.true(simulation.orders.length < 100, `${simulation.orders.length} orders`);
+});
+
 test('refuses requests for a newer version while the older one is in use', (t) => {
   const simulation = new SlotsSimulation(RELIABLE);
   simulation.post({type: 'claim-changed', claim: 'issuing'});
