Replace connections that remember many ids

What callers would see: a host whose memory grows for as long as servers keep its connections, fast where callers choose long ids.

Cause: a connection tells a repeated response by the ids that it has carried, and forgot none. It is replaced after its response once it remembers 64 KiB of ids, some 4,000 of the usual length; nothing is forgotten while it is in use. The new test failed before: one connection carried 100 ids of 2 kB.

--- a/packages/entry-host/src/test/upstream/connection_test.ts
+++ b/packages/entry-host/src/test/upstream/connection_test.ts
@@ -383,3 +383,18 @@
   pool.close();
   server.close();
 });
+
+// Guards against ids of requests, which callers choose, that are remembered for
+// as long as a server keeps a connection.
+test('a connection is replaced once it remembers many bytes of ids', async (t) => {
+  const {server, pool, opened} = await serve((request) => {
+    const id = request.split(' ')[1]?.slice(1) ?? '';
+    return responseTo(id, 'body');
+  });
+  for (let index = 0; index < 100; index += 1) {
+    await send(pool, `${index}-${'x'.repeat(2_000)}`);
+  }
+  t.is(opened(), 4);
+  pool.close();
+  server.close();
+});
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -81,6 +81,12 @@
  */
 const MAXIMUM_IDLE_MS = 600_000;
 
+/**
+ * Ids of requests that a connection remembers before it is replaced, bytes:
+ * thousands of usual ones.
+ */
+const MAXIMUM_ID_BYTES = 65_536;
+
 /** Idle timeout if the server sends no keep-alive timeout, milliseconds. */
 const DEFAULT_IDLE_MS = 4_000;
 
@@ -94,6 +100,7 @@
   private transport: Transport | undefined;
   private exchange: Exchange | undefined;
   private readonly earlierIds = new Set<string>();
+  private earlierIdBytes = 0;
   private ended = false;
   private reusable = true;
   private idleMs = DEFAULT_IDLE_MS;
@@ -253,6 +260,7 @@
     const {requestId} = exchange.request;
     if (requestId !== undefined) {
       this.earlierIds.add(requestId);
+      this.earlierIdBytes += requestId.length;
     }
     const {head} = exchange;
     const rawHeaders = head?.rawHeaders ?? [];
@@ -273,6 +281,7 @@
       !extraBytes &&
       bodySent &&
       exchange.selfDelimited &&
+      this.earlierIdBytes < MAXIMUM_ID_BYTES &&
       this.idleMs > 0;
     if (this.reusable) {
       stream?.setTimeout(this.idleMs);
