Log a request for a replacement that fails

Found in reading the change: a rejection in the guard of versions would have ended the process, as nobody awaits it.

--- a/packages/entry-host/src/front/version-guard.ts
+++ b/packages/entry-host/src/front/version-guard.ts
@@ -12,6 +12,7 @@
 } from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
+import {describeError} from '../lib/describe-error.js';
 import type {ViewGate} from '../store/index.js';
 
 /** A request that was sent to a server and whose answer has not begun. */
@@ -214,7 +215,12 @@
       });
       send.withdraw();
     } else if (leftMs <= REPLACEMENT_LEAD_MS) {
-      void this.requestReplacement(send, Math.max(0, leftMs));
+      this.requestReplacement(send, Math.max(0, leftMs)).catch(
+        (error: unknown) => {
+          const detail = describeError(error);
+          logger.error('request for a replacement failed', {error: detail});
+        },
+      );
     }
   }
 
--- a/packages/entry-host/src/test/front/version-guard_test.ts
+++ b/packages/entry-host/src/test/front/version-guard_test.ts
@@ -143,6 +143,17 @@
   t.true(withdrawnMs - startMs >= BOUND_MS - 500);
 });
 
+test('a failed issuer is asked again, and ends no process', async (t) => {
+  const {world, send, advanceTo, announce, requests} = createGuard();
+  const startMs = world.nowMs;
+  world.prepare = () => Promise.reject(new Error('the issuer failed'));
+  const {outcome} = send(1);
+  announce(2, startMs, startMs);
+  await advanceTo(startMs + BOUND_MS);
+  t.true(requests.length > 3);
+  t.not(outcome.withdrawnMs, undefined);
+});
+
 test('late news leave an order the time to refuse the request', async (t) => {
   const {world, send, advanceTo, announce, requests} = createGuard();
   const startMs = world.nowMs;
