--- a/packages/entry-host/src/test/front/endless-answers_test.ts
+++ b/packages/entry-host/src/test/front/endless-answers_test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 
+import {AVAILABLE_BYTES, SMALL_MACHINE_MB, usedBytes} from '../lib/memory.js';
 import {
   type CallerExchange,
   ROUTE,
@@ -7,16 +8,6 @@
   SlowCallerHarness,
 } from './slow-caller-harness.js';
 
-/** Memory of a small machine, megabytes, and what an idle host uses of it. */
-const MACHINE_MB = 250;
-const IDLE_MB = 100;
-
-/** Bytes that the process holds, within and outside of the heap. */
-const usedBytes = (): number => {
-  const {heapUsed, external} = process.memoryUsage();
-  return heapUsed + external;
-};
-
 /**
  * Starts requests whose answers stop before their end, and returns how much
  * memory they need.
@@ -39,8 +30,6 @@
   return {bytes: peak - before, exchanges};
 };
 
-const MAXIMUM_BYTES = (MACHINE_MB - IDLE_MB) * 1_000_000;
-
 // Guards against answers in tiny pieces, which cost a hundred times the memory
 // that was counted for them.
 for (const [name, status] of [
@@ -50,14 +39,14 @@
   test.serial(
     `${name} in tiny pieces costs little more than its bytes`,
     async (t) => {
-      const harness = new SlowCallerHarness(MACHINE_MB, 60_000, {
+      const harness = new SlowCallerHarness(SMALL_MACHINE_MB, 60_000, {
         status,
         pieceBytes: 1,
         isUnfinished: true,
       });
       const {bytes} = await holdAnswers(harness, 100, {kind: 'idempotent'});
       t.log(`${Math.round(bytes / 1_000_000)} MB`);
-      t.true(bytes < MAXIMUM_BYTES);
+      t.true(bytes < AVAILABLE_BYTES);
       harness.close();
     },
   );
@@ -68,7 +57,7 @@
 test.serial(
   'hundreds of unfinished events stay within the buffer limit',
   async (t) => {
-    const harness = new SlowCallerHarness(MACHINE_MB, 1_000_000, {
+    const harness = new SlowCallerHarness(SMALL_MACHINE_MB, 1_000_000, {
       status: 200,
       pieceBytes: 50_000,
       isUnfinished: true,
@@ -79,7 +68,7 @@
       maximumAttempts: 1,
     });
     t.log(`${Math.round(bytes / 1_000_000)} MB`);
-    t.true(bytes < MAXIMUM_BYTES);
+    t.true(bytes < AVAILABLE_BYTES);
     t.true(harness.budget.bytes <= harness.limitBytes);
     t.true(exchanges.some(({source}) => source?.cancelled === false));
     harness.close();
--- a/packages/entry-host/src/test/front/quarantined-waits_test.ts
+++ b/packages/entry-host/src/test/front/quarantined-waits_test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 
 import {NO_CRASH_GUARD} from '../../crashes/index.js';
+import {SMALL_MACHINE_MB} from '../lib/memory.js';
 import {ROUTE, settle, SlowCallerHarness} from './slow-caller-harness.js';
 
 /** A quarantine that begins when the test says so. */
@@ -26,14 +27,12 @@
   return {guard, begin};
 };
 
-const MEMORY_MB = 250;
-
 // Guards against a request that waits at a server and crashes it, although its
 // key was known by then: only requests without a server were refused.
 test('a request in quarantine is taken back from the server where it waits', async (t) => {
   const {guard, begin} = createQuarantine();
   const shape = {status: 200, pieceBytes: 100, isUnfinished: true};
-  const waiting = new SlowCallerHarness(MEMORY_MB, 0, shape, guard);
+  const waiting = new SlowCallerHarness(SMALL_MACHINE_MB, 0, shape, guard);
   const {caller, finished} = waiting.startExchange('r', ROUTE);
   caller.acceptBytes(Infinity);
   await settle(waiting);
@@ -46,7 +45,7 @@
 test('a request that its server answers goes on in quarantine', async (t) => {
   const {guard, begin} = createQuarantine();
   const shape = {status: 200, pieceBytes: 100, isUnfinished: true};
-  const answered = new SlowCallerHarness(MEMORY_MB, 100, shape, guard);
+  const answered = new SlowCallerHarness(SMALL_MACHINE_MB, 100, shape, guard);
   const {caller} = answered.startExchange('r', ROUTE);
   caller.acceptBytes(Infinity);
   await settle(answered);
--- a/packages/entry-host/src/test/relay/relay_test.ts
+++ b/packages/entry-host/src/test/relay/relay_test.ts
@@ -17,19 +17,12 @@
   UpstreamError,
   UpstreamPool,
 } from '../../upstream/index.js';
+import {AVAILABLE_BYTES, usedBytes} from '../lib/memory.js';
 import {FleetSimulation, serverEntry} from '../views/fleet-simulation.js';
 
-/** As many connections as a peer relays at once. */
+/** As many connections as a peer relays, and those that are opened at once. */
 const RELAYED = 256;
-
-/** Memory of a small machine beside what an idle host uses, megabytes. */
-const SMALL_MACHINE_MB = 150;
-
-/** Bytes that the process holds, within and outside of the heap. */
-const usedBytes = (): number => {
-  const {heapUsed, external} = process.memoryUsage();
-  return heapUsed + external;
-};
+const RELAYED_AT_ONCE = 16;
 
 const NOBODY: ConnectSocket = () => new Socket();
 const REFUSED: ConnectSocket = () =>
@@ -210,57 +203,100 @@
   t.false(context.paths.usesRelay(known.key, context.clock.now()));
 });
 
-// Guards against relayed bytes without end that nobody reads: the peer and the
-// host that is cut hold the windows of their streams, not what the server sends.
-test.serial(
-  'hundreds of answers without end through a peer hold little memory',
-  async (t) => {
-    const piece = Buffer.alloc(65_536, 'x');
-    let writtenBytes = 0;
-    const {pool} = await startWorld(t, (socket) => {
-      socket.write('HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\n');
-      const write = () => {
-        while (!socket.destroyed) {
-          writtenBytes += piece.length;
-          if (!socket.write(piece)) {
-            return;
+/** Starts a request and reads nothing after the head; false if it fails. */
+const openUnread = (pool: UpstreamPool): Promise<boolean> =>
+  new Promise((resolve) => {
+    const handle = pool.start(
+      {
+        method: 'GET',
+        head: 'GET / HTTP/1.1\r\nHost: h\r\n\r\n',
+        body: Buffer.alloc(0),
+        requestId: 'r',
+      },
+      RELAYED,
+      {
+        head: () => {
+          if (!(handle instanceof UpstreamError)) {
+            handle.pause();
           }
-        }
-      };
-      socket.on('drain', write);
-      write();
-    });
-    const before = usedBytes();
-    for (let index = 0; index < RELAYED; index += 1) {
-      const handle = pool.start(
-        {
-          method: 'GET',
-          head: 'GET / HTTP/1.1\r\nHost: h\r\n\r\n',
-          body: Buffer.alloc(0),
-          requestId: 'r',
+          resolve(true);
         },
-        RELAYED,
-        {
-          head: () => {
-            if (!(handle instanceof UpstreamError)) {
-              handle.pause();
-            }
-          },
-          data: () => undefined,
-          end: () => undefined,
-          failed: () => undefined,
+        data: () => undefined,
+        end: () => undefined,
+        failed: () => {
+          resolve(false);
         },
-      );
-    }
-    // No more is written once all windows and buffers are full.
-    for (let earlierBytes = -1; earlierBytes < writtenBytes;) {
-      earlierBytes = writtenBytes;
-      await new Promise((resolve) => setTimeout(resolve, 500));
-    }
-    const usedMb = (usedBytes() - before) / 1_000_000;
-    t.log(
-      `${Math.round(usedMb)} MB of ${Math.round(writtenBytes / 1_000_000)}`,
+      },
     );
-    t.true(usedMb < SMALL_MACHINE_MB);
-  },
-);
+    if (handle instanceof UpstreamError) {
+      resolve(false);
+    }
+  });
+
+/** A server that answers without end, and how much it has written. */
+const answerWithoutEnd = () => {
+  const piece = Buffer.alloc(65_536, 'x');
+  const written = {bytes: 0};
+  const answer = (socket: Socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\n');
+    const write = () => {
+      while (!socket.destroyed) {
+        written.bytes += piece.length;
+        if (!socket.write(piece)) {
+          return;
+        }
+      }
+    };
+    socket.on('drain', write);
+    write();
+  };
+  return {written, answer};
+};
+
+/** Starts requests that read nothing; returns how many were connected. */
+const openAllUnread = async (
+  pool: UpstreamPool,
+  count: number,
+): Promise<number> => {
+  const opened = await Promise.all(
+    Array.from({length: count}, () => openUnread(pool)),
+  );
+  return opened.filter(Boolean).length;
+};
+
+// Guards against relayed bytes without end that nobody reads: the peer and the
+// host that is cut hold the windows of their streams, not what the server sends.
+test.serial('unread answers through a peer hold little memory', async (t) => {
+  const {written, answer} = answerWithoutEnd();
+  const {pool} = await startWorld(t, answer);
+  const before = usedBytes();
+  let connected = 0;
+  while (connected === 0) {
+    // A busy machine may miss the time-outs of all connections.
+    connected = await openAllUnread(pool, RELAYED);
+  }
+  // No more is written once all windows and buffers are full.
+  for (let earlierBytes = -1; earlierBytes < written.bytes;) {
+    earlierBytes = written.bytes;
+    await new Promise((resolve) => setTimeout(resolve, 500));
+  }
+  const heldBytes = usedBytes() - before;
+  t.log(`${heldBytes} of ${written.bytes} bytes, ${connected} connections`);
+  t.true(heldBytes < AVAILABLE_BYTES);
+});
+
+// Known to be red: connections that nobody reads keep others from being opened
+// through the same peer.
+test.serial.failing('unread answers block no other connection', async (t) => {
+  const {answer} = answerWithoutEnd();
+  const {pool} = await startWorld(t, answer);
+  let connected = 0;
+  while (connected === 0) {
+    connected = await openAllUnread(pool, RELAYED_AT_ONCE);
+  }
+  let others = 0;
+  for (let tries = 0; tries < 5 && others === 0; tries += 1) {
+    others = await openAllUnread(pool, RELAYED_AT_ONCE);
+  }
+  t.true(others > 0);
+});
--- a/packages/entry-host/src/test/upstream/server-caller_test.ts
+++ b/packages/entry-host/src/test/upstream/server-caller_test.ts
@@ -16,11 +16,7 @@
 } from '../../upstream/index.js';
 import {FleetSimulation, serverEntry} from '../views/fleet-simulation.js';
 import {HEADER_NAMES} from '../front/header-names.js';
-
-/** Memory of a small machine, megabytes, and what an idle host uses of it. */
-const MACHINE_MB = 250;
-const IDLE_MB = 100;
-const MAXIMUM_BYTES = (MACHINE_MB - IDLE_MB) * 1_000_000;
+import {AVAILABLE_BYTES, usedBytes} from '../lib/memory.js';
 
 const CALLS = 300;
 const TIMEOUT_MS = 8_000;
@@ -28,11 +24,6 @@
 /** A call ends at a bound, or at its time-out if the machine is slow. */
 const ENDS: ReadonlySet<string> = new Set(['malformed', 'cancelled']);
 
-const usedBytes = (): number => {
-  const {heapUsed, external} = process.memoryUsage();
-  return heapUsed + external;
-};
-
 const HEAD = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
 
 /** Writes pieces to a connection for as long as it stays open. */
@@ -145,7 +136,7 @@
           await sleep(5);
         }
         t.log(`${Math.round((peak - before) / 1_000_000)} MB`);
-        t.true(peak - before < MAXIMUM_BYTES);
+        t.true(peak - before < AVAILABLE_BYTES);
       },
     );
   }
@@ -175,7 +166,7 @@
       answer instanceof UpstreamError ? answer.reason : 'complete',
     );
     t.log(`${Math.round((peak - before) / 1_000_000)} MB`);
-    t.true(peak - before < MAXIMUM_BYTES);
+    t.true(peak - before < AVAILABLE_BYTES);
     t.true(reasons.includes('malformed'), 'the limit is reached');
     t.false(reasons.includes('complete'));
   },
