Give the peer of the relay tests its own view of paths

The finding of unread relayed answers is traced: it was one of the test. The peer shared the cut host's ServerPaths, took itself for cut once the first connection was relayed, and refused the rest.

--- a/packages/entry-host/src/test/relay/relay_test.ts
+++ b/packages/entry-host/src/test/relay/relay_test.ts
@@ -7,7 +7,7 @@
 } from 'node:net';
 
 import {TimerService} from '@basilworks/daemon';
-import {ServerTable} from '@basilworks/dispatch';
+import {ServerPaths, ServerTable} from '@basilworks/dispatch';
 import test, {type ExecutionContext} from 'ava';
 
 import type {EntryHostContext} from '../../context.js';
@@ -63,7 +63,7 @@
     servers,
     membership: {live: () => [simulated.membership.self(), peer]},
   } as unknown as EntryHostContext;
-  const listener = new RelayListener({...context, paths: simulated.paths});
+  const listener = new RelayListener({...context, paths: new ServerPaths()});
   (await listener.listen('127.0.0.1', relayPort))._unsafeUnwrap();
   const sessions = new RelaySessions(timers, simulated.clock);
   const dialer = new ServerDialer(context, sessions, connectSocket);
@@ -271,9 +271,9 @@
   const {pool} = await startWorld(t, answer);
   const before = usedBytes();
   let connected = 0;
-  while (connected === 0) {
-    // A busy machine may miss the time-outs of all connections.
-    connected = await openAllUnread(pool, RELAYED);
+  while (connected < RELAYED / 2) {
+    // A busy machine may miss the time-outs of some connections.
+    connected += await openAllUnread(pool, RELAYED - connected);
   }
   // No more is written once all windows and buffers are full.
   for (let earlierBytes = -1; earlierBytes < written.bytes;) {
@@ -285,9 +285,9 @@
   t.true(heldBytes < AVAILABLE_BYTES);
 });
 
-// Known to be red: connections that nobody reads keep others from being opened
-// through the same peer.
-test.serial.failing('unread answers block no other connection', async (t) => {
+// Guards against connections that nobody reads and that keep others from being
+// opened through the same peer.
+test.serial('unread answers block no other connection', async (t) => {
   const {answer} = answerWithoutEnd();
   const {pool} = await startWorld(t, answer);
   let connected = 0;
