Log how answers end and by which path they came

Callers saw streams end as complete before their last event. Nothing logged told whether the host, the server, a relay or the caller had ended them: complete answers on time are on the debug level, and a send told neither its path nor how its answer was delimited. Each send now logs its path, the bytes that came and whether only the connection marked the end; such an answer has a line as it begins and one as it ends, so that a host that ended first shows as a line without its pair. The test of the fields lists the three new ones.

--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -499,6 +499,12 @@
 
   private beginAnswer(head: ResponseHead): void {
     const {status, endsWithConnection} = head;
+    if (endsWithConnection) {
+      this.parts.context.logger.info('answer ends with its connection', {
+        requestId: this.request.id,
+        server: this.lastServer,
+      });
+    }
     this.answer.begin(status, callerHeaders(head), endsWithConnection);
   }
 
@@ -682,7 +688,9 @@
     const late =
       (headMs ?? 0) > this.route.latencyTargetMs ||
       (timing?.longestGapMs ?? 0) > (this.route.eventGapMs ?? Infinity);
-    const level = outcome === 'answered' && !late ? 'debug' : 'info';
+    const endsWithConnection = this.latestSend?.endedWithConnection ?? false;
+    const usual = outcome === 'answered' && !late && !endsWithConnection;
+    const level = usual ? 'debug' : 'info';
     logger[level]('request ended', {
       requestId: this.request.id,
       route: name,
@@ -699,6 +707,8 @@
       sentMs: this.lastSentMs,
       promptWaitMs: this.lastPromptWaitMs,
       headMs,
+      endsWithConnection,
+      acceptedBytes: this.answer.acceptedBytes,
       targetMs: this.route.latencyTargetMs,
       ...timing,
       elapsedMs: this.elapsedMs(),
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -13,6 +13,7 @@
   type ExchangeHandle,
   headerValue,
   type ResponseHead,
+  type ServerPath,
   UpstreamError,
   type UpstreamPools,
 } from '../upstream/index.js';
@@ -101,6 +102,12 @@
   readonly delayMs: number | undefined;
   /** Time from the selection to the first event; undefined if none came. */
   readonly startedMs: number | undefined;
+  /** How the server was reached; undefined if it was not. */
+  readonly path: ServerPath | undefined;
+  /** Whether only the end of the connection marked the end of the answer. */
+  readonly endsWithConnection: boolean | undefined;
+  /** Body bytes that came from the server. */
+  readonly answerBytes: number;
 }
 
 /** One send of a request to one server. */
@@ -113,6 +120,7 @@
   /** The body of a failure. */
   private readonly failureBody = new GrowingBuffer();
   private refusalBytes = 0;
+  private answerBytes = 0;
   private cancelled = false;
   private withdrawn = false;
   private answerStarted = false;
@@ -120,7 +128,12 @@
   private readonly selectedAt: Instant;
   private readonly selectionLogFields: Omit<
     SendLogFields,
-    'delayMs' | 'startedMs' | 'versionViewAgeMs'
+    | 'answerBytes'
+    | 'delayMs'
+    | 'endsWithConnection'
+    | 'path'
+    | 'startedMs'
+    | 'versionViewAgeMs'
   >;
   private estimate: ServerEstimate | undefined;
   private delayMs: number | undefined;
@@ -159,6 +172,9 @@
         this.firstDataAt === undefined
           ? undefined
           : Math.round(elapsedMs(this.selectedAt, this.firstDataAt)),
+      path: this.handle?.path,
+      endsWithConnection: this.head?.endsWithConnection,
+      answerBytes: this.answerBytes,
     };
   }
 
@@ -223,6 +239,7 @@
           },
           data: (chunk) => {
             const at = clock.now();
+            this.answerBytes += chunk.length;
             if (this.mode === 'pass-on') {
               this.firstDataAt ??= at;
             }
--- a/packages/entry-host/src/test/front/server-send_test.ts
+++ b/packages/entry-host/src/test/front/server-send_test.ts
@@ -86,6 +86,9 @@
     delayMs: 0,
     startedMs: undefined,
     versionViewAgeMs: Infinity,
+    path: undefined,
+    endsWithConnection: undefined,
+    answerBytes: 0,
   });
 });
 
--- a/packages/entry-host/src/upstream/pool.ts
+++ b/packages/entry-host/src/upstream/pool.ts
@@ -15,6 +15,8 @@
 
 /** Controls an exchange in progress. */
 export interface ExchangeHandle {
+  /** How the server is reached; undefined until it is. */
+  readonly path: ServerPath | undefined;
   pause(): void;
   resume(): void;
   cancel(): void;
