Frame answers whose servers delimit them by the close

Callers saw streams end as complete before their last event, two at one host in the same instant. Cause: an answer that came with neither a length nor chunks was passed on in the same way. When the process ends, killed or at the end of its grace, the kernel closes its connections with FIN, and nothing of ours runs that could reset them. The same end came of a caller that had closed its half.

Answers are now sent with a length once they are whole, or in chunks, whatever their server does: the last chunk is only written by a process that lives and has seen the end of the server's answer.

--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -505,7 +505,7 @@
         server: this.lastServer,
       });
     }
-    this.answer.begin(status, callerHeaders(head), endsWithConnection);
+    this.answer.begin(status, callerHeaders(head));
   }
 
   private handleData(chunk: Buffer): void {
@@ -590,7 +590,6 @@
         bufferedHead.status,
         callerHeaders(bufferedHead),
         this.buffered.take(),
-        bufferedHead.endsWithConnection,
       );
       return;
     }
@@ -611,8 +610,7 @@
       return;
     }
     this.finish('failed by its server', head.status);
-    const {status, endsWithConnection} = head;
-    this.answer.send(status, callerHeaders(head), body, endsWithConnection);
+    this.answer.send(head.status, callerHeaders(head), body);
   }
 
   private endWithoutServer({
