Write no refusal into an answer in progress

Callers that sent malformed bytes after a request got "HTTP/1.1 400" within its answer, where it could complete a body, or in place of the answer while the server still worked on it; a head that was late for longer than the limit got 408 alike. Cause: bytes that can't be parsed were answered at once and the connection closed, whatever was under way on it.

While a request that was read whole awaits the end of its answer, such bytes are not answered; the connection closes after that answer.

--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -77,6 +77,10 @@
   private readonly retryBudgets = new Map<string, RetryBudget>();
   /** Connections on which a request has been read. */
   private readonly usedSockets = new WeakSet<Socket>();
+  /** Requests that are not answered yet, by connection. */
+  private readonly openRequests = new WeakMap<Duplex, Set<IncomingMessage>>();
+  /** Connections that close after their current answer. */
+  private readonly closingSockets = new WeakSet<Duplex>();
   private readonly bufferBudget: BufferBudget;
   private readonly authenticator: CallerAuthenticator;
   private readonly configurationGate: ViewGate;
@@ -205,16 +209,20 @@
   ): Promise<void> {
     const {clock, platform} = this.context;
     const arrivedAt = clock.now();
+    const {socket} = message;
+    const isClosing = () => this.draining || this.closingSockets.has(socket);
     this.inProgress += 1;
+    this.openRequestsOn(socket).add(message);
     response.once('close', () => {
       this.inProgress -= 1;
-      if (this.draining) {
-        // The head may have been sent before draining began, and so without
-        // `Connection: close`.
-        message.socket.destroySoon();
+      this.openRequestsOn(socket).delete(message);
+      if (isClosing()) {
+        // The head may have been sent before the connection was to close, and so
+        // without `Connection: close`.
+        socket.destroySoon();
       }
     });
-    const answer = new CallerAnswer(response, () => this.draining);
+    const answer = new CallerAnswer(response, isClosing);
     const reject = (status: number, reason: string) => {
       this.reject(message, answer, {status, reason});
     };
@@ -391,6 +399,16 @@
     return true;
   }
 
+  private openRequestsOn(socket: Duplex): Set<IncomingMessage> {
+    const known = this.openRequests.get(socket);
+    if (known !== undefined) {
+      return known;
+    }
+    const requests = new Set<IncomingMessage>();
+    this.openRequests.set(socket, requests);
+    return requests;
+  }
+
   private retryBudgetFor(service: string): RetryBudget {
     const known = this.retryBudgets.get(service);
     if (known !== undefined) {
@@ -495,12 +513,21 @@
     error: NodeJS.ErrnoException,
     socket: Duplex,
   ): void {
+    if (this.closingSockets.has(socket)) {
+      return;
+    }
     const code = error.code ?? '';
     this.context.logger.info('connection rejected', {code});
     if (code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
       return;
     }
+    const open = [...this.openRequestsOn(socket)];
+    if (open.some(({complete}) => complete)) {
+      // What is written now would become part of an answer in progress.
+      this.closingSockets.add(socket);
+      return;
+    }
     const status = CLIENT_ERROR_STATUSES[code] ?? '400 Bad Request';
     socket.end(
       `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
