Keep the framing of small plain answers without a length

Cause: servers that live on cut plain answers without a length within the body and close in order. Nobody can see that; a length asserted that they were whole, where callers otherwise know that such an answer may be truncated.

A plain answer of up to 16 KiB that its server delimited by the close is passed on alike again, in one write once it has ended, so that a kill of the host leaves all of it or nothing. Larger ones go out in chunks or with a length: a part of them can be cut off by the host's end. Streams stay in chunks: an end within an event shows a cut, and one between events is checked at the server.

--- a/packages/entry-host/src/front/caller-answer.ts
+++ b/packages/entry-host/src/front/caller-answer.ts
@@ -6,6 +6,13 @@
  */
 const CHUNK_BYTES = 16_384;
 
+/**
+ * Largest body that keeps the framing of a server that sends no length, bytes:
+ * the initial send buffer of a connection takes it at once, so that the end of
+ * this process can't cut it off.
+ */
+const MAXIMUM_UNFRAMED_BYTES = 16_384;
+
 /** Largest answer that is written at once, bytes: one read from a socket. */
 const MAXIMUM_SINGLE_WRITE_BYTES = 65_536;
 
@@ -65,8 +72,8 @@
   }
 
   /**
-   * Begins an answer whose body follows in chunks, however its server delimits
-   * it: when this process ends, the kernel closes its connections in order, and
+   * Begins an answer whose body follows in chunks, even if only the end of its
+   * server's connection delimits it: when this process ends, the kernel closes its connections in order, and
    * only a last chunk that is missing shows that the answer is not complete.
    */
   begin(status: number, rawHeaders: readonly string[]): void {
@@ -93,11 +100,26 @@
     }
   }
 
-  /** Writes a whole answer. */
-  send(status: number, rawHeaders: readonly string[], body: Buffer): void {
+  /**
+   * Writes a whole answer. With `endsWithConnection`, only the end of its
+   * server's connection delimited it, so that it may have been truncated; a
+   * length would assert that it is complete.
+   */
+  send(
+    status: number,
+    rawHeaders: readonly string[],
+    body: Buffer,
+    endsWithConnection = false,
+  ): void {
     this.finished = true;
-    const contentLength = ['Content-Length', `${body.length}`];
-    this.writeHead(status, [...rawHeaders, ...contentLength]);
+    if (endsWithConnection && body.length <= MAXIMUM_UNFRAMED_BYTES) {
+      this.response.useChunkedEncodingByDefault = false;
+      this.response.shouldKeepAlive = false;
+      this.writeHead(status, rawHeaders, true);
+    } else {
+      const contentLength = ['Content-Length', `${body.length}`];
+      this.writeHead(status, [...rawHeaders, ...contentLength]);
+    }
     if (body.length <= MAXIMUM_SINGLE_WRITE_BYTES) {
       this.writtenBytes += body.length;
       this.response.end(body);
@@ -141,8 +163,12 @@
     }
   }
 
-  private writeHead(status: number, rawHeaders: readonly string[]): void {
-    const connectionHeader = this.isClosing() ? ['Connection', 'close'] : [];
+  private writeHead(
+    status: number,
+    rawHeaders: readonly string[],
+    closesConnection = this.isClosing(),
+  ): void {
+    const connectionHeader = closesConnection ? ['Connection', 'close'] : [];
     this.response.writeHead(status, [...rawHeaders, ...connectionHeader]);
   }
 }
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -602,6 +602,7 @@
         bufferedHead.status,
         callerHeaders(bufferedHead),
         this.buffered.take(),
+        bufferedHead.endsWithConnection,
       );
       return;
     }
@@ -622,7 +623,8 @@
       return;
     }
     this.finish('failed by its server', head.status);
-    this.answer.send(head.status, callerHeaders(head), body);
+    const {status, endsWithConnection} = head;
+    this.answer.send(status, callerHeaders(head), body, endsWithConnection);
   }
 
   private endWithoutServer({
--- /dev/null
+++ b/packages/entry-host/src/test/front/caller-answer_test.ts
@@ -0,0 +1,44 @@
+import {createServer, request} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import test from 'ava';
+
+import {CallerAnswer} from '../../front/caller-answer.js';
+
+/** Framing of an answer of `bytes` that its server delimited by the close. */
+const framingOf = async (bytes: number): Promise<string> => {
+  const server = createServer((_request, response) => {
+    const answer = new CallerAnswer(response, () => false);
+    answer.send(200, [], Buffer.alloc(bytes), true);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  const headers = await new Promise<NodeJS.Dict<string | string[]>>(
+    (resolve) => {
+      request({port, host: '127.0.0.1'}, (response) => {
+        response.resume();
+        response.on('end', () => {
+          resolve(response.headers);
+        });
+      }).end();
+    },
+  );
+  server.close();
+  return headers['content-length'] === undefined
+    ? String(headers.connection)
+    : 'length';
+};
+
+// Guards against a length that asserts that an answer is complete although its
+// server may have truncated it.
+test('a small answer without a length keeps its framing', async (t) => {
+  t.is(await framingOf(800), 'close');
+});
+
+// Guards against a part of an answer that looks complete: the end of the process
+// cuts off what the connection has not taken yet.
+test('a large answer without a length is sent with one', async (t) => {
+  t.is(await framingOf(100_000), 'length');
+});
