Reset streams over HTTP/1.0 that break off

Callers of HTTP/1.0 got streams that end as complete after event 1 of 12 when the server reset its connection, when they had closed their half, and when the grace of a planned stop ran out. Cause: HTTP/1.0 has no chunks, the end of the connection is all that marks the end, and the host closed it in order. Nothing but a reset shows such a caller that its stream broke off.

A stream that breaks off resets its connection now, a half-closed caller's is reset before the runtime closes it, and closing the listener aborts open answers first. A connection that is shutting down is not reset: the runtime keeps its descriptor then, which also let the proxies of the tests hang at times.

A kill of the host still ends such streams in order: no code runs then, and the runtime offers no way to have the kernel reset connections by itself.

--- a/packages/entry-host/src/front/caller-answer.ts
+++ b/packages/entry-host/src/front/caller-answer.ts
@@ -19,6 +19,8 @@
 /** The answer to a caller, written as it arrives. */
 export class CallerAnswer {
   private finished = false;
+  /** Whether only the end of the connection marks the end of the answer. */
+  private endsWithConnection = false;
   private ending = false;
   private writtenBytes = 0;
   /** Chunks that wait until the connection has accepted earlier bytes. */
@@ -79,6 +81,15 @@
   begin(status: number, rawHeaders: readonly string[]): void {
     this.writeHead(status, rawHeaders);
     this.response.flushHeaders();
+    const {chunkedEncoding, req} = this.response;
+    if (req.httpVersion === '1.0' && !chunkedEncoding) {
+      // The runtime would close a connection whose caller has closed its half
+      // as at the end of the answer.
+      this.endsWithConnection = true;
+      this.response.socket?.prependOnceListener('end', () => {
+        this.resetConnection();
+      });
+    }
   }
 
   /** Writes a chunk; false if the caller reads slower than chunks arrive. */
@@ -135,7 +146,21 @@
     this.finished = true;
     this.queue.length = 0;
     this.queuedBytes = 0;
-    this.response.destroy();
+    if (this.endsWithConnection) {
+      this.resetConnection();
+    } else {
+      this.response.destroy();
+    }
+  }
+
+  private resetConnection(): void {
+    const {socket} = this.response;
+    if (socket?.writableEnded === true) {
+      // A reset during a shutdown fails and would leave the descriptor open.
+      socket.destroy();
+    } else {
+      socket?.resetAndDestroy();
+    }
   }
 
   /** Writes queued chunks for as long as the connection accepts them. */
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -81,6 +81,7 @@
   private readonly openRequests = new WeakMap<Duplex, Set<IncomingMessage>>();
   /** Connections that close after their current answer. */
   private readonly closingSockets = new WeakSet<Duplex>();
+  private readonly openAnswers = new Set<CallerAnswer>();
   private readonly bufferBudget: BufferBudget;
   private readonly authenticator: CallerAuthenticator;
   private readonly configurationGate: ViewGate;
@@ -195,6 +196,9 @@
 
   close(): void {
     this.server.close();
+    for (const answer of this.openAnswers) {
+      answer.abort();
+    }
     this.server.closeAllConnections();
   }
 
@@ -223,6 +227,10 @@
       }
     });
     const answer = new CallerAnswer(response, isClosing);
+    this.openAnswers.add(answer);
+    answer.onClose(() => {
+      this.openAnswers.delete(answer);
+    });
     const reject = (status: number, reason: string) => {
       this.reject(message, answer, {status, reason});
     };
