Reset small answers without a length that are cut off

A small answer that keeps its framing is one write; a caller whose connection takes only a part of it and then nothing for ten seconds was disconnected in order, so that the part looked complete. Found by reading; no test: the kernel takes such an answer at once on loopback. It is reset now unless the kernel has taken all of it, which a reset would discard.

--- a/packages/entry-host/src/front/caller-answer.ts
+++ b/packages/entry-host/src/front/caller-answer.ts
@@ -124,6 +124,7 @@
   ): void {
     this.finished = true;
     if (endsWithConnection && body.length <= MAXIMUM_UNFRAMED_BYTES) {
+      this.endsWithConnection = true;
       this.response.useChunkedEncodingByDefault = false;
       this.response.shouldKeepAlive = false;
       this.writeHead(status, rawHeaders, true);
@@ -146,7 +147,7 @@
     this.finished = true;
     this.queue.length = 0;
     this.queuedBytes = 0;
-    if (this.endsWithConnection) {
+    if (this.endsWithConnection && !this.response.writableFinished) {
       this.resetConnection();
     } else {
       this.response.destroy();
