Bound what unfinished requests hold at the plain HTTP ports

At the directory, readiness and metrics ports a crowd of 1,200 connections with heads or bodies that don't end ended a process with 180 MB of memory, and 2,500 idle connections took 2,532 descriptors, which connections to servers need.

Cause: the listeners ran with the defaults of the runtime. They keep up to 2,000 lines of a head as strings, at about ten times their bytes, for a minute while the head is unfinished and for five while the body is, though the request is answered; and they accept any number of connections.

--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -1,10 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
-import {
-  createServer,
-  type RequestListener,
-  type Server as HttpServer,
-} from 'node:http';
+import type {Server as HttpServer} from 'node:http';
 
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
@@ -44,7 +40,8 @@
 import {CrashMonitor} from './crashes/index.js';
 import {FrontListener, ServerSelector, TenantShares} from './front/index.js';
 import {RateLimitedLogger} from './lib/rate-limited-logger.js';
-import {createRouteListener} from './lib/route-listener.js';
+import type {RouteHandler} from './lib/route-listener.js';
+import {createRouteServer} from './lib/route-server.js';
 import {EntryHostMetrics} from './metrics.js';
 import {AdapterBroker, ClaimManager} from './orders/index.js';
 import {SendPermits} from './permits/index.js';
@@ -621,18 +618,18 @@
     logger.info('health check completed', {server: server.entry.id, status});
   }
 
-  private readinessRoutes(): RequestListener {
-    return createRouteListener({
+  private readinessRoutes(): RouteHandlers {
+    return {
       [this.context.platform.host.readyPath]: () => ({
         status: this.ready ? 200 : 503,
       }),
-    });
+    };
   }
 
-  private directoryRoutes(): RequestListener {
+  private directoryRoutes(): RouteHandlers {
     const {platform, membership, random} = this.context;
     const {host} = platform;
-    return createRouteListener({
+    return {
       [host.addressPath]: (query) => {
         const addresses = selectCallerAddresses(
           membership.live(),
@@ -650,23 +647,23 @@
           body: JSON.stringify(host.addressResponse(addresses, lifetimeS)),
         };
       },
-    });
+    };
   }
 
-  private metricsRoutes(): RequestListener {
+  private metricsRoutes(): RouteHandlers {
     const {registry} = this.context.metrics;
-    return createRouteListener({
+    return {
       '/metrics': async () => ({
         status: 200,
         contentType: 'text/plain;charset=UTF-8',
         body: await registry.metrics(),
       }),
-    });
+    };
   }
 
-  private listen(address: string, routes: RequestListener): void {
+  private listen(address: string, routes: RouteHandlers): void {
     const [host, port] = parseAddress(address);
-    const server = createServer(routes);
+    const server = createRouteServer(routes);
     server.on('error', (error) => {
       this.context.logger.error('HTTP listener failed', {
         address,
@@ -678,6 +675,8 @@
   }
 }
 
+type RouteHandlers = Readonly<Record<string, RouteHandler>>;
+
 const VIEW_HANDLERS: Readonly<Record<StoreKind, (host: EntryHost) => void>> = {
   configuration: (host) => {
     host.applyConfiguration();
