Bound the incomplete messages of all peers together

At the peers' port 16 streams with messages in one-byte frames ended a process with 180 MB of memory (65,530 pieces each), and 40 messages a byte short of 4 MiB took it to a peak of 249 to 253 MB.

Cause: the decoder of the gRPC library keeps each piece as a buffer of its own until its message is whole, at hundreds of bytes besides its own, and no limit was shared by the messages of all peers.

An interceptor counts the pieces of each stream with 512 bytes besides their own and bounds all together to 32 MiB; beyond that the connection of the stream that holds most is closed. A message leaves the count once it is whole, so peers inside the limits, whose messages take milliseconds, don't meet the bound.

--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -20,6 +20,7 @@
   encodeCompletions,
   type KeyCompletion,
 } from './crash-codec.js';
+import {createBudgetInterceptor, MessageBudget} from './message-budget.js';
 import {encodePrepareAnswer} from './prepare-answer-codec.js';
 import type {PeerExchange} from './peer-exchange.js';
 import {PEER_CHANNEL_OPTIONS} from './peer-link.js';
@@ -71,6 +72,7 @@
   private readonly server = new Server({
     ...PEER_CHANNEL_OPTIONS,
     'grpc.max_receive_message_length': MAXIMUM_REQUEST_BYTES,
+    interceptors: [createBudgetInterceptor(new MessageBudget())],
   });
 
   constructor(
