Bound the conversations of peers

At the peers' port 20,000 idle conversations on ten connections ended a process with 180 MB of memory, and 4,000 with 110 entries of metadata each took it beyond its memory (200 MB with half of them).

Cause: neither a connection's streams nor the conversations of all peers were bounded, and each keeps its metadata and its call for as long as it is open.

A connection has 8 streams, and of more than 1,024 conversations the one without a message for longest is closed. A peer has one conversation, which exchanges state every second at least, and a deployment has up to 300 hosts. What counts pieces and messages moves into an interceptor that observes streams.

--- a/packages/entry-host/src/peers/message-budget.ts
+++ b/packages/entry-host/src/peers/message-budget.ts
@@ -1,12 +1,4 @@
 import type {ServerHttp2Stream} from 'node:http2';
-import {Duplex} from 'node:stream';
-
-import {
-  ResponderBuilder,
-  ServerInterceptingCall,
-  type ServerInterceptor,
-  ServerListenerBuilder,
-} from '@grpc/grpc-js';
 
 /** Incomplete messages of all peers together, bytes. */
 const MAXIMUM_HELD_BYTES = 32 * 1_048_576;
@@ -58,37 +50,3 @@
     }
   }
 }
-
-/** Counts the pieces of incomplete messages of each call. */
-export const createBudgetInterceptor =
-  (budget: MessageBudget): ServerInterceptor =>
-  (_method, call) => {
-    const stream = streamOf(call);
-    if (stream === undefined) {
-      return new ServerInterceptingCall(call);
-    }
-    stream.on('data', ({length}: Buffer) => {
-      budget.recordPiece(stream, length);
-    });
-    stream.once('close', () => {
-      budget.release(stream);
-    });
-    const listener = new ServerListenerBuilder()
-      .withOnReceiveMessage((message, next) => {
-        budget.release(stream);
-        next(message);
-      })
-      .build();
-    const responder = new ResponderBuilder()
-      .withStart((next) => {
-        next(listener);
-      })
-      .build();
-    return new ServerInterceptingCall(call, responder);
-  };
-
-/** The stream of a call, to which the library has no public access. */
-const streamOf = (call: object): ServerHttp2Stream | undefined =>
-  'stream' in call && call.stream instanceof Duplex
-    ? (call.stream as ServerHttp2Stream)
-    : undefined;
--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -20,10 +20,11 @@
   encodeCompletions,
   type KeyCompletion,
 } from './crash-codec.js';
-import {createBudgetInterceptor, MessageBudget} from './message-budget.js';
+import {ConversationLimits} from './conversation-limits.js';
 import {encodePrepareAnswer} from './prepare-answer-codec.js';
 import type {PeerExchange} from './peer-exchange.js';
 import {PEER_CHANNEL_OPTIONS} from './peer-link.js';
+import {createStreamInterceptor} from './stream-interceptor.js';
 
 /**
  * Largest request of a peer, bytes: reports on all servers of a large site.
@@ -31,6 +32,9 @@
  */
 const MAXIMUM_REQUEST_BYTES = 4 * 1_048_576;
 
+/** Streams of one connection at once; a peer has one conversation. */
+const MAXIMUM_STREAMS = 8;
+
 /** Makes adapters resident on servers whose orders this host issues. */
 export interface AdapterPreparer {
   prepare(
@@ -72,7 +76,8 @@
   private readonly server = new Server({
     ...PEER_CHANNEL_OPTIONS,
     'grpc.max_receive_message_length': MAXIMUM_REQUEST_BYTES,
-    interceptors: [createBudgetInterceptor(new MessageBudget())],
+    'grpc.max_concurrent_streams': MAXIMUM_STREAMS,
+    interceptors: [createStreamInterceptor(new ConversationLimits())],
   });
 
   constructor(
