--- a/packages/entry-host/src/test/front/caller-answer_test.ts
+++ b/packages/entry-host/src/test/front/caller-answer_test.ts
@@ -1,5 +1,6 @@
 import {createServer, request} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {type AddressInfo, connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 import test from 'ava';
 
@@ -42,3 +43,38 @@
 test('a large answer without a length is sent with one', async (t) => {
   t.is(await framingOf(100_000), 'length');
 });
+
+const WHOLE_BYTES = 30_000_000;
+
+// Guards against a whole answer over HTTP/1.0 that is cut: its caller closed its
+// half of the connection before it had read the rest.
+test.failing(
+  'a finished answer over HTTP/1.0 outlasts the half of its caller',
+  async (t) => {
+    const server = createServer((_request, response) => {
+      const answer = new CallerAnswer(response, () => false);
+      answer.begin(200, []);
+      answer.write(Buffer.alloc(WHOLE_BYTES));
+      answer.end();
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    const caller = connect({port, host: '127.0.0.1', allowHalfOpen: true});
+    caller.on('error', () => undefined);
+    caller.write('GET / HTTP/1.0\r\n\r\n');
+    await sleep(200);
+    caller.end();
+    await sleep(200);
+    let bytes = 0;
+    caller.on('data', (chunk) => {
+      bytes += chunk.length;
+    });
+    await new Promise((resolve) => {
+      caller.once('close', resolve);
+    });
+    server.close();
+    t.true(bytes > WHOLE_BYTES);
+  },
+);
