Hold no whole answer back for the check of its server

The review of the check of servers after a close showed whole answers that it withholds: 504 as the time of the route ended during the check; 502 where the host itself could open no connections while open ones lived on; 502 for the last answer of a server that had announced that it leaves. Each passed before the check came.

Cause: whatever was not an open connection counted as the server's end. Only a refused connection does now, if the server is not about to leave and one of up to three other servers accepts one: otherwise the links of the host are the likelier reason, and the server is taken at its word. An answer in hand is delivered when its time ends meanwhile.

--- a/packages/entry-host/src/crashes/crash-detector.ts
+++ b/packages/entry-host/src/crashes/crash-detector.ts
@@ -55,6 +55,12 @@
  */
 const CLOSE_WINDOW_MS = 1_000;
 
+/**
+ * Other servers that show whether a refused connection is due to its server or
+ * to the links of this host.
+ */
+const MAXIMUM_WITNESSES = 3;
+
 /** The interrupted sends of one server instance. */
 interface Interruption {
   readonly server: Server;
@@ -118,7 +124,8 @@
 
   /**
    * Whether the process of a server outlives the end of one of its connections.
-   * A server that can't be reached afterwards does not.
+   * It does not if it is not about to leave and refuses connections while other
+   * servers accept them: without these the host's own links may be cut.
    */
   outlivesClose(server: Server): Promise<boolean> {
     const {key} = server;
@@ -130,18 +137,41 @@
     const probe = new Promise<boolean>((resolve) => {
       timers.after(`crashes/outlives/${key}`, FIRST_PROBE_DELAY_MS, () => {
         this.pendingProbes.delete(key);
-        void this.probe(server).then((result) => {
-          if (result === 'refused') {
-            this.recordUnreachable(server);
-          }
-          resolve(result === 'open');
-        });
+        resolve(this.probeAfterClose(server));
       });
     });
     this.pendingProbes.set(key, probe);
     return probe;
   }
 
+  private async probeAfterClose(server: Server): Promise<boolean> {
+    const result = await this.probe(server);
+    if (result !== 'refused' || this.isLeaving(server)) {
+      return true;
+    }
+    const isGone = await this.reachesOthers(server);
+    if (isGone) {
+      this.recordUnreachable(server);
+    }
+    return !isGone;
+  }
+
+  private isLeaving({key, entry, notices}: Server): boolean {
+    const {servers} = this.context;
+    const current = servers.all().find((known) => known.key === key);
+    return entry.leaving || notices.leaving || current?.entry.leaving === true;
+  }
+
+  /** Whether one of a few other servers accepts connections, if there are any. */
+  private async reachesOthers({key}: Server): Promise<boolean> {
+    const others = this.context.servers
+      .all()
+      .filter((known) => known.key !== key)
+      .slice(0, MAXIMUM_WITNESSES);
+    const results = await Promise.all(others.map(this.probe));
+    return others.length === 0 || results.includes('open');
+  }
+
   /** Records that a connection to a server was refused. */
   recordUnreachable(server: Server): void {
     const interruption = this.interruptions.get(server.key);
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -106,6 +106,8 @@
   private requestKeys: readonly string[] | undefined;
   /** Keeps a resumable stream at one software version. */
   private readonly continuation: StreamContinuation | undefined;
+  /** How the latest send ended, while it is checked. */
+  private uncheckedEnd: SendResult | undefined;
   /** Server of the latest send. */
   private sentTo: Server | undefined;
 
@@ -367,7 +369,9 @@
     if (isWithinEvent) {
       return brokenOff('the stream ended within an event');
     }
+    this.uncheckedEnd = end;
     const isComplete = await this.parts.crashes.outlivesClose(server);
+    this.uncheckedEnd = undefined;
     return isComplete
       ? end
       : brokenOff('the server was gone after the end of its connection');
@@ -664,8 +668,13 @@
       return;
     }
     const mayBeAtServer = this.runs > 0 || this.send !== undefined;
-    const {send} = this;
-    if (mayBeAtServer) {
+    const {send, uncheckedEnd} = this;
+    if (uncheckedEnd?.type === 'answered') {
+      // Ready in time; only the check of its end is late.
+      this.complete();
+    } else if (uncheckedEnd?.type === 'failure') {
+      this.passOnFailure(uncheckedEnd.head, uncheckedEnd.body);
+    } else if (mayBeAtServer) {
       this.fail(504, 'the time of the route is over');
     } else {
       this.refuse('no server was found in time', 0);
