Notice callers that leave, and lose no request, beside a bad one

The review of how bad bytes beside an answer are handled showed requests that a server works on for callers that had left within their next request (GONE), and requests that were passed on and got no answer (LOST): one whose late head came after all, and those between the answer in progress and the bad bytes. All but the last were served as asked before.

Cause: the runtime reports the end of a connection within a request as bad bytes too; a connection that was to close still took requests; and it closed after one answer, whatever else had been read whole.

A caller that ends its connection within a request has left. A connection that is to close takes no request, and closes once none that was read whole awaits its answer, also in a planned stop.

--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -71,6 +71,12 @@
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
+/** Codes of a caller that has left, also within a request. */
+const LEFT_CODES: ReadonlySet<string> = new Set([
+  'ECONNRESET',
+  'HPE_INVALID_EOF_STATE',
+]);
+
 /** The HTTP server that accepts callers' requests. */
 export class FrontListener {
   private readonly server: Server;
@@ -214,7 +220,14 @@
     const {clock, platform} = this.context;
     const arrivedAt = clock.now();
     const {socket} = message;
-    const isClosing = () => this.draining || this.closingSockets.has(socket);
+    if (this.closingSockets.has(socket)) {
+      // The connection closes before this request could be answered.
+      message.resume();
+      return;
+    }
+    const isClosing = () =>
+      (this.draining || this.closingSockets.has(socket)) &&
+      !this.awaitsAnswer(socket, message);
     this.inProgress += 1;
     this.openRequestsOn(socket).add(message);
     response.once('close', () => {
@@ -407,6 +420,13 @@
     return true;
   }
 
+  /** Whether a request, other than `except`, was read whole on a connection. */
+  private awaitsAnswer(socket: Duplex, except?: IncomingMessage): boolean {
+    return [...this.openRequestsOn(socket)].some(
+      (message) => message !== except && message.complete,
+    );
+  }
+
   private openRequestsOn(socket: Duplex): Set<IncomingMessage> {
     const known = this.openRequests.get(socket);
     if (known !== undefined) {
@@ -521,17 +541,15 @@
     error: NodeJS.ErrnoException,
     socket: Duplex,
   ): void {
-    if (this.closingSockets.has(socket)) {
-      return;
-    }
     const code = error.code ?? '';
-    this.context.logger.info('connection rejected', {code});
-    if (code === 'ECONNRESET' || !socket.writable) {
+    if (!this.closingSockets.has(socket)) {
+      this.context.logger.info('connection rejected', {code});
+    }
+    if (LEFT_CODES.has(code) || !socket.writable) {
       socket.destroy();
       return;
     }
-    const open = [...this.openRequestsOn(socket)];
-    if (open.some(({complete}) => complete)) {
+    if (this.awaitsAnswer(socket)) {
       // What is written now would become part of an answer in progress.
       this.closingSockets.add(socket);
       return;
