Read no more requests of a peer that reads no answers

At the peers' port 16 peers with 7,200 empty exchanges each, which read no answer, ended a process with 180 MB of memory.

Cause: answers were written whether the peer read them or not, and each waits as an object of its own in the queue of its call.

A conversation is paused while more than 32 answers wait and resumed once they are written; the flow control of the stream then holds the peer up. A peer that reads on notices nothing, and one that doesn't has given its link up by then.

--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -35,6 +35,12 @@
 /** Streams of one connection at once; a peer has one conversation. */
 const MAXIMUM_STREAMS = 8;
 
+/**
+ * Answers that wait for a peer to read them, beyond which its requests are not
+ * read either.
+ */
+const MAXIMUM_UNREAD_ANSWERS = 32;
+
 /** Makes adapters resident on servers whose orders this host issues. */
 export interface AdapterPreparer {
   prepare(
@@ -152,6 +158,9 @@
   ) {}
 
   start(): void {
+    this.call.on('drain', () => {
+      this.call.resume();
+    });
     this.call.on('data', (message: fleet.PeerRequest) => {
       // Whatever a peer sends fails its message, not this process.
       Result.fromThrowable(
@@ -162,6 +171,9 @@
           this.logFailure(message, error);
         },
       )().unwrapOr(undefined);
+      if (this.call.writableLength > MAXIMUM_UNREAD_ANSWERS) {
+        this.call.pause();
+      }
     });
     const abortPrepares = () => {
       for (const controller of this.prepares.values()) {
