Bound the idle sessions of the relay

At the relay port 2,500 sessions without streams took 2,147 to 2,532 descriptors of a process; its connections to servers come from the same ones.

Cause: the listener ran with the defaults of the runtime, which bound neither sessions nor, before a session is told, its streams.

Of more than 512 sessions without relayed connections the one used least recently is closed; one that relays is not among them, and 256 connections are relayed at most. A session has 256 streams and a stream 32 header fields. A peer has one session, and a deployment has up to 300 hosts.

--- a/packages/entry-host/src/relay/relay-listener.ts
+++ b/packages/entry-host/src/relay/relay-listener.ts
@@ -2,7 +2,7 @@
   createServer,
   type Http2Server,
   type IncomingHttpHeaders,
-  type ServerHttp2Session,
+  type Http2Session,
   type ServerHttp2Stream,
 } from 'node:http2';
 
@@ -10,6 +10,7 @@
 import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
+import {RecencyLimiter} from '../lib/recency-limiter.js';
 import {
   type DialFailure,
   type Dial,
@@ -25,6 +26,15 @@
  */
 const MAXIMUM_RELAYED = 256;
 
+/**
+ * Sessions without relayed connections beyond which the least recently used is
+ * closed. A peer has one, and a deployment has a few hundred of them.
+ */
+const MAXIMUM_IDLE_SESSIONS = 512;
+
+/** Header fields of a request; more than a peer sends. */
+const MAXIMUM_HEADER_FIELDS = 32;
+
 /**
  * Connect timeout of relayed connections, milliseconds: below that of the peer,
  * so that it learns the result.
@@ -40,7 +50,15 @@
 /** Relays connections of peers that can't reach servers. */
 export class RelayListener {
   private readonly server: Http2Server;
-  private readonly sessions = new Set<ServerHttp2Session>();
+  private readonly sessions = new Set<Http2Session>();
+  private readonly idleSessions = new RecencyLimiter<Http2Session>(
+    MAXIMUM_IDLE_SESSIONS,
+    (session) => {
+      session.destroy();
+    },
+  );
+  /** Numbers of relayed connections by session. */
+  private readonly relayedBySession = new Map<Http2Session, number>();
   private relayed = 0;
 
   constructor(
@@ -55,14 +73,19 @@
         RELAY_CONNECT_TIMEOUT_MS,
       ),
   ) {
-    this.server = createServer();
-    this.server.on('session', (session: ServerHttp2Session) => {
+    this.server = createServer({
+      maxHeaderListPairs: MAXIMUM_HEADER_FIELDS,
+      settings: {maxConcurrentStreams: MAXIMUM_RELAYED},
+    });
+    this.server.on('session', (session: Http2Session) => {
       this.sessions.add(session);
+      this.idleSessions.add(session);
       session.on('error', ({message}: Error) => {
         this.context.logger.info('relay session failed', {error: message});
       });
       session.on('close', () => {
         this.sessions.delete(session);
+        this.idleSessions.remove(session);
       });
     });
     this.server.on('stream', (stream, headers) => {
@@ -106,6 +129,7 @@
       return;
     }
     this.relayed += 1;
+    const endUse = this.recordUse(stream.session);
     const cancelDial = this.dialServer(address)({
       connected: (transport) => {
         metrics.relayedConnections.inc({role: 'relay', end: 'connected'});
@@ -118,10 +142,32 @@
     });
     stream.once('close', () => {
       this.relayed -= 1;
+      endUse();
       cancelDial();
     });
   }
 
+  /** Keeps a session from being closed as idle; returns a function to end it. */
+  private recordUse(session: Http2Session | undefined): () => void {
+    if (session === undefined) {
+      return () => undefined;
+    }
+    const {relayedBySession, idleSessions} = this;
+    relayedBySession.set(session, (relayedBySession.get(session) ?? 0) + 1);
+    idleSessions.remove(session);
+    return () => {
+      const remaining = (relayedBySession.get(session) ?? 1) - 1;
+      if (remaining > 0) {
+        relayedBySession.set(session, remaining);
+        return;
+      }
+      relayedBySession.delete(session);
+      if (this.sessions.has(session)) {
+        idleSessions.add(session);
+      }
+    };
+  }
+
   private knows({host, port}: UpstreamAddress): boolean {
     return this.context.servers
       .all()
