Metrics of the process's memory and its callers' connections

They tell the hypotheses about the crowds of callers apart: the heap grows with the lines of heads, buffers with bodies, and connections with neither.

--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -83,6 +83,7 @@
   private routes: RouteTable | undefined;
   private limits = DEFAULT_LIMITS;
   private inProgress = 0;
+  private openConnections = 0;
   private draining = false;
   private accepting = true;
 
@@ -123,6 +124,12 @@
       },
     );
     this.server.requestTimeout = 0;
+    this.server.on('connection', (socket) => {
+      this.openConnections += 1;
+      socket.once('close', () => {
+        this.openConnections -= 1;
+      });
+    });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.handleClientError(error, socket);
     });
@@ -134,6 +141,7 @@
     const reviewBuffers = () => {
       this.bufferBudget.review(clock.now());
       metrics.heldBytes.set(this.bufferBudget.bytes);
+      metrics.callerConnections.set(this.openConnections);
     };
     timers.every('held-bytes', BUFFER_REVIEW_PERIOD_MS, reviewBuffers, {
       signal,
--- a/packages/entry-host/src/metrics.ts
+++ b/packages/entry-host/src/metrics.ts
@@ -142,6 +142,12 @@
     registers: [this.registry],
   });
 
+  readonly callerConnections = new Gauge({
+    name: 'basilworks_caller_connections',
+    help: 'Open connections of callers, as last reviewed.',
+    registers: [this.registry],
+  });
+
   readonly answerSeconds = new Histogram({
     name: 'basilworks_answer_seconds',
     help: 'Time to the head of an answer by route, seconds.',
@@ -211,6 +217,18 @@
   });
 
   constructor(viewAgeMs: (kind: StoreKind) => number) {
+    new Gauge({
+      name: 'basilworks_memory_bytes',
+      help: 'Memory of the process: resident, used heap, buffers outside of it.',
+      labelNames: ['kind'],
+      registers: [this.registry],
+      collect() {
+        const {rss, heapUsed, arrayBuffers} = process.memoryUsage();
+        this.set({kind: 'resident'}, rss);
+        this.set({kind: 'heap'}, heapUsed);
+        this.set({kind: 'buffers'}, arrayBuffers);
+      },
+    });
     new Gauge({
       name: 'basilworks_view_age_seconds',
       help: 'Time since the view of a kind was known to be current, seconds.',
