Keep a request's body in one buffer

Callers saw a host end while others sent bodies in chunks of a byte: every request on it broke off.

A body was kept as a list of the pieces that the parser hands out. Each is a buffer of its own and costs some hundred bytes beside its content, while only its bytes were counted against the limit and the budget; at the end a copy doubled the body.

Bodies are now copied into a buffer as they come: of the announced length, or one that doubles if the length is not known. What it occupies is counted, not what was sent.

--- a/packages/entry-host/src/front/request-body.ts
+++ b/packages/entry-host/src/front/request-body.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 
+import {GrowingBuffer} from '../lib/growing-buffer.js';
 import type {RequestBufferTracker} from './request-buffer-tracker.js';
 
 /** Size assumed for a body of unknown length, bytes: one socket read. */
@@ -22,24 +23,30 @@
   buffers: RequestBufferTracker,
 ): Promise<Buffer | 'too-large' | 'aborted'> =>
   new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const isChunked = message.headers['transfer-encoding'] !== undefined;
+    const body = new GrowingBuffer(
+      isChunked
+        ? undefined
+        : Math.min(expectedBodyBytes(message), maximumBytes),
+      maximumBytes,
+    );
     message.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maximumBytes) {
+      if (body.length + chunk.length > maximumBytes) {
         resolve('too-large');
         message.removeAllListeners('data');
+        body.take();
         message.resume();
         return;
       }
-      chunks.push(chunk);
-      buffers.recordBodyBytes(chunk.length);
+      body.append(chunk);
+      buffers.recordBodyBytes(chunk.length, body.capacity);
     });
     message.on('end', () => {
-      buffers.recordBodyEnd();
-      resolve(Buffer.concat(chunks));
+      buffers.recordBodyEnd(body.capacity);
+      resolve(body.take());
     });
     message.on('close', () => {
+      body.take();
       resolve('aborted');
     });
   });
--- a/packages/entry-host/src/front/request-buffer-tracker.ts
+++ b/packages/entry-host/src/front/request-buffer-tracker.ts
@@ -61,18 +61,21 @@
     return true;
   }
 
-  /** Counts bytes of the request body that have arrived. */
-  recordBodyBytes(bytes: number): void {
+  /**
+   * Counts bytes of the request body that have arrived, and the memory that the
+   * body now occupies.
+   */
+  recordBodyBytes(bytes: number, occupiedBytes: number): void {
     this.receivedBodyBytes += bytes;
-    if (this.receivedBodyBytes > this.expectedBodyBytes) {
-      this.expectedBodyBytes = this.receivedBodyBytes;
+    if (occupiedBytes > this.expectedBodyBytes) {
+      this.expectedBodyBytes = occupiedBytes;
     }
     this.refreshAccount();
   }
 
-  recordBodyEnd(): void {
+  recordBodyEnd(occupiedBytes: number): void {
     this.readingBody = false;
-    this.expectedBodyBytes = this.receivedBodyBytes;
+    this.expectedBodyBytes = occupiedBytes;
   }
 
   /** Sets how many bytes of a non-streaming answer are buffered. */
