Leave room beside large bodies, and use their memory again

Callers saw a host leave the memory of its machine, and ordinary requests refused, while others sent large bodies and stopped short of their end.

A body was admitted by what was counted, and counted only with its first bytes. A chunked one was counted as it grew, up to the whole budget, so that small requests found no room; a byte now and then kept it from being cut. What was cut stayed with the process until a collection, as did the buffers that a body had outgrown.

An admitted body is counted at once, large ones share a quarter of the budget while they are read, and 16 KiB in two seconds count as progress where memory is short. Bodies lie in blocks that the next ones use.

--- a/packages/dispatch/src/requests/buffer-budget.ts
+++ b/packages/dispatch/src/requests/buffer-budget.ts
@@ -15,10 +15,12 @@
   readonly movedBytes: number;
   /** Whether reading from the server is paused. */
   readonly paused: boolean;
+  /** Whether the caller is still sending its request. */
+  readonly receiving?: boolean;
 }
 
 /** Why a caller is disconnected. */
-export type DisconnectReason = 'takes nothing' | 'memory';
+export type DisconnectReason = 'takes nothing' | 'memory' | 'connections';
 
 /** A caller's connection whose buffers count against the budget. */
 export interface BufferOwner {
@@ -38,6 +40,21 @@
 /** Share of the budget up to which requests are read; answers get the rest. */
 const REQUEST_SHARE = 0.75;
 
+/**
+ * Share of the budget that large requests may occupy until they are complete,
+ * if there are several; what was read of them is copied once or twice.
+ */
+const RECEIVING_SHARE = 0.25;
+
+/** Largest request that is not a large one, bytes: one read of a socket. */
+const SMALL_REQUEST_BYTES = 65_536;
+
+/**
+ * Bytes of a request by which its caller has to advance to make progress; one
+ * that sends a byte at a time must not hold the budget.
+ */
+const ADVANCE_BYTES = 16_384;
+
 /** Share of the budget up to which answers are buffered until complete. */
 const WHOLE_ANSWER_SHARE = 0.5;
 
@@ -72,8 +89,12 @@
   bytes = 0;
   pendingBytes = 0;
   movedAtMs: number;
+  advancedAtMs: number;
   pausedAtMs: number | undefined;
   private movedBytes = 0;
+  private advancedBytes = 0;
+  /** Bytes of a request that is still being read. */
+  receivingBytes = 0;
 
   constructor(
     readonly owner: BufferOwner,
@@ -81,6 +102,7 @@
     atMs: number,
   ) {
     this.movedAtMs = atMs;
+    this.advancedAtMs = atMs;
   }
 
   /** Measures again; disconnects callers while the budget is exceeded. */
@@ -100,15 +122,31 @@
       this.movedAtMs = atMs;
     }
     this.movedBytes = usage.movedBytes;
+    const receiving = usage.receiving ?? false;
+    const advance = receiving ? ADVANCE_BYTES : 1;
+    if (
+      usage.movedBytes - this.advancedBytes >= advance ||
+      usage.pendingBytes === 0
+    ) {
+      this.advancedAtMs = atMs;
+      this.advancedBytes = usage.movedBytes;
+    }
     this.pausedAtMs = usage.paused ? (this.pausedAtMs ?? atMs) : undefined;
     this.pendingBytes = usage.pendingBytes + (usage.paused ? PAUSED_BYTES : 0);
     this.bytes = this.pendingBytes + usage.requestBytes + usage.answerBytes;
+    this.receivingBytes = receiving ? this.bytes : 0;
     return this.bytes - before;
   }
 
-  idleMs(atMs: number): number {
+  /** Time without any progress, milliseconds. */
+  stalledMs(atMs: number): number {
     return atMs - this.movedAtMs;
   }
+
+  /** Time without progress that counts if memory is short, milliseconds. */
+  idleMs(atMs: number): number {
+    return atMs - this.advancedAtMs;
+  }
 }
 
 /**
@@ -122,6 +160,7 @@
 export class BufferBudget {
   private readonly accounts = new Set<BufferAccount>();
   private total = 0;
+  private receivingTotal = 0;
   private reviewedAtMs: number | undefined;
 
   constructor(
@@ -151,11 +190,14 @@
    */
   hasRoomFor(bytes: number, {monotonicMs}: Instant): boolean {
     const bound = this.limitBytes() * REQUEST_SHARE - bytes;
-    if (this.total <= bound || bytes === 0) {
+    if (bytes === 0) {
       return true;
     }
-    this.disconnectWhile(() => this.total > bound, monotonicMs, IDLE_MS);
-    return this.total <= bound;
+    const isFull = () =>
+      this.total > bound ||
+      (bytes > SMALL_REQUEST_BYTES && !this.mayReceive(bytes));
+    this.disconnectWhile(isFull, monotonicMs, IDLE_MS);
+    return !isFull();
   }
 
   /**
@@ -169,9 +211,10 @@
       if (gapMs > SUSPENDED_MS) {
         // Progress of callers went unnoticed meanwhile.
         account.movedAtMs = monotonicMs;
+        account.advancedAtMs = monotonicMs;
       }
-      this.total += account.update(monotonicMs);
-      if (account.idleMs(monotonicMs) >= STALLED_MS) {
+      this.update(account, monotonicMs);
+      if (account.stalledMs(monotonicMs) >= STALLED_MS) {
         this.disconnect(account, 'takes nothing');
       } else if (
         monotonicMs - (account.pausedAtMs ?? Infinity) >=
@@ -186,7 +229,10 @@
 
   refresh(account: BufferAccount, {monotonicMs}: Instant): void {
     if (this.accounts.has(account)) {
-      this.total += account.update(monotonicMs);
+      this.update(account, monotonicMs);
+      if (account.receivingBytes > SMALL_REQUEST_BYTES) {
+        this.enforceReceivingShare(monotonicMs);
+      }
       this.enforceLimit(monotonicMs);
     }
   }
@@ -194,9 +240,33 @@
   close(account: BufferAccount): void {
     if (this.accounts.delete(account)) {
       this.total -= account.bytes;
+      this.receivingTotal -= account.receivingBytes;
     }
   }
 
+  private update(account: BufferAccount, atMs: number): void {
+    this.receivingTotal -= account.receivingBytes;
+    this.total += account.update(atMs);
+    this.receivingTotal += account.receivingBytes;
+  }
+
+  /** Whether requests that are being read leave room for another one. */
+  private mayReceive(bytes: number): boolean {
+    const bound = this.limitBytes() * RECEIVING_SHARE;
+    return this.receivingTotal === 0 || this.receivingTotal + bytes <= bound;
+  }
+
+  /** Bounds requests whose length was not known when they were admitted. */
+  private enforceReceivingShare(atMs: number): void {
+    const isLarge = ({receivingBytes}: BufferAccount) =>
+      receivingBytes > SMALL_REQUEST_BYTES;
+    const isAlone = () =>
+      [...this.accounts].filter(({receivingBytes}) => receivingBytes > 0)
+        .length === 1;
+    const isFull = () => !this.mayReceive(0) && !isAlone();
+    this.disconnectWhile(isFull, atMs, 0, isLarge);
+  }
+
   private enforceLimit(atMs: number): void {
     this.disconnectWhile(() => this.total > this.limitBytes(), atMs, 0);
   }
@@ -205,14 +275,15 @@
     full: () => boolean,
     atMs: number,
     idleMs: number,
+    mayDisconnect: (account: BufferAccount) => boolean = () => true,
   ): void {
     while (full()) {
-      const candidate = this.disconnectCandidate(atMs, idleMs);
+      const candidate = this.disconnectCandidate(atMs, idleMs, mayDisconnect);
       if (candidate === undefined) {
         return;
       }
       // It may have made progress since the last measurement.
-      this.total += candidate.update(atMs);
+      this.update(candidate, atMs);
       if (candidate.pendingBytes > 0 && candidate.idleMs(atMs) >= idleMs) {
         this.disconnect(candidate, 'memory');
       }
@@ -223,6 +294,7 @@
   private disconnectCandidate(
     atMs: number,
     idleMs: number,
+    mayDisconnect: (account: BufferAccount) => boolean,
   ): BufferAccount | undefined {
     const weight = (account: BufferAccount) =>
       account.pendingBytes * (1 + account.idleMs(atMs));
@@ -231,6 +303,7 @@
       if (
         account.pendingBytes > 0 &&
         account.idleMs(atMs) >= idleMs &&
+        mayDisconnect(account) &&
         weight(account) > (candidate === undefined ? 0 : weight(candidate))
       ) {
         candidate = account;
--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -28,6 +28,7 @@
 
 import type {EntryHostContext} from '../context.js';
 import {type CrashGuard, NO_CRASH_GUARD} from '../crashes/index.js';
+import {BlockPool} from '../lib/block-buffer.js';
 import {describeError} from '../lib/describe-error.js';
 import {
   NO_VIEW_SOURCE,
@@ -83,6 +84,7 @@
   private routes: RouteTable | undefined;
   private limits = DEFAULT_LIMITS;
   private inProgress = 0;
+  private readonly blocks = new BlockPool();
   private openConnections = 0;
   private draining = false;
   private accepting = true;
@@ -258,7 +260,12 @@
       this.rejectBeforeBody(head, answer, 'no memory for its body');
       return;
     }
-    const body = await readBody(message, maximumBodyBytes, buffers);
+    const body = await readBody(
+      message,
+      maximumBodyBytes,
+      buffers,
+      this.blocks,
+    );
     if (body === 'too-large') {
       reject(413, 'the body is too large');
       return;
--- a/packages/entry-host/src/front/request-body.ts
+++ b/packages/entry-host/src/front/request-body.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 
-import {GrowingBuffer} from '../lib/growing-buffer.js';
+import {BlockBuffer, type BlockPool} from '../lib/block-buffer.js';
 import type {RequestBufferTracker} from './request-buffer-tracker.js';
 
 /** Size assumed for a body of unknown length, bytes: one socket read. */
@@ -21,20 +21,15 @@
   message: IncomingMessage,
   maximumBytes: number,
   buffers: RequestBufferTracker,
+  pool: BlockPool,
 ): Promise<Buffer | 'too-large' | 'aborted'> =>
   new Promise((resolve) => {
-    const isChunked = message.headers['transfer-encoding'] !== undefined;
-    const body = new GrowingBuffer(
-      isChunked
-        ? undefined
-        : Math.min(expectedBodyBytes(message), maximumBytes),
-      maximumBytes,
-    );
+    const body = new BlockBuffer(pool);
     message.on('data', (chunk: Buffer) => {
       if (body.length + chunk.length > maximumBytes) {
         resolve('too-large');
         message.removeAllListeners('data');
-        body.take();
+        body.clear();
         message.resume();
         return;
       }
@@ -42,11 +37,11 @@
       buffers.recordBodyBytes(chunk.length, body.capacity);
     });
     message.on('end', () => {
-      buffers.recordBodyEnd(body.capacity);
+      buffers.recordBodyEnd();
       resolve(body.take());
     });
     message.on('close', () => {
-      body.take();
+      body.clear();
       resolve('aborted');
     });
   });
--- a/packages/entry-host/src/front/request-buffer-tracker.ts
+++ b/packages/entry-host/src/front/request-buffer-tracker.ts
@@ -58,6 +58,7 @@
     }
     this.expectedBodyBytes = expectedBytes;
     this.readingBody = true;
+    this.refreshAccount();
     return true;
   }
 
@@ -73,9 +74,9 @@
     this.refreshAccount();
   }
 
-  recordBodyEnd(occupiedBytes: number): void {
+  recordBodyEnd(): void {
     this.readingBody = false;
-    this.expectedBodyBytes = occupiedBytes;
+    this.expectedBodyBytes = this.receivedBodyBytes;
   }
 
   /** Sets how many bytes of a non-streaming answer are buffered. */
@@ -123,6 +124,7 @@
         (this.readingBody ? this.expectedBodyBytes : 0),
       movedBytes: this.receivedBodyBytes + this.answer.acceptedBytes,
       paused: this.pausedSource !== undefined,
+      receiving: this.readingBody,
     };
   }
 
--- a/packages/entry-host/src/lib/growing-buffer.ts
+++ b/packages/entry-host/src/lib/growing-buffer.ts
@@ -9,17 +9,6 @@
   private storage: Buffer = EMPTY;
   private used = 0;
 
-  constructor(
-    private readonly initialBytes = INITIAL_BYTES,
-    /** Number of bytes that it will never exceed. */
-    private readonly maximumBytes = Infinity,
-  ) {}
-
-  /** Bytes of memory that it occupies. */
-  get capacity(): number {
-    return this.storage.length;
-  }
-
   /** Number of bytes. */
   get length(): number {
     return this.used;
@@ -33,8 +22,7 @@
   append(piece: Buffer): void {
     const needed = this.used + piece.length;
     if (needed > this.storage.length) {
-      const grown = Math.min(2 * this.used, this.maximumBytes);
-      const capacity = Math.max(this.initialBytes, needed, grown);
+      const capacity = Math.max(INITIAL_BYTES, needed, 2 * this.used);
       const storage = Buffer.allocUnsafeSlow(capacity);
       this.storage.copy(storage, 0, 0, this.used);
       this.storage = storage;
