Charge heads by their lines, and drop none of them

A head of legal size with thousands of short lines reached the server without its later lines, or was refused as too large; many of them filled the heap of their host while they waited.

The parser keeps 2,000 strings of a head by default and drops the others. The head's size was taken with a blank after each colon, which short lines don't have. Of a request only the body was counted, while a line of four bytes takes some hundred.

All lines that fit are kept, one more is refused with 431, and each is charged to the budget until its request is answered.

--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -47,7 +47,10 @@
 } from './caller-authenticator.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
 import {expectedBodyBytes, readBody} from './request-body.js';
-import {RequestBufferTracker} from './request-buffer-tracker.js';
+import {
+  headMemoryBytes,
+  RequestBufferTracker,
+} from './request-buffer-tracker.js';
 import {RequestHandler} from './request-handler.js';
 import type {ServerSelector} from './server-selection.js';
 import type {TenantShares} from './tenant-shares.js';
@@ -55,6 +58,16 @@
 /** Largest head that is parsed, bytes; the configured limit is lower. */
 const MAXIMUM_PARSED_HEAD_BYTES = 65_536;
 
+/** Characters of a header line beside its name and value, at the least. */
+const LINE_OVERHEAD_BYTES = 3;
+
+/**
+ * Lines from which on a head is refused, since the parser drops further ones;
+ * more than fit into the largest head.
+ */
+const MAXIMUM_PARSED_LINES =
+  MAXIMUM_PARSED_HEAD_BYTES / (LINE_OVERHEAD_BYTES + 1);
+
 /** Interval of the checks for slow heads and idle connections, ms. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 
@@ -126,6 +139,7 @@
       },
     );
     this.server.requestTimeout = 0;
+    this.server.maxHeadersCount = MAXIMUM_PARSED_LINES;
     this.server.on('connection', (socket) => {
       this.openConnections += 1;
       socket.once('close', () => {
@@ -229,11 +243,16 @@
       this.reject(message, answer, {status, reason});
     };
     const {rawHeaders} = message;
+    // A colon and a line end; blanks around the value are optional.
     const headBytes = rawHeaders.reduce(
-      (sum, text) => sum + text.length + 2,
-      (message.url ?? '').length,
+      (sum, text) => sum + text.length,
+      (message.url ?? '').length +
+        (rawHeaders.length / 2) * LINE_OVERHEAD_BYTES,
     );
-    if (headBytes > this.limits.maximumHeaderBytes) {
+    if (
+      headBytes > this.limits.maximumHeaderBytes ||
+      rawHeaders.length / 2 >= MAXIMUM_PARSED_LINES
+    ) {
       reject(431, 'the head is too large');
       return;
     }
@@ -247,6 +266,7 @@
       this.context,
       this.bufferBudget,
       answer,
+      headMemoryBytes(rawHeaders),
     );
     buffers.requestId = head.id;
     if (!this.accepting) {
--- a/packages/entry-host/src/front/request-buffer-tracker.ts
+++ b/packages/entry-host/src/front/request-buffer-tracker.ts
@@ -10,6 +10,19 @@
 import type {CallerAnswer} from './caller-answer.js';
 import type {SendControl} from './server-send.js';
 
+/**
+ * Memory of a header line beside its characters, bytes: its strings in the
+ * parsed and the raw form, and its share of the head that is sent on.
+ */
+const HEADER_LINE_BYTES = 256;
+
+/** Memory that a request's head occupies while the request lasts, bytes. */
+export const headMemoryBytes = (rawHeaders: readonly string[]): number =>
+  rawHeaders.reduce(
+    (sum, text) => sum + text.length + HEADER_LINE_BYTES / 2,
+    0,
+  );
+
 /**
  * Tracks the memory that one request and its answer occupy on this host, from
  * the request's head to the last byte of the answer, and applies backpressure
@@ -21,6 +34,7 @@
   private receivedBodyBytes = 0;
   private expectedBodyBytes = 0;
   private readingBody = false;
+  private admitted = false;
   private answerBytes = 0;
   private pausedSource: SendControl | undefined;
   private notifyDisconnect: (reason: DisconnectReason) => void = () =>
@@ -30,6 +44,8 @@
     private readonly context: EntryHostContext,
     private readonly budget: BufferBudget,
     private readonly answer: CallerAnswer,
+    /** Memory of the request's head. */
+    private readonly headBytes = 0,
   ) {
     this.account = budget.open(this, context.clock.now());
     answer.onClose(() => {
@@ -53,11 +69,14 @@
    * buffer budget has no room for it; the body is then not tracked.
    */
   admitBody(expectedBytes: number): boolean {
-    if (!this.budget.hasRoomFor(expectedBytes, this.context.clock.now())) {
+    const {headBytes, context} = this;
+    const bytes = headBytes + expectedBytes;
+    if (!this.budget.hasRoomFor(bytes, context.clock.now())) {
       return false;
     }
     this.expectedBodyBytes = expectedBytes;
     this.readingBody = true;
+    this.admitted = true;
     this.refreshAccount();
     return true;
   }
@@ -116,12 +135,14 @@
   }
 
   measure(): BufferUsage {
+    const requestBytes = this.admitted
+      ? this.headBytes + this.expectedBodyBytes
+      : 0;
     return {
-      requestBytes: this.readingBody ? 0 : this.expectedBodyBytes,
+      requestBytes: this.readingBody ? 0 : requestBytes,
       answerBytes: this.answerBytes,
       pendingBytes:
-        this.answer.pendingBytes +
-        (this.readingBody ? this.expectedBodyBytes : 0),
+        this.answer.pendingBytes + (this.readingBody ? requestBytes : 0),
       movedBytes: this.receivedBodyBytes + this.answer.acceptedBytes,
       paused: this.pausedSource !== undefined,
       receiving: this.readingBody,
