Bound callers' connections and what waits on them

Callers saw a host end while others sent heads of thousands of lines, or left requests unfinished: its heap was full, or its descriptors were used up.

Connections had no bound. A refused request kept its connection and its head until the rest of its body came, and the lines of an unfinished head lay in the parser; neither was counted.

Connections are bounded by the machine's descriptors, a new setting; the one that has waited for its caller longest makes room.

--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -45,6 +45,7 @@
   UNCONFIRMED_RETRY_MS,
   withTenantPriority,
 } from './caller-authenticator.js';
+import {CallerConnections} from './caller-connections.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
 import {expectedBodyBytes, readBody} from './request-body.js';
 import {
@@ -98,7 +99,7 @@
   private limits = DEFAULT_LIMITS;
   private inProgress = 0;
   private readonly blocks = new BlockPool();
-  private openConnections = 0;
+  private readonly connections: CallerConnections;
   private draining = false;
   private accepting = true;
 
@@ -141,10 +142,7 @@
     this.server.requestTimeout = 0;
     this.server.maxHeadersCount = MAXIMUM_PARSED_LINES;
     this.server.on('connection', (socket) => {
-      this.openConnections += 1;
-      socket.once('close', () => {
-        this.openConnections -= 1;
-      });
+      this.connections.add(socket);
     });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.handleClientError(error, socket);
@@ -154,10 +152,11 @@
     this.bufferBudget = new BufferBudget(() =>
       bufferLimitBytes(context.settings.machine.memoryMb),
     );
+    this.connections = new CallerConnections(context, this.bufferBudget);
     const reviewBuffers = () => {
       this.bufferBudget.review(clock.now());
       metrics.heldBytes.set(this.bufferBudget.bytes);
-      metrics.callerConnections.set(this.openConnections);
+      metrics.callerConnections.set(this.connections.size);
     };
     timers.every('held-bytes', BUFFER_REVIEW_PERIOD_MS, reviewBuffers, {
       signal,
@@ -229,9 +228,17 @@
   ): Promise<void> {
     const {clock, platform} = this.context;
     const arrivedAt = clock.now();
+    const {socket} = message;
+    let hasBeenRead = false;
     this.inProgress += 1;
+    this.connections.recordHead(socket);
     response.once('close', () => {
       this.inProgress -= 1;
+      if (hasBeenRead) {
+        this.connections.recordAnswer(socket);
+      } else {
+        this.connections.recordRefusal(message);
+      }
       if (this.draining) {
         // The head may have been sent before draining began, and so without
         // `Connection: close`.
@@ -294,6 +301,8 @@
       answer.abort();
       return;
     }
+    hasBeenRead = true;
+    this.connections.recordRequest(socket);
     const request = {...head, body};
     if (await this.hasDisconnected(message.socket, request.id)) {
       answer.abort();
--- a/packages/entry-host/src/settings-schema.ts
+++ b/packages/entry-host/src/settings-schema.ts
@@ -89,6 +89,8 @@
       linkMbps: z.number().positive().default(1_000),
       /** Memory that the process may use, megabytes. */
       memoryMb: z.number().positive().optional(),
+      /** Descriptors that the process may have open. */
+      descriptors: z.number().int().positive().optional(),
     })
     .default({coreShare: 1, cores: 1, linkMbps: 1_000}),
   logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
