--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -28,6 +28,7 @@
 
 import type {EntryHostContext} from '../context.js';
 import {type CrashGuard, NO_CRASH_GUARD} from '../crashes/index.js';
+import {BlockPool} from '../lib/block-buffer.js';
 import {describeError} from '../lib/describe-error.js';
 import {
   NO_VIEW_SOURCE,
@@ -44,9 +45,13 @@
   UNCONFIRMED_RETRY_MS,
   withTenantPriority,
 } from './caller-authenticator.js';
+import {CallerConnections} from './caller-connections.js';
 import {type CallerRequest, readCallerRequest} from './caller-request.js';
 import {expectedBodyBytes, readBody} from './request-body.js';
-import {RequestBufferTracker} from './request-buffer-tracker.js';
+import {
+  headMemoryBytes,
+  RequestBufferTracker,
+} from './request-buffer-tracker.js';
 import {RequestHandler} from './request-handler.js';
 import type {ServerSelector} from './server-selection.js';
 import type {TenantShares} from './tenant-shares.js';
@@ -54,6 +59,16 @@
 /** Largest head that is parsed, bytes; the configured limit is lower. */
 const MAXIMUM_PARSED_HEAD_BYTES = 65_536;
 
+/** Characters of a header line beside its name and value, at the least. */
+const LINE_OVERHEAD_BYTES = 3;
+
+/**
+ * Lines from which on a head is refused, since the parser drops further ones;
+ * more than fit into the largest head.
+ */
+const MAXIMUM_PARSED_LINES =
+  MAXIMUM_PARSED_HEAD_BYTES / (LINE_OVERHEAD_BYTES + 1);
+
 /** Interval of the checks for slow heads and idle connections, ms. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 
@@ -94,6 +109,8 @@
   private routes: RouteTable | undefined;
   private limits = DEFAULT_LIMITS;
   private inProgress = 0;
+  private readonly blocks = new BlockPool();
+  private readonly connections: CallerConnections;
   private draining = false;
   private accepting = true;
 
@@ -134,6 +151,10 @@
       },
     );
     this.server.requestTimeout = 0;
+    this.server.maxHeadersCount = MAXIMUM_PARSED_LINES;
+    this.server.on('connection', (socket) => {
+      this.connections.add(socket);
+    });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.handleClientError(error, socket);
     });
@@ -142,9 +163,11 @@
     this.bufferBudget = new BufferBudget(() =>
       bufferLimitBytes(context.settings.machine.memoryMb),
     );
+    this.connections = new CallerConnections(context, this.bufferBudget);
     const reviewBuffers = () => {
       this.bufferBudget.review(clock.now());
       metrics.heldBytes.set(this.bufferBudget.bytes);
+      metrics.callerConnections.set(this.connections.size);
     };
     timers.every('held-bytes', BUFFER_REVIEW_PERIOD_MS, reviewBuffers, {
       signal,
@@ -228,10 +251,17 @@
     const isClosing = () =>
       (this.draining || this.closingSockets.has(socket)) &&
       !this.awaitsAnswer(socket, message);
+    let hasBeenRead = false;
     this.inProgress += 1;
+    this.connections.recordHead(socket);
     this.openRequestsOn(socket).add(message);
     response.once('close', () => {
       this.inProgress -= 1;
+      if (hasBeenRead) {
+        this.connections.recordAnswer(socket);
+      } else {
+        this.connections.recordRefusal(message);
+      }
       this.openRequestsOn(socket).delete(message);
       if (isClosing()) {
         // The head may have been sent before the connection was to close, and so
@@ -248,11 +278,16 @@
       this.reject(message, answer, {status, reason});
     };
     const {rawHeaders} = message;
+    // A colon and a line end; blanks around the value are optional.
     const headBytes = rawHeaders.reduce(
-      (sum, text) => sum + text.length + 2,
-      (message.url ?? '').length,
+      (sum, text) => sum + text.length,
+      (message.url ?? '').length +
+        (rawHeaders.length / 2) * LINE_OVERHEAD_BYTES,
     );
-    if (headBytes > this.limits.maximumHeaderBytes) {
+    if (
+      headBytes > this.limits.maximumHeaderBytes ||
+      rawHeaders.length / 2 >= MAXIMUM_PARSED_LINES
+    ) {
       reject(431, 'the head is too large');
       return;
     }
@@ -266,6 +301,7 @@
       this.context,
       this.bufferBudget,
       answer,
+      headMemoryBytes(rawHeaders),
     );
     buffers.requestId = head.id;
     if (!this.accepting) {
@@ -279,7 +315,12 @@
       this.rejectBeforeBody(head, answer, 'no memory for its body');
       return;
     }
-    const body = await readBody(message, maximumBodyBytes, buffers);
+    const body = await readBody(
+      message,
+      maximumBodyBytes,
+      buffers,
+      this.blocks,
+    );
     if (body === 'too-large') {
       reject(413, 'the body is too large');
       return;
@@ -288,6 +329,8 @@
       answer.abort();
       return;
     }
+    hasBeenRead = true;
+    this.connections.recordRequest(socket);
     const request = {...head, body};
     if (await this.hasDisconnected(message.socket, request.id)) {
       answer.abort();
--- a/packages/entry-host/src/front/request-body.ts
+++ b/packages/entry-host/src/front/request-body.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 
+import {BlockBuffer, type BlockPool} from '../lib/block-buffer.js';
 import type {RequestBufferTracker} from './request-buffer-tracker.js';
 
 /** Size assumed for a body of unknown length, bytes: one socket read. */
@@ -20,26 +21,27 @@
   message: IncomingMessage,
   maximumBytes: number,
   buffers: RequestBufferTracker,
+  pool: BlockPool,
 ): Promise<Buffer | 'too-large' | 'aborted'> =>
   new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new BlockBuffer(pool);
     message.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maximumBytes) {
+      if (body.length + chunk.length > maximumBytes) {
         resolve('too-large');
         message.removeAllListeners('data');
+        body.clear();
         message.resume();
         return;
       }
-      chunks.push(chunk);
-      buffers.recordBodyBytes(chunk.length);
+      body.append(chunk);
+      buffers.recordBodyBytes(chunk.length, body.capacity);
     });
     message.on('end', () => {
       buffers.recordBodyEnd();
-      resolve(Buffer.concat(chunks));
+      resolve(body.take());
     });
     message.on('close', () => {
+      body.clear();
       resolve('aborted');
     });
   });
