Notice the leaving of callers whose answers are queued

A caller that sends two requests on one connection and leaves was noticed for the first only. The second was worked on, its answer, body and account of buffers were kept for ever, and every planned stop waited for it for its whole grace: crowds of such callers fill a host's memory. Cause: the runtime reports the close of a connection to the answer that is being sent, not to those that wait behind it.

The listener passes the close on to these.

--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -269,6 +269,16 @@
         socket.destroySoon();
       }
     });
+    const handleSocketClose = () => {
+      if (response.socket === null) {
+        // The runtime reports the close only to the answer that is being sent.
+        response.emit('close');
+      }
+    };
+    socket.once('close', handleSocketClose);
+    response.once('close', () => {
+      socket.off('close', handleSocketClose);
+    });
     const answer = new CallerAnswer(response, isClosing);
     this.openAnswers.add(answer);
     answer.onClose(() => {
