Charge a small body by its bytes

A body of a byte was charged as a whole block, so that a host with a budget below it cut the connection where it used to answer: 'rejects a body beyond the buffer budget before it is sent' of front-listener_test hung. It passes again.

--- a/packages/entry-host/src/front/request-body.ts
+++ b/packages/entry-host/src/front/request-body.ts
@@ -34,7 +34,7 @@
         return;
       }
       body.append(chunk);
-      buffers.recordBodyBytes(chunk.length, body.capacity);
+      buffers.recordBodyBytes(chunk.length, body.chargedBytes);
     });
     message.on('end', () => {
       buffers.recordBodyEnd();
--- a/packages/entry-host/src/lib/block-buffer.ts
+++ b/packages/entry-host/src/lib/block-buffer.ts
@@ -38,6 +38,11 @@
     return this.blocks.length * BLOCK_BYTES;
   }
 
+  /** Bytes to charge for it; a first block isn't charged before it is full. */
+  get chargedBytes(): number {
+    return this.blocks.length > 1 ? this.capacity : this.used;
+  }
+
   append(piece: Buffer): void {
     for (let copied = 0; copied < piece.length;) {
       if (this.used === this.capacity) {
