--- a/packages/entry-host/src/front/caller-answer.ts
+++ b/packages/entry-host/src/front/caller-answer.ts
@@ -75,8 +75,9 @@
 
   /**
    * Begins an answer whose body follows in chunks, even if only the end of its
-   * server's connection delimits it: when this process ends, the kernel closes its connections in order, and
-   * only a last chunk that is missing shows that the answer is not complete.
+   * server's connection delimits it: when this process ends, the kernel closes
+   * its connections in order, and only a last chunk that is missing shows that
+   * the answer is not complete.
    */
   begin(status: number, rawHeaders: readonly string[]): void {
     this.writeHead(status, rawHeaders);
