Validate each stored object once for each of its versions

Cause: in each round of exchanges, twice a second, a host validated all records of the store to find addresses of unknown hosts, and so did each new attempt to reach one, some 150 ms apart for each of up to 194 hosts while a fleet starts. A new view of records or servers replaced all its objects, and four components validated them again.

Evidence: profiles of hosts on loopback show 13% of the first nine seconds and 9% at rest in validation, and 17 to 24% in garbage collection. The class is work on a whole view though one object of it, or none, has changed.

Views keep the objects of items whose revision is unchanged, also where a peer or the store sends them anew, and the result of a validation is kept with the object. Attempts to reach an unknown host look for its address among the live ones only.

--- a/packages/dispatch/src/fleet/records.ts
+++ b/packages/dispatch/src/fleet/records.ts
@@ -2,6 +2,9 @@
 
 import {z} from 'zod';
 
+import {ItemDecoder} from './item-decoder.js';
+import type {StoredItem} from './store-views.js';
+
 /** Addresses of an entry host; changes only when they do. */
 export const hostRecordSchema = z.object({
   type: z.literal('host'),
@@ -66,6 +69,12 @@
 ]);
 export type FleetRecord = z.infer<typeof fleetRecordSchema>;
 
+const fleetRecords = new ItemDecoder(fleetRecordSchema);
+
+/** Returns the record that an item holds; undefined if it is malformed. */
+export const decodeFleetRecord = (item: StoredItem): FleetRecord | undefined =>
+  fleetRecords.decode(item);
+
 /** Digest of a key, which may have characters that names may not. */
 const digestOf = (key: string): string =>
   createHash('sha256').update(key).digest('hex').slice(0, 32);
--- a/packages/dispatch/src/fleet/store-views.ts
+++ b/packages/dispatch/src/fleet/store-views.ts
@@ -100,7 +100,7 @@
             changedAfter: undefined,
           }
         : newer
-          ? replaceView(known, snapshot, freshAt, at)
+          ? replaceView(known, withKnownItems(snapshot, known), freshAt, at)
           : confirmView(known, freshAt, at),
     );
     return newer;
@@ -120,6 +120,18 @@
   }
 }
 
+/** Returns the snapshot with the known objects of items that are unchanged. */
+const withKnownItems = (snapshot: Snapshot, {snapshot: known}: StoreView) => {
+  const knownByName = new Map(known.items.map((item) => [item.name, item]));
+  return {
+    ...snapshot,
+    items: snapshot.items.map((item) => {
+      const before = knownByName.get(item.name);
+      return before?.revision === item.revision ? before : item;
+    }),
+  };
+};
+
 /**
  * Returns the view with a snapshot that was current at `freshAt`. In a new era
  * of the store, entries written since its copy was made are missing until their
--- a/packages/entry-host/src/crashes/quarantine-records.ts
+++ b/packages/entry-host/src/crashes/quarantine-records.ts
@@ -5,7 +5,7 @@
   type Quarantine,
   quarantineRecordName,
   type QuarantineRecord,
-  quarantineRecordSchema,
+  decodeFleetRecord,
 } from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
@@ -78,11 +78,12 @@
     const before = this.stored;
     const at = clock.now();
     this.stored = new Map(
-      items.flatMap(({name, revision, value}) => {
-        const record = quarantineRecordSchema.safeParse(value).data;
-        return record === undefined
-          ? []
-          : [[record.key, {name, revision, record}]];
+      items.flatMap((item) => {
+        const record = decodeFleetRecord(item);
+        const {name, revision} = item;
+        return record?.type === 'quarantine'
+          ? [[record.key, {name, revision, record}]]
+          : [];
       }),
     );
     if (eraOf(viewRevision) > this.era) {
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -19,6 +19,7 @@
   FairShares,
   FleetLoad,
   hostCapacity,
+  ItemDecoder,
   type HostStatus,
   KeyRing,
   Membership,
@@ -133,6 +134,7 @@
   private readonly abortController = new AbortController();
   private readonly listeners: HttpServer[] = [];
   private readonly versions = new AdapterVersions();
+  private readonly versionRecords = new ItemDecoder(adapterVersionRecordSchema);
   private readonly residency = new ResidencyCache();
   private readonly pools: UpstreamPools;
   private readonly relaySessions: RelaySessions;
@@ -481,13 +483,13 @@
     const {views, clock, logger} = this.context;
     const {snapshot, changedAfter} = views.get('adapter-versions') ?? {};
     this.versions.update(
-      (snapshot?.items ?? []).flatMap(({name, value}) => {
-        const parsed = adapterVersionRecordSchema.safeParse(value);
-        if (!parsed.success) {
-          logger.warn('malformed adapter version ignored', {name});
+      (snapshot?.items ?? []).flatMap((item) => {
+        const record = this.versionRecords.decode(item);
+        if (record === undefined) {
+          logger.warn('malformed adapter version ignored', {name: item.name});
           return [];
         }
-        return [parsed.data];
+        return [record];
       }),
       clock.now(),
       changedAfter,
--- a/packages/entry-host/src/orders/claim-manager.ts
+++ b/packages/entry-host/src/orders/claim-manager.ts
@@ -5,9 +5,9 @@
   type ClaimRecord,
   claimRecordName,
   type ClaimState,
+  decodeFleetRecord,
   eraOf,
   type FleetRecord,
-  fleetRecordSchema,
   type HeldClaim,
   type HostRecord,
   hostRecordName,
@@ -95,7 +95,7 @@
     this.claims.clear();
     this.hosts.clear();
     for (const item of items) {
-      const record = fleetRecordSchema.safeParse(item.value).data;
+      const record = decodeFleetRecord(item);
       if (record === undefined) {
         this.context.logger.warn('skipping malformed record', {
           name: item.name,
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -1,7 +1,7 @@
 import {elapsedMs, type Instant} from '@basilworks/core';
 import {
+  decodeFleetRecord,
   type HostEntry,
-  hostRecordSchema,
   type HostStatus,
   type StoreKind,
 } from '@basilworks/dispatch';
@@ -300,12 +300,12 @@
   private unknownPeers(): readonly Target[] {
     const {settings, membership, views} = this.context;
     const records = views.get('records')?.snapshot.items ?? [];
-    const recorded = records.flatMap(({value}) => {
-      const record = hostRecordSchema.safeParse(value).data;
-      return record === undefined ||
-        membership.status(record.host) !== undefined
-        ? []
-        : [record.peerAddress];
+    const recorded = records.flatMap((item) => {
+      const record = decodeFleetRecord(item);
+      return record?.type === 'host' &&
+        membership.status(record.host) === undefined
+        ? [record.peerAddress]
+        : [];
     });
     const known = new Set(
       membership.live().map(({peerAddress}) => peerAddress),
@@ -384,9 +384,12 @@
       connection.close();
       this.links.delete(address);
     }
-    const {timers} = this.context;
+    const {timers, membership} = this.context;
     timers.after(`peers/discovery/${address}`, DISCOVERY_RETRY_MS, () => {
-      if (this.unknownPeers().some((peer) => peer.address === address)) {
+      const identified = membership
+        .live()
+        .some(({peerAddress}) => peerAddress === address);
+      if (!identified) {
         void this.exchangeWith(target);
       }
     });
--- a/packages/entry-host/src/store/server-table-updater.ts
+++ b/packages/entry-host/src/store/server-table-updater.ts
@@ -1,5 +1,6 @@
 import {elapsedMs} from '@basilworks/core';
 import {
+  ItemDecoder,
   type RecordedEntry,
   type ServerChange,
   serverEntrySchema,
@@ -9,6 +10,8 @@
 
 /** Updates the table of servers from the store's view of their entries. */
 export class ServerTableUpdater {
+  private readonly entries = new ItemDecoder(serverEntrySchema);
+
   constructor(private readonly context: EntryHostContext) {}
 
   /** Applies the newest view; skips and logs malformed entries. */
@@ -17,16 +20,14 @@
     const view = views.get('servers');
     const at = clock.now();
     const items = view?.snapshot.items ?? [];
-    const entries = items.flatMap(
-      ({name, value, revision}): RecordedEntry[] => {
-        const parsed = serverEntrySchema.safeParse(value);
-        if (!parsed.success) {
-          logger.warn('malformed server entry skipped', {server: name});
-          return [];
-        }
-        return [{entry: parsed.data, revision}];
-      },
-    );
+    const entries = items.flatMap((item): RecordedEntry[] => {
+      const entry = this.entries.decode(item);
+      if (entry === undefined) {
+        logger.warn('malformed server entry skipped', {server: item.name});
+        return [];
+      }
+      return [{entry, revision: item.revision}];
+    });
     this.logChanges(servers.update(entries, view?.outageEndedAt, at));
   }
 
--- a/packages/entry-host/src/streams/version-records.ts
+++ b/packages/entry-host/src/streams/version-records.ts
@@ -2,7 +2,7 @@
 import {
   type SoftwareVersions,
   softwareVersionsRecordName,
-  softwareVersionsRecordSchema,
+  decodeFleetRecord,
 } from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
@@ -41,11 +41,11 @@
     const items = this.context.views.get('records')?.snapshot.items ?? [];
     const recorded = new Map<string, readonly string[]>();
     this.stored = new Map();
-    for (const {value, revision} of items) {
-      const record = softwareVersionsRecordSchema.safeParse(value).data;
-      if (record !== undefined) {
+    for (const item of items) {
+      const record = decodeFleetRecord(item);
+      if (record?.type === 'software-versions') {
         recorded.set(record.service, record.versions);
-        this.stored.set(record.service, revision);
+        this.stored.set(record.service, item.revision);
       }
     }
     this.versions.applyRecorded(recorded, this.context.clock.now());
--- a/packages/entry-host/src/tenants/tenant-meters.ts
+++ b/packages/entry-host/src/tenants/tenant-meters.ts
@@ -1,6 +1,6 @@
 import {chooseByRendezvous, elapsedMs, type Instant} from '@basilworks/core';
 import {
-  hostRecordSchema,
+  decodeFleetRecord,
   type QuotaAnswer,
   type QuotaAsk,
   type QuotaBounds,
@@ -188,9 +188,10 @@
     const snapshot = views.get('records')?.snapshot;
     if (snapshot !== this.countedSnapshot) {
       this.countedSnapshot = snapshot;
-      this.recordedNames = (snapshot?.items ?? []).flatMap(
-        ({value}) => hostRecordSchema.safeParse(value).data?.host ?? [],
-      );
+      this.recordedNames = (snapshot?.items ?? []).flatMap((item) => {
+        const record = decodeFleetRecord(item);
+        return record?.type === 'host' ? [record.host] : [];
+      });
     }
     const hosts = new Set([...this.recordedNames, settings.host]);
     this.recordedHostCount = Math.max(hosts.size, this.live.size);
