Survive the end of a session with a peer that relays

Callers lost their connections to a host, as its process ended: whenever another host through which it reached servers stopped while relayed connections were open.

Cause: a session whose peer has announced its end is closing, not destroyed, until its streams have ended. It was used again, and asking it for a stream throws (ERR_HTTP2_GOAWAY_SESSION). Nothing caught that, which ends the process. A host connects through others wherever one server is silent, also without a cut.

A closing session is replaced, and whatever a session throws counts as a peer that can't relay.

--- a/packages/entry-host/src/relay/relay-sessions.ts
+++ b/packages/entry-host/src/relay/relay-sessions.ts
@@ -3,10 +3,12 @@
   type ClientHttp2Stream,
   connect,
   type IncomingHttpHeaders,
+  type OutgoingHttpHeaders,
 } from 'node:http2';
 
 import {elapsedMs, type Instant} from '@basilworks/core';
 import type {Clock, TimerService} from '@basilworks/daemon';
+import {Result} from 'neverthrow';
 
 import type {Transport, UpstreamAddress} from '../upstream/index.js';
 import {END_TRAILER, RELAY_PATH, RELAY_STATUS} from './relay-protocol.js';
@@ -49,6 +51,13 @@
 
 let serial = 0;
 
+/** Opens a stream; a session whose peer stops throws until it is closed. */
+const requestStream = (
+  session: ClientHttp2Session,
+  headers: OutgoingHttpHeaders,
+): Result<ClientHttp2Stream, string> =>
+  Result.fromThrowable(() => session.request(headers), String)();
+
 /** Sessions with the peers that relay connections of this host. */
 export class RelaySessions {
   private readonly sessions = new Map<string, RelaySession>();
@@ -70,10 +79,14 @@
   ): Promise<RelayResult> {
     const {clock, timers} = this;
     const entry = this.sessionWith(relayAddress);
-    const stream = entry.session.request({
+    const requested = requestStream(entry.session, {
       ':method': 'POST',
       ':path': `${RELAY_PATH}${server.host}:${server.port}`,
     });
+    if (requested.isErr()) {
+      return Promise.resolve(UNAVAILABLE);
+    }
+    const stream = requested.value;
     const timer = `relay/open/${(serial += 1)}`;
     entry.streams += 1;
     entry.usedAt = clock.now();
@@ -123,7 +136,8 @@
 
   private sessionWith(address: string): RelaySession {
     const known = this.sessions.get(address);
-    if (known !== undefined && !known.session.destroyed) {
+    // A session that is closing takes no new streams while others are open.
+    if (known !== undefined && !known.session.closed && !known.session.destroyed) {
       return known;
     }
     const at = this.clock.now();
