Ask more peers before a server counts as unreachable

Callers of hosts that had lost servers waited 400 ms and more for a send that failed, and the server was paused. Where links refuse connections, it counted as crashed.

Cause: a host asked up to three random peers and believed the first two that did not reach the server, though these may be cut off from it as well, such as all hosts of a zone. Each of them took 200 to 300 ms.

Evidence: with five of seven hosts cut from 8 of 13 engines, 27 sends of cut hosts ended with "peers found the server silent" in 9 s while two hosts reached all servers.

Four peers are asked, of zones that were not asked yet first; the next one begins when one has failed or has not answered for 50 ms, and any connection is used. Both tests failed before: a sound server was silent, and refused, after two peers that were cut.

--- a/packages/entry-host/src/relay/relay-sessions.ts
+++ b/packages/entry-host/src/relay/relay-sessions.ts
@@ -137,7 +137,11 @@
   private sessionWith(address: string): RelaySession {
     const known = this.sessions.get(address);
     // A session that is closing takes no new streams while others are open.
-    if (known !== undefined && !known.session.closed && !known.session.destroyed) {
+    if (
+      known !== undefined &&
+      !known.session.closed &&
+      !known.session.destroyed
+    ) {
       return known;
     }
     const at = this.clock.now();
--- a/packages/entry-host/src/relay/server-dialer.ts
+++ b/packages/entry-host/src/relay/server-dialer.ts
@@ -1,4 +1,4 @@
-import type {HostEntry, Server} from '@basilworks/dispatch';
+import type {HostEntry, Server, ServerEntry} from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
 import {
@@ -19,14 +19,17 @@
  */
 const RELAY_DELAY_MS = 150;
 
-/** Peers through which one connection is attempted at most. */
-const MAXIMUM_RELAYS = 3;
+/**
+ * Peers through which one connection is attempted at most. A server counts as
+ * unreachable if none of them reaches it: some may be cut off themselves.
+ */
+const MAXIMUM_RELAYS = 4;
 
 /**
- * Peers that have to find a server unreachable before it counts as that: the
- * first may be cut off itself.
+ * Time that an attempt through one peer has before one through the next begins
+ * as well, milliseconds.
  */
-const CONFIRMING_RELAYS = 2;
+const NEXT_RELAY_DELAY_MS = 50;
 
 /** Connects to servers: directly or, if that fails, through a peer. */
 export class ServerDialer {
@@ -39,16 +42,14 @@
   ) {}
 
   /** Returns the ways to connect to a server. */
-  dialsFor({key, entry}: Server): ServerDials {
-    const {host, port} = entry;
-    const address = {host, port};
-    const direct = this.observed(key, this.directTo(address));
+  dialsFor(server: Server): ServerDials {
+    const direct = this.observed(server, this.directTo(server.entry));
     return {
       direct,
       any: (observer) =>
-        this.context.paths.usesRelay(key, this.context.clock.now())
-          ? this.dialRelayed(address, direct, observer)
-          : this.dialEither(key, address, observer),
+        this.context.paths.usesRelay(server.key, this.context.clock.now())
+          ? this.dialRelayed(server.entry, direct, observer)
+          : this.dialEither(server, observer),
     };
   }
 
@@ -68,11 +69,10 @@
   }
 
   /** Attempts a direct connection and closes it. */
-  probe({key, entry}: Server): void {
-    const {host, port} = entry;
+  probe(server: Server): void {
     this.observed(
-      key,
-      this.directTo({host, port}),
+      server,
+      this.directTo(server.entry),
     )({
       connected: ({stream}) => {
         stream.destroy();
@@ -83,18 +83,18 @@
     });
   }
 
-  private directTo(address: UpstreamAddress): Dial {
-    return dialDirectly(address, this.context.timers, this.connectSocket);
+  private directTo({host, port}: UpstreamAddress): Dial {
+    return dialDirectly({host, port}, this.context.timers, this.connectSocket);
   }
 
   /** Records direct connections that were established. */
-  private observed(server: string, dial: Dial): Dial {
+  private observed(server: Server, dial: Dial): Dial {
     return (observer) =>
       dial({
         ...observer,
         connected: (transport) => {
           const {paths, clock, servers} = this.context;
-          paths.recordDirect(server, servers.all().length, clock.now());
+          paths.recordDirect(server.key, servers.all().length, clock.now());
           observer.connected(transport);
         },
       });
@@ -102,13 +102,13 @@
 
   /** Connects through peers; directly if none can. */
   private dialRelayed(
-    address: UpstreamAddress,
+    entry: ServerEntry,
     direct: Dial,
     observer: DialObserver,
   ): () => void {
     const abort = new AbortController();
     let cancelDirect: (() => void) | undefined;
-    void this.openRelayed(address, abort.signal).then((result) => {
+    void this.openRelayed(entry, abort.signal).then((result) => {
       this.countRelayed(result);
       if (abort.signal.aborted) {
         discard(result);
@@ -127,12 +127,9 @@
   }
 
   /** Connects directly, and through peers if that fails or takes long. */
-  private dialEither(
-    server: string,
-    address: UpstreamAddress,
-    observer: DialObserver,
-  ): () => void {
+  private dialEither(server: Server, observer: DialObserver): () => void {
     const {timers, paths, clock, servers} = this.context;
+    const {entry} = server;
     const abort = new AbortController();
     const timer = `relay/delay/${(this.serial += 1)}`;
     let directFailure: DialFailure | undefined;
@@ -156,7 +153,7 @@
       }
       relayStarted = true;
       timers.cancel(timer);
-      void this.openRelayed(address, abort.signal).then((result) => {
+      void this.openRelayed(entry, abort.signal).then((result) => {
         this.countRelayed(result);
         if (abort.signal.aborted) {
           discard(result);
@@ -165,7 +162,7 @@
           cancelDirect();
           const refused = directFailure?.reason === 'unreachable';
           const known = servers.all().length;
-          paths.recordRelayed(server, refused, known, clock.now());
+          paths.recordRelayed(server.key, refused, known, clock.now());
           observer.connected(result.transport);
         } else {
           relayResult = result;
@@ -174,7 +171,7 @@
       });
     };
     timers.after(timer, RELAY_DELAY_MS, startRelay);
-    const direct = this.observed(server, this.directTo(address));
+    const direct = this.observed(server, this.directTo(entry));
     const cancelDirect = direct({
       connected: (transport) => {
         settle();
@@ -192,33 +189,75 @@
     };
   }
 
-  /** Attempts a connection through a few peers, one after the other. */
-  private async openRelayed(
-    address: UpstreamAddress,
+  /**
+   * Attempts a connection through a few peers. The next one is asked when one
+   * has failed or takes long; the first connection is used.
+   */
+  private openRelayed(
+    entry: ServerEntry,
     signal: AbortSignal,
   ): Promise<RelayResult> {
+    const {timers, logger} = this.context;
+    const relays = this.relays();
+    const timer = `relay/next/${(this.serial += 1)}`;
+    const settled = new AbortController();
+    const anySignal = AbortSignal.any([signal, settled.signal]);
     let latest: RelayResult = {type: 'unavailable'};
-    let confirmations = 0;
-    for (const {relayAddress} of this.relays()) {
-      const result = await this.sessions.open(relayAddress, address, signal);
-      if (result.type === 'connected' || signal.aborted) {
-        return result;
-      }
-      if (result.type !== 'unavailable') {
-        latest = result;
-        confirmations += 1;
-      }
-      if (confirmations === CONFIRMING_RELAYS) {
-        break;
-      }
-    }
-    return latest;
+    let pending = 0;
+    return new Promise((resolve) => {
+      const settle = (result: RelayResult) => {
+        timers.cancel(timer);
+        signal.removeEventListener('abort', giveUp);
+        settled.abort();
+        resolve(result);
+      };
+      const giveUp = () => {
+        settle({type: 'unavailable'});
+      };
+      const handle = (peer: string, result: RelayResult) => {
+        pending -= 1;
+        if (settled.signal.aborted) {
+          discard(result);
+          return;
+        }
+        if (result.type === 'connected') {
+          settle(result);
+          return;
+        }
+        logger.info('peer opened no connection', {
+          peer,
+          server: entry.id,
+          result: result.type,
+        });
+        latest = result.type === 'unavailable' ? latest : result;
+        askNext();
+      };
+      const askNext = () => {
+        const relay = relays.shift();
+        if (relay !== undefined) {
+          pending += 1;
+          timers.after(timer, NEXT_RELAY_DELAY_MS, askNext);
+          void this.sessions
+            .open(relay.relayAddress, entry, anySignal)
+            .then((result) => {
+              handle(relay.host, result);
+            });
+        } else if (pending === 0) {
+          settle(latest);
+        }
+      };
+      signal.addEventListener('abort', giveUp, {once: true});
+      askNext();
+    });
   }
 
-  /** Peers to connect through, at random so that they share the load. */
-  private relays(): readonly RelayHost[] {
+  /**
+   * Peers to connect through: at random, so that they share the load, but of
+   * different zones first, as the hosts of a zone may be cut together.
+   */
+  private relays(): RelayHost[] {
     const {membership, random, settings} = this.context;
-    const peers = membership
+    const remaining = membership
       .live()
       .filter(
         (entry): entry is RelayHost =>
@@ -227,9 +266,16 @@
           entry.cutFromServers !== true,
       );
     const chosen: RelayHost[] = [];
-    while (chosen.length < MAXIMUM_RELAYS && peers.length > 0) {
-      const [peer] = peers.splice(Math.floor(random() * peers.length), 1);
-      chosen.push(...(peer === undefined ? [] : [peer]));
+    while (chosen.length < MAXIMUM_RELAYS && remaining.length > 0) {
+      const zones = new Set(chosen.map(({zone}) => zone));
+      const elsewhere = remaining.filter(({zone}) => !zones.has(zone));
+      const candidates = elsewhere.length > 0 ? elsewhere : remaining;
+      const peer = candidates[Math.floor(random() * candidates.length)];
+      if (peer === undefined) {
+        break;
+      }
+      remaining.splice(remaining.indexOf(peer), 1);
+      chosen.push(peer);
     }
     return chosen;
   }
--- a/packages/entry-host/src/test/relay/relay_test.ts
+++ b/packages/entry-host/src/test/relay/relay_test.ts
@@ -14,6 +14,7 @@
 import {RelayListener, RelaySessions, ServerDialer} from '../../relay/index.js';
 import {
   type ConnectSocket,
+  type Dial,
   UpstreamError,
   UpstreamPool,
 } from '../../upstream/index.js';
@@ -30,11 +31,44 @@
     Object.assign(new Error('refused'), {code: 'ECONNREFUSED'}),
   );
 
-/** A server, a peer that relays to it, and the pool of a host that is cut. */
+/** How a peer that does not reach a server fails to connect to it. */
+type FailedDial = 'refused' | 'silent';
+
+const failingDial =
+  (failed: FailedDial): (() => Dial) =>
+  () =>
+  (observer) => {
+    const refused = failed === 'refused';
+    const timer = setTimeout(
+      () => {
+        const reason = refused ? 'unreachable' : 'connect-timeout';
+        observer.failed({reason, detail: failed, refused});
+      },
+      refused ? 0 : 200,
+    );
+    return () => {
+      clearTimeout(timer);
+    };
+  };
+
+/** Finds a free port for a peer. */
+const freeRelayAddress = async (): Promise<readonly [string, number]> => {
+  const probe = createServer();
+  await listen(probe);
+  const {port} = probe.address() as AddressInfo;
+  await new Promise((resolve) => probe.close(resolve));
+  return [`127.0.0.1:${port}`, port];
+};
+
+/**
+ * A server, a peer that relays to it, others that do not reach it, and the pool
+ * of a host that is cut.
+ */
 const startWorld = async (
   t: ExecutionContext,
   answer: (socket: Socket) => void,
   connectSocket: ConnectSocket = NOBODY,
+  unable: readonly FailedDial[] = [],
 ) => {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
@@ -51,18 +85,39 @@
   const entry = {...serverEntry('s'), host: '127.0.0.1', port};
   const at = simulated.clock.now();
   servers.update([{entry, revision: 1}], undefined, at);
-  const probe = createServer();
-  await listen(probe);
-  const {port: relayPort} = probe.address() as AddressInfo;
-  await new Promise((resolve) => probe.close(resolve));
-  const relayAddress = `127.0.0.1:${relayPort}`;
+  const [relayAddress, relayPort] = await freeRelayAddress();
   const peer = {...simulated.membership.self(), host: 'peer', relayAddress};
+  const unablePeers = await Promise.all(
+    unable.map(async (failed, index) => {
+      const [address, ownPort] = await freeRelayAddress();
+      return {
+        dial: failingDial(failed),
+        port: ownPort,
+        entry: {...peer, host: `cut-${index}`, relayAddress: address},
+      };
+    }),
+  );
   const context = {
     ...simulated,
     timers,
     servers,
-    membership: {live: () => [simulated.membership.self(), peer]},
+    // Peers are asked in the order of the list.
+    random: () => 0,
+    membership: {
+      live: () => [
+        simulated.membership.self(),
+        ...unablePeers.map(({entry: unableEntry}) => unableEntry),
+        peer,
+      ],
+    },
   } as unknown as EntryHostContext;
+  const unableListeners = unablePeers.map(
+    ({dial}) => new RelayListener({...context, paths: new ServerPaths()}, dial),
+  );
+  for (const [index, unableListener] of unableListeners.entries()) {
+    const ownPort = unablePeers[index]?.port ?? 0;
+    (await unableListener.listen('127.0.0.1', ownPort))._unsafeUnwrap();
+  }
   const listener = new RelayListener({...context, paths: new ServerPaths()});
   (await listener.listen('127.0.0.1', relayPort))._unsafeUnwrap();
   const sessions = new RelaySessions(timers, simulated.clock);
@@ -80,6 +135,9 @@
     pool.close();
     sessions.close();
     listener.close();
+    for (const unableListener of unableListeners) {
+      unableListener.close();
+    }
     server.close();
     timers.close();
     fleet.close();
@@ -187,8 +245,23 @@
   test(`a server that a peer reaches is open, whatever the link shows: ${name}`, async (t) => {
     const world = await startWorld(t, () => undefined, connectSocket);
     t.is(await world.dialer.check(world.known), 'open');
-    const {paths, clock} = world.context;
-    t.true(paths.usesRelay(world.known.key, clock.now()));
+    t.true(
+      world.context.paths.usesRelay(world.known.key, world.context.clock.now()),
+    );
+  });
+}
+
+for (const failed of ['silent', 'refused'] as const) {
+  // Guards against a server that is paused, or counted as crashed, because the
+  // two peers that were asked first are cut from it as well.
+  test(`a server that two peers do not reach either is open: ${failed}`, async (t) => {
+    const world = await startWorld(
+      t,
+      () => undefined,
+      failed === 'silent' ? NOBODY : REFUSED,
+      [failed, failed],
+    );
+    t.is(await world.dialer.check(world.known), 'open');
   });
 }
 
