Judge for each server and service whether this host reaches it

Callers of a host that had lost some servers lost one request after the other there: each idle connection to such a server took one until its deadline. A host that had lost one service counted as cut from all, relayed for nobody and gave up all its claims.

Cause: being cut was one state of the whole host. It counted new connections only, not what came on open ones, and silence was judged over all servers, so that one that answered hid the others. What was known of a server was forgotten after two seconds.

A service is lost if three of its servers are, with nothing heard from it directly meanwhile; a server is reached through peers until a direct connection succeeds, four of the lost ones being tried every 250 ms. A server that lets a request wait for 0.8 s in silence is checked, whatever others do, and sooner once the links are in doubt; idle connections to one that is lost are closed if they hang. Failures are not held against servers of a service of which some are lost.

--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -472,6 +472,7 @@
     this.serverTableUpdater.applyLatestView();
     const {servers} = this.context;
     const keys = new Set(servers.all().map(({key}) => key));
+    this.context.paths.retain(keys);
     this.pools.retain(keys);
     this.permits.retain(keys);
     this.streams.applyServers();
@@ -516,10 +517,17 @@
       readsStore: this.reader.isHealthy,
       capacity: hostCapacity(machine),
       relayAddress,
-      cutFromServers: this.context.paths.isCut,
+      cutFromServers: this.isCutFromServers(),
     };
   }
 
+  /** Whether only other hosts reach the servers. */
+  private isCutFromServers(): boolean {
+    const {paths, servers} = this.context;
+    const known = paths.isImpaired ? servers.all() : [];
+    return known.length > 0 && known.every((server) => paths.usesRelay(server));
+  }
+
   private startMaintenance(): void {
     const {timers, signal, clock, metrics, logger} = this.context;
     timers.every(
--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -230,7 +230,7 @@
           mayWrite: () => this.mayWrite(),
           head: (head) => {
             const at = clock.now();
-            this.context.paths.recordActivity(at);
+            this.recordPath(at);
             this.headReceived = true;
             const waitedMs = at.monotonicMs - sentAt.monotonicMs;
             this.recordResponse(request, head, waitedMs, at);
@@ -244,7 +244,7 @@
               this.firstDataAt ??= at;
             }
             health.recordActivity(at);
-            this.context.paths.recordActivity(at);
+            this.recordPath(at);
             const gapMs = timing.recordChunk(at);
             if (gapMs !== undefined) {
               health.recordGap(gapMs, at);
@@ -385,10 +385,21 @@
     this.settle({type: 'no-answer', outcome, detail, status, error});
   }
 
+  /** Records that the server sent something, if it is reached directly. */
+  private recordPath(at: Instant): void {
+    if (this.handle?.path === 'direct') {
+      this.context.paths.recordActivity(this.server, at);
+    }
+  }
+
   private classify(result: SendResult): AttemptOutcome {
     const unreached = result.type === 'no-answer' && result.error !== undefined;
+    const {service} = this.server.entry;
     // A host that is cut from all servers can't tell which of them fail.
-    if (this.cancelled || (unreached && this.context.paths.isCut)) {
+    if (
+      this.cancelled ||
+      (unreached && this.context.paths.isCutFrom(service))
+    ) {
       return 'cancelled';
     }
     if (result.type === 'answered') {
@@ -420,7 +431,8 @@
       attemptOutcome === 'cancelled'
         ? unanswered || undefined
         : FAILED_BY_OUTCOME[attemptOutcome];
-    const isBlameless = this.withdrawn || this.context.paths.isCut;
+    const isBlameless =
+      this.withdrawn || this.context.paths.isImpairedFor(entry.service);
     if (failed !== undefined && !(failed && isBlameless)) {
       this.context.tallies.record(entry.service, key, failed, at);
     }
--- a/packages/entry-host/src/relay/reachability-monitor.ts
+++ b/packages/entry-host/src/relay/reachability-monitor.ts
@@ -8,13 +8,16 @@
 /** Interval of reviews, milliseconds. */
 const REVIEW_PERIOD_MS = 200;
 
-/** Interval of direct connection attempts of a host that is cut, ms. */
+/** Interval of direct connections to servers that are not reached, ms. */
 const PROBE_PERIOD_MS = 250;
 
+/** Servers that are not reached and probed at a time. */
+const PROBED_SERVERS = 4;
+
 /**
- * Time without a byte from any server, while several have requests to answer,
- * after which their connections are in doubt, milliseconds; and while only one
- * has.
+ * Time without a byte from any server of a service, while several servers have
+ * requests to answer, after which their connections are in doubt, milliseconds;
+ * and while only one has, or others of its service answer.
  */
 const SILENCE_MS = 300;
 const SINGLE_SERVER_SILENCE_MS = 800;
@@ -25,19 +28,19 @@
 /** Servers that are checked in one review. */
 const CHECKED_SERVERS = 3;
 
-/** Finds out whether this host is cut from all servers, and when no more. */
+/** Finds out which servers only this host can't reach, and when no more. */
 export class ReachabilityMonitor {
   private readonly checkedAt = new Map<string, Instant>();
   private probedAt: Instant | undefined;
   private probes = 0;
-  private wasCut = false;
-  private cutSince: Instant | undefined;
+  /** Servers that were not reached at the latest review, with the time since. */
+  private unreached: ReadonlyMap<string, Instant> = new Map();
 
   constructor(
     private readonly context: EntryHostContext,
-    private readonly dialer: ServerDialer,
+    private readonly dialer: Pick<ServerDialer, 'check' | 'probe'>,
     private readonly pools: Pick<UpstreamPools, 'closeIdle'>,
-    /** Called when this host becomes cut or is no longer. */
+    /** Called when the servers that this host reaches have changed. */
     private readonly onChange: () => void,
   ) {}
 
@@ -53,74 +56,89 @@
     );
   }
 
-  /** Time for which this host has been cut from all servers, milliseconds. */
-  cutMs(at: Instant): number {
-    return this.cutSince === undefined ? 0 : elapsedMs(this.cutSince, at);
-  }
-
   private review(): void {
-    const {paths, clock} = this.context;
+    const {paths, servers, clock} = this.context;
     const at = clock.now();
-    if (paths.isCut) {
-      this.probe(at);
-    } else {
-      this.checkSilentServers(at);
-    }
-    if (paths.isCut !== this.wasCut) {
-      this.wasCut = paths.isCut;
-      this.applyChange(at);
+    const unreached = paths.isImpaired
+      ? servers.all().filter((server) => paths.usesRelay(server))
+      : [];
+    this.probe(unreached, at);
+    this.checkSilentServers(at);
+    if (this.applyUnreached(unreached, at)) {
+      this.onChange();
     }
   }
 
-  private applyChange(at: Instant): void {
-    const {logger, paths} = this.context;
-    if (paths.isCut) {
-      this.cutSince = at;
-      logger.warn('cut from all servers, connecting through peers');
-      if (paths.isSilent) {
-        this.pools.closeIdle('direct');
+  /** Applies which servers are not reached; true if they have changed. */
+  private applyUnreached(unreached: readonly Server[], at: Instant): boolean {
+    const {logger, paths, servers} = this.context;
+    const before = this.unreached;
+    const since = (key: string) => before.get(key) ?? at;
+    this.unreached = new Map(unreached.map(({key}) => [key, since(key)]));
+    const added = unreached.filter(({key}) => !before.has(key));
+    for (const server of added) {
+      const {id, service} = server.entry;
+      const silent = paths.isSilent(service);
+      const all = paths.isCutFrom(service);
+      logger.warn('server reached through peers only', {
+        server: id,
+        silent,
+        allOfService: all,
+      });
+      if (silent) {
+        // Its open connections hang.
+        this.pools.closeIdle('direct', server);
+      }
+    }
+    const removed = [...before].filter(([key]) => !this.unreached.has(key));
+    for (const [key, unreachedSince] of removed) {
+      const server = servers.get(key);
+      if (server !== undefined) {
+        logger.warn('server reached directly again', {
+          server: server.entry.id,
+          unreachedMs: Math.round(elapsedMs(unreachedSince, at)),
+        });
+        this.pools.closeIdle('relay', server);
       }
-    } else {
-      const cutMs = Math.round(this.cutMs(at));
-      this.cutSince = undefined;
-      logger.warn('servers are reached directly again', {cutMs});
-      this.pools.closeIdle('relay');
     }
-    this.onChange();
+    return added.length + removed.length > 0;
   }
 
-  /** Attempts a direct connection to one server after the other. */
-  private probe(at: Instant): void {
-    const {servers} = this.context;
+  /** Attempts direct connections to some of the servers, in turn. */
+  private probe(unreached: readonly Server[], at: Instant): void {
     if (
       this.probedAt !== undefined &&
       elapsedMs(this.probedAt, at) < PROBE_PERIOD_MS
     ) {
       return;
     }
-    const known = servers.all();
-    const server = known[this.probes % Math.max(1, known.length)];
-    if (server !== undefined) {
+    this.probedAt = at;
+    const count = Math.min(PROBED_SERVERS, unreached.length);
+    for (let index = 0; index < count; index += 1) {
+      const server = unreached[this.probes % unreached.length];
       this.probes += 1;
-      this.probedAt = at;
-      this.dialer.probe(server);
+      if (server !== undefined) {
+        this.dialer.probe(server);
+      }
     }
   }
 
-  /** Checks connections if all servers with open requests are silent. */
+  /** Checks connections to servers that let requests wait in silence. */
   private checkSilentServers(at: Instant): void {
     const {servers, paths} = this.context;
-    const silentMs = paths.silentMs(at);
-    if (silentMs < SILENCE_MS) {
-      return;
-    }
     const waiting = servers
       .all()
-      .filter(({health}) => health.silentMs(at) >= SILENCE_MS);
-    if (waiting.length < 2 && silentMs < SINGLE_SERVER_SILENCE_MS) {
-      return;
-    }
-    for (const server of waiting.slice(0, CHECKED_SERVERS)) {
+      .filter(
+        (server) =>
+          server.health.silentMs(at) >= SILENCE_MS && !paths.usesRelay(server),
+      );
+    const doubted = waiting.filter(
+      ({health, entry: {service}}) =>
+        health.silentMs(at) >= SINGLE_SERVER_SILENCE_MS ||
+        paths.isImpaired ||
+        (paths.silentMs(service, at) >= SILENCE_MS && waiting.length >= 2),
+    );
+    for (const server of doubted.slice(0, CHECKED_SERVERS)) {
       this.check(server, at);
     }
   }
--- a/packages/entry-host/src/relay/relay-listener.ts
+++ b/packages/entry-host/src/relay/relay-listener.ts
@@ -7,6 +7,7 @@
 } from 'node:http2';
 
 import {ListenError} from '@basilworks/daemon';
+import type {Server} from '@basilworks/dispatch';
 import {ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
@@ -118,12 +119,13 @@
       this.context.logger.debug('relayed stream failed', {error: message});
     });
     const address = parseTarget(path);
-    if (method !== 'POST' || address === undefined || !this.knows(address)) {
+    const server = address === undefined ? undefined : this.find(address);
+    if (method !== 'POST' || address === undefined || server === undefined) {
       respond(stream, RELAY_STATUS.unknownServer);
       return;
     }
     const {paths, metrics} = this.context;
-    if (this.relayed >= MAXIMUM_RELAYED || paths.isCut) {
+    if (this.relayed >= MAXIMUM_RELAYED || paths.usesRelay(server)) {
       metrics.relayedConnections.inc({role: 'relay', end: 'unavailable'});
       respond(stream, RELAY_STATUS.unavailable);
       return;
@@ -168,10 +170,10 @@
     };
   }
 
-  private knows({host, port}: UpstreamAddress): boolean {
+  private find({host, port}: UpstreamAddress): Server | undefined {
     return this.context.servers
       .all()
-      .some(({entry}) => entry.host === host && entry.port === port);
+      .find(({entry}) => entry.host === host && entry.port === port);
   }
 }
 
--- a/packages/entry-host/src/relay/server-dialer.ts
+++ b/packages/entry-host/src/relay/server-dialer.ts
@@ -47,7 +47,7 @@
     return {
       direct,
       any: (observer) =>
-        this.context.paths.usesRelay(server.key, this.context.clock.now())
+        this.context.paths.usesRelay(server)
           ? this.dialRelayed(server.entry, direct, observer)
           : this.dialEither(server, observer),
     };
@@ -78,7 +78,7 @@
         stream.destroy();
       },
       failed: () => {
-        this.context.paths.recordUnreached();
+        this.context.paths.recordUnreached(server);
       },
     });
   }
@@ -93,8 +93,8 @@
       dial({
         ...observer,
         connected: (transport) => {
-          const {paths, clock, servers} = this.context;
-          paths.recordDirect(server.key, servers.all().length, clock.now());
+          const {paths, clock} = this.context;
+          paths.recordDirect(server, this.sizeOf(server), clock.now());
           observer.connected(transport);
         },
       });
@@ -128,7 +128,7 @@
 
   /** Connects directly, and through peers if that fails or takes long. */
   private dialEither(server: Server, observer: DialObserver): () => void {
-    const {timers, paths, clock, servers} = this.context;
+    const {timers, paths, clock} = this.context;
     const {entry} = server;
     const abort = new AbortController();
     const timer = `relay/delay/${(this.serial += 1)}`;
@@ -161,8 +161,8 @@
           settle();
           cancelDirect();
           const refused = directFailure?.reason === 'unreachable';
-          const known = servers.all().length;
-          paths.recordRelayed(server.key, refused, known, clock.now());
+          const known = this.sizeOf(server);
+          paths.recordRelayed(server, refused, known, clock.now());
           observer.connected(result.transport);
         } else {
           relayResult = result;
@@ -280,6 +280,13 @@
     return chosen;
   }
 
+  /** Number of servers of a server's service. */
+  private sizeOf({entry: {service}}: Server): number {
+    return this.context.servers
+      .all()
+      .filter(({entry}) => entry.service === service).length;
+  }
+
   private countRelayed({type}: RelayResult): void {
     const {metrics} = this.context;
     metrics.relayedConnections.inc({role: 'user', end: type});
--- a/packages/entry-host/src/test/relay/relay_test.ts
+++ b/packages/entry-host/src/test/relay/relay_test.ts
@@ -245,9 +245,7 @@
   test(`a server that a peer reaches is open, whatever the link shows: ${name}`, async (t) => {
     const world = await startWorld(t, () => undefined, connectSocket);
     t.is(await world.dialer.check(world.known), 'open');
-    t.true(
-      world.context.paths.usesRelay(world.known.key, world.context.clock.now()),
-    );
+    t.true(world.context.paths.usesRelay(world.known));
   });
 }
 
@@ -273,7 +271,7 @@
   );
   await new Promise((resolve) => server.close(resolve));
   t.is(await dialer.check(known), 'refused');
-  t.false(context.paths.usesRelay(known.key, context.clock.now()));
+  t.false(context.paths.usesRelay(known));
 });
 
 /** Starts a request and reads nothing after the head; false if it fails. */
--- a/packages/entry-host/src/upstream/pools.ts
+++ b/packages/entry-host/src/upstream/pools.ts
@@ -41,10 +41,12 @@
     }
   }
 
-  /** Closes idle connections that reach their servers by `path`. */
-  closeIdle(path: ServerPath): void {
-    for (const pool of this.pools.values()) {
-      pool.closeIdle(path);
+  /** Closes idle connections by `path`, to one server or to all. */
+  closeIdle(path: ServerPath, server?: Server): void {
+    for (const [key, pool] of this.pools) {
+      if (server === undefined || server.key === key) {
+        pool.closeIdle(path);
+      }
     }
   }
 
