Tell peers which servers this host does not reach

Callers of hosts that had lost a part of the servers waited for peers that had lost the same part: only a host that had lost all said so.

Cause: the status of a host had one word for all servers.

Older builds leave the field out. The test failed before: one able peer beside nine that say that they do not reach the server.

--- a/packages/dispatch/src/fleet/host-table.ts
+++ b/packages/dispatch/src/fleet/host-table.ts
@@ -18,6 +18,11 @@
   readonly relayAddress?: string | undefined;
   /** Whether it is cut from all servers. */
   readonly cutFromServers?: boolean | undefined;
+  /**
+   * Ids of the servers that other hosts reach and it does not, sorted; none if
+   * it is cut from all.
+   */
+  readonly unreachedServers?: readonly string[] | undefined;
 }
 
 /** A versioned status, as hosts gossip it. */
--- a/packages/dispatch/src/fleet/membership.ts
+++ b/packages/dispatch/src/fleet/membership.ts
@@ -325,4 +325,12 @@
   known.readsStore === status.readsStore &&
   known.capacity === status.capacity &&
   known.relayAddress === status.relayAddress &&
-  (known.cutFromServers ?? false) === (status.cutFromServers ?? false);
+  (known.cutFromServers ?? false) === (status.cutFromServers ?? false) &&
+  isSameList(known.unreachedServers, status.unreachedServers);
+
+const isSameList = (
+  one: readonly string[] = [],
+  other: readonly string[] = [],
+): boolean =>
+  one.length === other.length &&
+  one.every((item, index) => item === other[index]);
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -22,6 +22,7 @@
   ItemDecoder,
   type HostStatus,
   KeyRing,
+  MAXIMUM_UNREACHED,
   Membership,
   reportedOccupancy,
   ResidencyCache,
@@ -517,15 +518,29 @@
       readsStore: this.reader.isHealthy,
       capacity: hostCapacity(machine),
       relayAddress,
-      cutFromServers: this.isCutFromServers(),
+      ...this.reachedServers(),
     };
   }
 
-  /** Whether only other hosts reach the servers. */
-  private isCutFromServers(): boolean {
+  /** Which servers only other hosts reach, as far as they are told. */
+  private reachedServers(): Pick<
+    HostStatus,
+    'cutFromServers' | 'unreachedServers'
+  > {
     const {paths, servers} = this.context;
     const known = paths.isImpaired ? servers.all() : [];
-    return known.length > 0 && known.every((server) => paths.usesRelay(server));
+    const unreached = known.filter((server) => paths.usesRelay(server));
+    const cutFromServers =
+      known.length > 0 && unreached.length === known.length;
+    return {
+      cutFromServers,
+      unreachedServers: cutFromServers
+        ? []
+        : unreached
+            .map(({entry}) => entry.id)
+            .sort()
+            .slice(0, MAXIMUM_UNREACHED),
+    };
   }
 
   private startMaintenance(): void {
--- a/packages/entry-host/src/peers/host-codec.ts
+++ b/packages/entry-host/src/peers/host-codec.ts
@@ -1,4 +1,4 @@
-import type {HostEntry} from '@basilworks/dispatch';
+import {type HostEntry, MAXIMUM_UNREACHED} from '@basilworks/dispatch';
 import type {fleet} from '@basilworks/protocol';
 import {z} from 'zod';
 
@@ -21,13 +21,17 @@
   gone: z.boolean(),
   relayAddress: addressSchema.optional(),
   cutFromServers: z.boolean().default(false),
+  unreachedServers: z.array(z.string()).max(MAXIMUM_UNREACHED).default([]),
 });
 
-const FIELDS = Object.keys(entrySchema.shape) as (keyof HostEntry)[];
+const FIELDS = (Object.keys(entrySchema.shape) as (keyof HostEntry)[]).filter(
+  (field) => field !== 'unreachedServers',
+);
 
 /**
  * Decodes the status of a host; undefined if it is malformed. A status equal to
- * the `known` entry, which is the common case, skips schema validation.
+ * the `known` entry, of a host that reaches all servers, is the common case and
+ * skips schema validation.
  */
 export const decodeHost = (
   status: fleet.HostStatus | undefined,
@@ -35,13 +39,21 @@
 ): HostEntry | undefined =>
   known !== undefined &&
   status !== undefined &&
+  reachesAll(status) &&
+  reachesAll(known) &&
   FIELDS.every((field) => status[field] === known[field])
     ? known
     : entrySchema.safeParse(status).data;
 
+const reachesAll = ({
+  unreachedServers = [],
+}: Pick<HostEntry, 'unreachedServers'>): boolean =>
+  unreachedServers.length === 0;
+
 /** Encodes the entry of a host for peers. */
 export const encodeHost = (entry: HostEntry): fleet.HostStatus => ({
   ...entry,
   relayAddress: entry.relayAddress,
   cutFromServers: entry.cutFromServers ?? false,
+  unreachedServers: [...(entry.unreachedServers ?? [])],
 });
--- a/packages/entry-host/src/relay/server-dialer.ts
+++ b/packages/entry-host/src/relay/server-dialer.ts
@@ -198,7 +198,7 @@
     signal: AbortSignal,
   ): Promise<RelayResult> {
     const {timers, logger} = this.context;
-    const relays = this.relays();
+    const relays = this.relays(entry.id);
     const timer = `relay/next/${(this.serial += 1)}`;
     const settled = new AbortController();
     const anySignal = AbortSignal.any([signal, settled.signal]);
@@ -252,10 +252,11 @@
   }
 
   /**
-   * Peers to connect through: at random, so that they share the load, but of
-   * different zones first, as the hosts of a zone may be cut together.
+   * Peers to connect through that are not known to be cut from the server: at
+   * random, so that they share the load, but of different zones first, as the
+   * hosts of a zone may be cut together.
    */
-  private relays(): RelayHost[] {
+  private relays(server: string): RelayHost[] {
     const {membership, random, settings} = this.context;
     const remaining = membership
       .live()
@@ -263,7 +264,8 @@
         (entry): entry is RelayHost =>
           entry.host !== settings.host &&
           entry.relayAddress !== undefined &&
-          entry.cutFromServers !== true,
+          entry.cutFromServers !== true &&
+          entry.unreachedServers?.includes(server) !== true,
       );
     const chosen: RelayHost[] = [];
     while (chosen.length < MAXIMUM_RELAYS && remaining.length > 0) {
--- a/packages/entry-host/src/test/peers/host-codec_test.ts
+++ b/packages/entry-host/src/test/peers/host-codec_test.ts
@@ -16,6 +16,7 @@
   gone: false,
   relayAddress: '10.0.0.1:7000',
   cutFromServers: false,
+  unreachedServers: [],
 };
 
 test('a status equal to the known entry decodes to that entry', (t) => {
@@ -30,3 +31,12 @@
   t.is(decodeHost(encodeHost(malformed), KNOWN), undefined);
   t.is(decodeHost(undefined, KNOWN), undefined);
 });
+
+test('a change of the servers that a host does not reach is decoded', (t) => {
+  const cut = {...KNOWN, unreachedServers: ['s1', 's2']};
+  t.deepEqual(decodeHost(encodeHost(cut), KNOWN), cut);
+  t.deepEqual(decodeHost(encodeHost(KNOWN), cut), KNOWN);
+  const endless = Array.from({length: 1_000}, (_, index) => `s${index}`);
+  const malformed = {...KNOWN, unreachedServers: endless};
+  t.is(decodeHost(encodeHost(malformed), KNOWN), undefined);
+});
--- a/packages/entry-host/src/test/relay/relay_test.ts
+++ b/packages/entry-host/src/test/relay/relay_test.ts
@@ -7,7 +7,7 @@
 } from 'node:net';
 
 import {TimerService} from '@basilworks/daemon';
-import {ServerPaths, ServerTable} from '@basilworks/dispatch';
+import {type HostEntry, ServerPaths, ServerTable} from '@basilworks/dispatch';
 import test, {type ExecutionContext} from 'ava';
 
 import type {EntryHostContext} from '../../context.js';
@@ -69,6 +69,7 @@
   answer: (socket: Socket) => void,
   connectSocket: ConnectSocket = NOBODY,
   unable: readonly FailedDial[] = [],
+  extra: Partial<HostEntry> = {},
 ) => {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
@@ -93,7 +94,7 @@
       return {
         dial: failingDial(failed),
         port: ownPort,
-        entry: {...peer, host: `cut-${index}`, relayAddress: address},
+        entry: {...peer, host: `cut-${index}`, relayAddress: address, ...extra},
       };
     }),
   );
@@ -263,6 +264,19 @@
   });
 }
 
+// Guards against connections that fail because peers are asked which say that
+// they are cut from the server.
+test('peers that say that they do not reach a server are not asked', async (t) => {
+  const world = await startWorld(
+    t,
+    () => undefined,
+    NOBODY,
+    Array.from({length: 9}, () => 'silent' as const),
+    {unreachedServers: ['s']},
+  );
+  t.is(await world.dialer.check(world.known), 'open');
+});
+
 test('a server that has ended is refused for peers as well', async (t) => {
   const {dialer, known, server, context} = await startWorld(
     t,
