Take over claims on servers that their holder does not reach

Callers of all hosts were refused adapters that were not loaded yet, as the only host that may order a server to load them could not reach that server, but others.

Cause: claims were taken over from hosts that are cut from all servers only.

The time for which a host is cut is kept for each server that it names, through later changes of its status. The tests failed before: a claim on one of two servers, and a time that began anew with each change.

--- a/packages/dispatch/src/fleet/claims.ts
+++ b/packages/dispatch/src/fleet/claims.ts
@@ -26,8 +26,8 @@
 export const HOLDER_TIMEOUT_MS = 5_000;
 
 /**
- * How long a holder must be cut from all servers before its claims may be taken
- * over, milliseconds. Shorter cuts end before another host could start to issue
+ * How long a holder must be cut from a server before its claim may be taken over,
+ * milliseconds. Shorter cuts end before another host could start to issue
  * orders.
  */
 export const CUT_HOLDER_TIMEOUT_MS = 2_000;
@@ -77,8 +77,8 @@
   readonly self: string;
   /** The live hosts, including this one, with their rendezvous weights. */
   readonly live: readonly WeightedCandidate[];
-  /** Milliseconds for which a live host has been cut from all servers. */
-  readonly cutMs: (host: string) => number;
+  /** Milliseconds for which a live host has been cut from a server. */
+  readonly cutMs: (host: string, server: string) => number;
   /** Ids of the servers that accept orders. */
   readonly servers: readonly string[];
   readonly claims: ReadonlyMap<string, StoredClaim>;
@@ -124,8 +124,6 @@
     eraMs,
     heldBefore,
   } = review;
-  // A host that is cut from the servers could not give orders.
-  const candidates = live.filter(({name}) => cutMs(name) === 0);
   return servers.flatMap((server) => {
     const claim = claims.get(server);
     const isForgotten = era > 0 && !isOfEra(claim?.record, era);
@@ -159,6 +157,8 @@
     if (minorityMs > 0 && minorityMs < MINORITY_DELAY_MS) {
       return [];
     }
+    // A host that is cut from the server could not give orders.
+    const candidates = live.filter(({name}) => cutMs(name, server) === 0);
     if (chooseByRendezvous(server, candidates) !== self) {
       return [];
     }
@@ -187,12 +187,12 @@
   Math.max(fence + 1, firstFence(era));
 
 const isAbandoned = (
-  {host}: ClaimRecord,
+  {host, server}: ClaimRecord,
   {self, live, cutMs, unreachableMs}: ClaimReview,
 ): boolean =>
   host !== self &&
   (live.some(({name}) => name === host)
-    ? cutMs(host) > CUT_HOLDER_TIMEOUT_MS
+    ? cutMs(host, server) > CUT_HOLDER_TIMEOUT_MS
     : unreachableMs(host) > HOLDER_TIMEOUT_MS);
 
 /** A claim of this host, with what this process knows about its takeover. */
--- a/packages/dispatch/src/fleet/membership.ts
+++ b/packages/dispatch/src/fleet/membership.ts
@@ -19,6 +19,9 @@
 /** Additional hosts to monitor for each one that missed an exchange. */
 const EXTRA_MONITORED = 3;
 
+/** Stands for the servers of a host that is cut from all. */
+const ALL_SERVERS = '*';
+
 /** A group with its hosts ranked as store readers. */
 interface RankedGroup extends ReaderGroup {
   readonly ranked: readonly HostStatus[];
@@ -42,6 +45,8 @@
 export class Membership {
   private readonly table = new HostTable();
   private readonly contacts = new Map<string, Contact>();
+  /** Since when hosts have not reached servers that others reach. */
+  private readonly cuts = new Map<string, ReadonlyMap<string, Instant>>();
   private version: number;
   /** When any host last contacted this one. */
   private lastContactAt: Instant | undefined;
@@ -93,6 +98,9 @@
   /** Applies an entry relayed by another host; true if it is newer. */
   applyEntry(entry: HostEntry, at: Instant): boolean {
     const isNew = this.table.merge(entry, at);
+    if (isNew) {
+      this.recordCuts(entry, at);
+    }
     if (isNew && entry.gone) {
       this.suspicionChanges += this.isSuspected(entry.host) ? 1 : 0;
       this.contacts.delete(entry.host);
@@ -169,12 +177,38 @@
       : 0;
   }
 
-  /** Milliseconds for which a host is known to be cut from all servers. */
-  cutMs(host: string, at: Instant): number {
-    const since = this.table.updatedAt(host);
-    return this.status(host)?.cutFromServers !== true
-      ? 0
-      : Math.max(1, since === undefined ? 0 : elapsedMs(since, at));
+  /**
+   * Milliseconds for which a host is known not to reach a server that others
+   * reach.
+   */
+  cutMs(host: string, server: string, at: Instant): number {
+    const {cutFromServers = false, unreachedServers = []} =
+      this.status(host) ?? {};
+    if (!cutFromServers && !unreachedServers.includes(server)) {
+      return 0;
+    }
+    const cuts = this.cuts.get(host);
+    const since = cuts?.get(ALL_SERVERS) ?? cuts?.get(server);
+    return Math.max(1, since === undefined ? 0 : elapsedMs(since, at));
+  }
+
+  /** Remembers since when a host has not reached servers. */
+  private recordCuts(
+    {host, cutFromServers = false, unreachedServers = []}: HostEntry,
+    at: Instant,
+  ): void {
+    const known = this.cuts.get(host);
+    const unreached = cutFromServers ? [ALL_SERVERS] : unreachedServers;
+    if (unreached.length === 0) {
+      this.cuts.delete(host);
+      return;
+    }
+    const since = (server: string) =>
+      known?.get(server) ?? known?.get(ALL_SERVERS) ?? at;
+    this.cuts.set(
+      host,
+      new Map(unreached.map((server) => [server, since(server)])),
+    );
   }
 
   status(host: string): HostEntry | undefined {
@@ -194,6 +228,7 @@
   remove(host: string): void {
     this.table.remove(host);
     this.contacts.delete(host);
+    this.cuts.delete(host);
   }
 
   /** Digests of the table, for other hosts to compare with theirs. */
--- a/packages/dispatch/src/test/fleet/claims_test.ts
+++ b/packages/dispatch/src/test/fleet/claims_test.ts
@@ -90,6 +90,41 @@
   t.deepEqual(reviewClaims(review({live, cutMs: () => 1})), []);
 });
 
+// Guards against claims that stay with a host which reaches other servers, but
+// not the one that it issues orders to.
+test('only the claim on a server that its holder does not reach is taken over', (t) => {
+  const claims = new Map(
+    ['s1', 's2'].map((server) => [
+      server,
+      {record: claim('other', {server}), revision: 7},
+    ]),
+  );
+  const changes = reviewClaims(
+    review({
+      claims,
+      live: candidates('me', 'other'),
+      servers: ['s1', 's2'],
+      cutMs: (host, server) =>
+        host === 'other' && server === 's2' ? 2_500 : 0,
+    }),
+  );
+  t.deepEqual(
+    changes.map(({record}) => record.server),
+    ['s2'],
+  );
+});
+
+test('a host takes no claim on a server that it does not reach', (t) => {
+  const changes = reviewClaims(
+    review({
+      live: candidates('me', 'other'),
+      servers: ['s1'],
+      cutMs: (host, server) => (host === 'me' && server === 's1' ? 1 : 0),
+    }),
+  );
+  t.deepEqual(changes, []);
+});
+
 test('a partitioned host takes over no claims', (t) => {
   const claims = new Map([['s1', {record: claim('other'), revision: 7}]]);
   const partitioned = review({
--- a/packages/dispatch/src/test/fleet/membership_test.ts
+++ b/packages/dispatch/src/test/fleet/membership_test.ts
@@ -1,6 +1,10 @@
 import test from 'ava';
 
-import {Membership, selectCallerAddresses} from '../../index.js';
+import {
+  type HostEntry,
+  Membership,
+  selectCallerAddresses,
+} from '../../index.js';
 import {at, entry, status} from './hosts.js';
 
 const membershipOf = (host = 'me') => new Membership(() => status(host), 1);
@@ -154,3 +158,26 @@
   }
   t.is(listed.size, 105);
 });
+
+// Guards against a holder of claims that never counts as cut from a server for
+// long, as its status changes with each other server that it loses.
+test('the time for which a host is cut from a server survives later changes', (t) => {
+  const membership = membershipOf();
+  const other = (version: number, extra: Partial<HostEntry>) => ({
+    ...entry('other'),
+    version,
+    ...extra,
+  });
+  membership.recordContact(other(5, {unreachedServers: ['s1']}), 0, at(0));
+  membership.applyEntry(other(6, {unreachedServers: ['s1', 's2']}), at(900));
+  t.is(membership.cutMs('other', 's1', at(1_000)), 1_000);
+  t.is(membership.cutMs('other', 's2', at(1_000)), 100);
+  t.is(membership.cutMs('other', 's3', at(1_000)), 0);
+  membership.applyEntry(other(7, {cutFromServers: true}), at(1_200));
+  t.is(membership.cutMs('other', 's3', at(1_300)), 100);
+  membership.applyEntry(other(8, {unreachedServers: ['s2']}), at(2_200));
+  t.is(membership.cutMs('other', 's2', at(2_300)), 1_100);
+  t.is(membership.cutMs('other', 's1', at(2_300)), 0);
+  membership.applyEntry(other(9, {}), at(3_000));
+  t.is(membership.cutMs('other', 's2', at(3_100)), 0);
+});
--- a/packages/entry-host/src/orders/claim-manager.ts
+++ b/packages/entry-host/src/orders/claim-manager.ts
@@ -206,7 +206,7 @@
         name: host,
         weight: rendezvousWeight(capacity),
       })),
-      cutMs: (host) => membership.cutMs(host, at),
+      cutMs: (host, server) => membership.cutMs(host, server, at),
       servers: engines.map(({entry}) => entry.id),
       claims: this.claims,
       era: this.era,
