Failing test of direct ways beside a server that is down

Found in the last reading of the change: a host that was cut from a service of three servers or fewer reaches all but one again and still connects through peers, as it waits for all of them in turn. Callers are served, by one hop more. The test fails on the current code.

--- a/packages/dispatch/src/test/servers/server-paths_test.ts
+++ b/packages/dispatch/src/test/servers/server-paths_test.ts
@@ -131,3 +131,20 @@
   t.false(paths.isImpairedFor('plain'));
   t.false(paths.usesRelay(server('p2', 'plain')));
 });
+
+// Guards against a host that goes on through peers to servers which it reaches
+// again, because another one of their service is down.
+test.failing(
+  'servers that are reached again are reached directly beside one that is down',
+  (t) => {
+    const paths = new ServerPaths();
+    for (const key of ['p1', 'p2', 'p3']) {
+      paths.recordRelayed(server(key), true, 3, at(100));
+    }
+    paths.recordDirect(server('p1'), 3, at(200));
+    paths.recordDirect(server('p2'), 3, at(200));
+    paths.recordUnreached(server('p3'));
+    t.false(paths.usesRelay(server('p1')));
+    t.false(paths.usesRelay(server('p2')));
+  },
+);
