Log how the end of an answer without a length was confirmed

The three hypotheses of streams that end early in chunks could not be told apart: a send that ended with its connection told neither whether that was closed in order or reset, nor what was found of the server afterwards. Now 'send ended' has closedInOrder and closeEvidence. No decision has changed.

--- a/packages/entry-host/src/crashes/crash-detector.ts
+++ b/packages/entry-host/src/crashes/crash-detector.ts
@@ -3,6 +3,7 @@
 
 import type {EntryHostContext} from '../context.js';
 import type {ProbeResult} from '../upstream/index.js';
+import type {CloseEvidence} from './crash-guard.js';
 
 /** A send that was in progress at a server when that crashed. */
 export interface LostSend {
@@ -82,7 +83,7 @@
 export class CrashDetector {
   private readonly interruptions = new Map<string, Interruption>();
   /** Connection attempts that have not begun, by server. */
-  private readonly pendingProbes = new Map<string, Promise<boolean>>();
+  private readonly pendingProbes = new Map<string, Promise<CloseEvidence>>();
 
   constructor(
     private readonly context: EntryHostContext,
@@ -123,19 +124,19 @@
   }
 
   /**
-   * Whether the process of a server outlives the end of one of its connections.
-   * It does not if it is not about to leave and refuses connections while other
+   * Finds out whether a server lives on after the end of one of its connections.
+   * It is gone if it is not about to leave and refuses connections while other
    * servers accept them: without these the host's own links may be cut.
    */
-  outlivesClose(server: Server): Promise<boolean> {
+  checkClose(server: Server): Promise<CloseEvidence> {
     const {key} = server;
     const pending = this.pendingProbes.get(key);
     if (pending !== undefined) {
       return pending;
     }
     const {timers} = this.context;
-    const probe = new Promise<boolean>((resolve) => {
-      timers.after(`crashes/outlives/${key}`, FIRST_PROBE_DELAY_MS, () => {
+    const probe = new Promise<CloseEvidence>((resolve) => {
+      timers.after(`crashes/close/${key}`, FIRST_PROBE_DELAY_MS, () => {
         this.pendingProbes.delete(key);
         resolve(this.probeAfterClose(server));
       });
@@ -144,16 +145,19 @@
     return probe;
   }
 
-  private async probeAfterClose(server: Server): Promise<boolean> {
+  private async probeAfterClose(server: Server): Promise<CloseEvidence> {
     const result = await this.probe(server);
-    if (result !== 'refused' || this.isLeaving(server)) {
-      return true;
+    if (result !== 'refused') {
+      return result;
     }
-    const isGone = await this.reachesOthers(server);
-    if (isGone) {
-      this.recordUnreachable(server);
+    if (this.isLeaving(server)) {
+      return 'leaving';
     }
-    return !isGone;
+    if (!(await this.reachesOthers(server))) {
+      return 'unconfirmed';
+    }
+    this.recordUnreachable(server);
+    return 'gone';
   }
 
   private isLeaving({key, entry, notices}: Server): boolean {
--- a/packages/entry-host/src/crashes/crash-guard.ts
+++ b/packages/entry-host/src/crashes/crash-guard.ts
@@ -2,6 +2,14 @@
 
 import type {LostSend} from './crash-detector.js';
 
+/**
+ * What shows whether a server lives on after the end of one of its connections:
+ * it accepts connections or is silent; or it refuses them, having said that it
+ * leaves, as other servers do, or while others accept them.
+ */
+export type CloseEvidence =
+  'open' | 'silent' | 'leaving' | 'unconfirmed' | 'gone';
+
 /**
  * Protects servers from requests that crash them: takes what request handlers
  * observe, and knows which requests must not be sent.
@@ -17,10 +25,10 @@
    */
   recordClosed(server: Server, send: LostSend): void;
   /**
-   * Whether the process of a server outlives the end of one of its connections:
+   * Finds out whether a server lives on after the end of one of its connections:
    * the end of a process closes them in the same way as the end of an answer.
    */
-  outlivesClose(server: Server): Promise<boolean>;
+  checkClose(server: Server): Promise<CloseEvidence>;
   /** Records that no process listens at a server's address. */
   recordUnreachable(server: Server): void;
   /** Records a complete answer to a request with these keys. */
@@ -38,7 +46,7 @@
   isReady: () => true,
   recordInterrupted: () => undefined,
   recordClosed: () => undefined,
-  outlivesClose: () => Promise.resolve(true),
+  checkClose: () => Promise.resolve('open'),
   recordUnreachable: () => undefined,
   recordCompleted: () => undefined,
   quarantined: () => undefined,
--- a/packages/entry-host/src/crashes/crash-monitor.ts
+++ b/packages/entry-host/src/crashes/crash-monitor.ts
@@ -9,7 +9,7 @@
 import type {EntryHostContext} from '../context.js';
 import type {KeyCompletion, PeerConnection} from '../peers/index.js';
 import {CrashDetector, type LostSend, type Probe} from './crash-detector.js';
-import type {CrashGuard} from './crash-guard.js';
+import type {CloseEvidence, CrashGuard} from './crash-guard.js';
 import {CrashInvestigator} from './crash-investigator.js';
 import {logCrash} from './crash-log.js';
 import {CrashReporter} from './crash-reporter.js';
@@ -83,8 +83,8 @@
     this.detector.recordClosed(server, send);
   }
 
-  outlivesClose(server: Server): Promise<boolean> {
-    return this.detector.outlivesClose(server);
+  checkClose(server: Server): Promise<CloseEvidence> {
+    return this.detector.checkClose(server);
   }
 
   recordUnreachable(server: Server): void {
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -13,7 +13,11 @@
 } from '@basilworks/dispatch';
 
 import type {EntryHostContext} from '../context.js';
-import {type CrashGuard, requestKeys} from '../crashes/index.js';
+import {
+  type CloseEvidence,
+  type CrashGuard,
+  requestKeys,
+} from '../crashes/index.js';
 import {
   headerValue,
   type ResponseHead,
@@ -98,6 +102,7 @@
   private lastSelectionReason: string | undefined;
   private lastSentMs: number | undefined;
   private lastPromptWaitMs: number | undefined;
+  private lastCloseEvidence: CloseEvidence | undefined;
   private finished = false;
   private abandoned = false;
   private possiblyRan = false;
@@ -272,6 +277,7 @@
     this.boundaries.reset();
     this.buffered.take();
     this.bufferedHead = undefined;
+    this.lastCloseEvidence = undefined;
     const {versionGuard} = this.parts.selector;
     const tracked = {
       requestId: this.request.id,
@@ -340,6 +346,7 @@
       chosen: reason,
       ...send.logFields,
       ...versionGuard.logFields(tracked, send.startedAt),
+      closeEvidence: this.lastCloseEvidence,
       load: server.health.load(context.clock.now()),
       end: outcome,
       status: statusOf(result),
@@ -370,11 +377,11 @@
       return brokenOff('the stream ended within an event');
     }
     this.uncheckedEnd = end;
-    const isComplete = await this.parts.crashes.outlivesClose(server);
+    this.lastCloseEvidence = await this.parts.crashes.checkClose(server);
     this.uncheckedEnd = undefined;
-    return isComplete
-      ? end
-      : brokenOff('the server was gone after the end of its connection');
+    return this.lastCloseEvidence === 'gone'
+      ? brokenOff('the server was gone after the end of its connection')
+      : end;
   }
 
   /** Records what the end of a send shows of crashes and their causes. */
--- a/packages/entry-host/src/relay/relay-sessions.ts
+++ b/packages/entry-host/src/relay/relay-sessions.ts
@@ -193,5 +193,6 @@
     stream,
     path: 'relay',
     endedByServer: () => serverClosed,
+    closedInOrder: () => serverClosed,
   };
 };
--- a/packages/entry-host/src/test/crashes/crash-detector_test.ts
+++ b/packages/entry-host/src/test/crashes/crash-detector_test.ts
@@ -106,20 +106,17 @@
 
 // Guards against an unfinished answer that looks complete: the end of a crashed
 // process closes its connections as the end of an answer does.
-for (const [result, outlives] of [
-  ['open', true],
-  ['refused', false],
+for (const [result, evidence] of [
+  ['open', 'open'],
+  ['refused', 'gone'],
   // A machine that is off or cut off closes nothing in order.
-  ['silent', true],
+  ['silent', 'silent'],
 ] as const) {
-  test(`a server ${outlives ? 'outlives' : 'does not outlive'} a close: ${result}`, async (t) => {
+  test(`what a closed connection shows of its server: ${evidence}`, async (t) => {
     const {detector, finish} = createDetector(result);
     const server = createServer();
-    const answers = [
-      detector.outlivesClose(server),
-      detector.outlivesClose(server),
-    ];
+    const answers = [detector.checkClose(server), detector.checkClose(server)];
     await finish();
-    t.deepEqual(await Promise.all(answers), [outlives, outlives]);
+    t.deepEqual(await Promise.all(answers), [evidence, evidence]);
   });
 }
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -104,6 +104,7 @@
   private ended = false;
   private reusable = true;
   private idleMs = DEFAULT_IDLE_MS;
+  private endedInOrder: boolean | undefined;
   private readonly cancelDial: () => void;
 
   constructor(
@@ -126,6 +127,11 @@
     return this.transport?.path;
   }
 
+  /** Whether its end came in order; undefined until it has come. */
+  get closedInOrder(): boolean | undefined {
+    return this.endedInOrder;
+  }
+
   /** Whether the connection can start an exchange now. */
   get available(): boolean {
     return !this.ended && this.reusable && this.exchange === undefined;
@@ -294,8 +300,9 @@
     }
   }
 
-  private handlePeerEnd({endedByServer}: Transport): void {
+  private handlePeerEnd({endedByServer, closedInOrder}: Transport): void {
     const {exchange} = this;
+    this.endedInOrder = closedInOrder();
     if (endedByServer() && exchange?.connectionClosed() === true) {
       this.finish(exchange, false);
     } else {
--- a/packages/entry-host/src/upstream/dial.ts
+++ b/packages/entry-host/src/upstream/dial.ts
@@ -27,6 +27,8 @@
   readonly path: ServerPath;
   /** Whether the stream ended as the server closed it; asked at its end. */
   readonly endedByServer: () => boolean;
+  /** Whether the connection was closed in order; asked at its end. */
+  readonly closedInOrder: () => boolean;
 }
 
 /** Why no connection was established. */
@@ -95,6 +97,9 @@
         stream: socket,
         path: 'direct',
         endedByServer: () => true,
+        // The runtime reports a reset as the end of the stream if it reads the
+        // bytes before it at the same time, but a reset socket has no peer.
+        closedInOrder: () => socket.remoteAddress !== undefined,
       });
     };
     const handleError = ({message, code}: NodeJS.ErrnoException) => {
