Take a reset connection for no end of an answer

Cause: the runtime reports the end of a stream, and no error, where it reads the last bytes of a connection and finds the reset behind them in the same turn of the event loop, or where the failed write of an upload has taken the error. The host took that end for the server's end of an answer without a length; the check whether the server lives on found that it did. The relay of a peer did the same, and told the host so.

At the end of such an answer the socket is asked for its peer: one that was reset has none. Where a part of the request is still to be written, the end counts once the rest is accepted; a server that is gone resets it. A relay tells the end of a connection only then.

--- a/packages/entry-host/src/front/server-send.ts
+++ b/packages/entry-host/src/front/server-send.ts
@@ -106,8 +106,6 @@
   readonly path: ServerPath | undefined;
   /** Whether only the end of the connection marked the end of the answer. */
   readonly endsWithConnection: boolean | undefined;
-  /** Whether the connection ended in order; undefined if it did not end. */
-  readonly closedInOrder: boolean | undefined;
   /** Body bytes that came from the server. */
   readonly answerBytes: number;
 }
@@ -131,7 +129,6 @@
   private readonly selectionLogFields: Omit<
     SendLogFields,
     | 'answerBytes'
-    | 'closedInOrder'
     | 'delayMs'
     | 'endsWithConnection'
     | 'path'
@@ -177,7 +174,6 @@
           : Math.round(elapsedMs(this.selectedAt, this.firstDataAt)),
       path: this.handle?.path,
       endsWithConnection: this.head?.endsWithConnection,
-      closedInOrder: this.handle?.closedInOrder,
       answerBytes: this.answerBytes,
     };
   }
--- a/packages/entry-host/src/relay/relay-listener.ts
+++ b/packages/entry-host/src/relay/relay-listener.ts
@@ -180,36 +180,39 @@
 /** Passes bytes on in both directions until one side ends. */
 const relay = (
   stream: ServerHttp2Stream,
-  {stream: connection}: Transport,
+  {stream: connection, confirmClose}: Transport,
 ): void => {
   if (stream.destroyed) {
     connection.destroy();
     return;
   }
-  let serverClosed = false;
+  let closedInOrder = false;
   stream.respond({':status': RELAY_STATUS.connected}, {waitForTrailers: true});
   stream.on('wantTrailers', () => {
-    if (serverClosed) {
-      stream.sendTrailers({[END_TRAILER]: '1'});
-    } else {
-      stream.close();
-    }
+    stream.sendTrailers({[END_TRAILER]: '1'});
   });
   connection.on('error', () => {
     stream.destroy();
   });
   connection.on('end', () => {
-    serverClosed = true;
+    confirmClose((inOrder) => {
+      closedInOrder = inOrder;
+      if (inOrder) {
+        stream.end();
+      } else {
+        stream.destroy();
+      }
+    });
   });
   connection.on('close', () => {
-    if (!serverClosed) {
+    if (!closedInOrder) {
       stream.destroy();
     }
   });
   stream.on('close', () => {
     connection.destroy();
   });
-  connection.pipe(stream);
+  connection.pipe(stream, {end: false});
   stream.pipe(connection);
 };
 
--- a/packages/entry-host/src/relay/relay-sessions.ts
+++ b/packages/entry-host/src/relay/relay-sessions.ts
@@ -192,7 +192,8 @@
   return {
     stream,
     path: 'relay',
-    endedByServer: () => serverClosed,
-    closedInOrder: () => serverClosed,
+    confirmClose: (callback) => {
+      callback(serverClosed);
+    },
   };
 };
--- a/packages/entry-host/src/test/relay/relay_test.ts
+++ b/packages/entry-host/src/test/relay/relay_test.ts
@@ -217,16 +217,13 @@
 
 // Guards against a part of an answer that passes for the whole: the peer finds
 // the last bytes and the reset at once, as a busy host does.
-test.failing(
-  'an answer that is reset as its last bytes are read is not complete through a peer',
-  async (t) => {
-    const {pool} = await startWorld(t, (socket) => {
-      socket.write(UNFRAMED);
-      socket.resetAndDestroy();
-    });
-    t.true((await send(pool)) instanceof UpstreamError);
-  },
-);
+test('an answer that is reset as its last bytes are read is not complete through a peer', async (t) => {
+  const {pool} = await startWorld(t, (socket) => {
+    socket.write(UNFRAMED);
+    socket.resetAndDestroy();
+  });
+  t.true((await send(pool)) instanceof UpstreamError);
+});
 
 test('a caller that leaves closes the relayed connection', async (t) => {
   let handleClose: () => void = () => undefined;
--- a/packages/entry-host/src/test/upstream/connection_test.ts
+++ b/packages/entry-host/src/test/upstream/connection_test.ts
@@ -240,48 +240,42 @@
   // Guards against a part of a response that passes for the whole (MIXED, ORDER):
   // the runtime reports a reset as the end of the stream where it finds the last
   // bytes and the reset at once.
-  test.failing(
-    `a response without a length that is reset as ${what} fails`,
-    async (t) => {
-      const {server, pool} = await serve((request, socket) => {
-        if (idOf(request) !== '') {
-          socket.write(unframedPart(request));
-          socket.resetAndDestroy();
-        }
-        return undefined;
-      });
-      const body = Buffer.alloc(bodyBytes);
-      t.like(await send(pool, 'r', {body}), {
-        sent: true,
-        reason: 'interrupted',
-      });
-      pool.close();
-      server.close();
-    },
-  );
-}
-
-// Guards against the same where the server closes its half first and resets the
-// connection because of the rest of the request.
-test.failing(
-  'a response that ends within its request and is reset then fails',
-  async (t) => {
+  test(`a response without a length that is reset as ${what} fails`, async (t) => {
     const {server, pool} = await serve((request, socket) => {
       if (idOf(request) !== '') {
-        socket.pause();
-        socket.end(unframedPart(request));
-        setTimeout(() => {
-          socket.destroy();
-        }, 100);
+        socket.write(unframedPart(request));
+        socket.resetAndDestroy();
       }
       return undefined;
     });
-    const body = Buffer.alloc(LONG_UPLOAD_BYTES);
-    t.like(await send(pool, 'r', {body}), {sent: true, reason: 'interrupted'});
+    const body = Buffer.alloc(bodyBytes);
+    t.like(await send(pool, 'r', {body}), {
+      sent: true,
+      reason: 'interrupted',
+    });
     pool.close();
     server.close();
-  },
-);
+  });
+}
+
+// Guards against the same where the server closes its half first and resets the
+// connection because of the rest of the request.
+test('a response that ends within its request and is reset then fails', async (t) => {
+  const {server, pool} = await serve((request, socket) => {
+    if (idOf(request) !== '') {
+      socket.pause();
+      socket.end(unframedPart(request));
+      setTimeout(() => {
+        socket.destroy();
+      }, 100);
+    }
+    return undefined;
+  });
+  const body = Buffer.alloc(LONG_UPLOAD_BYTES);
+  t.like(await send(pool, 'r', {body}), {sent: true, reason: 'interrupted'});
+  pool.close();
+  server.close();
+});
 
 // Guards against whole responses that fail because their servers answered before
 // they had read the request.
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -104,7 +104,6 @@
   private ended = false;
   private reusable = true;
   private idleMs = DEFAULT_IDLE_MS;
-  private endedInOrder: boolean | undefined;
   private readonly cancelDial: () => void;
 
   constructor(
@@ -127,11 +126,6 @@
     return this.transport?.path;
   }
 
-  /** Whether its end came in order; undefined until it has come. */
-  get closedInOrder(): boolean | undefined {
-    return this.endedInOrder;
-  }
-
   /** Whether the connection can start an exchange now. */
   get available(): boolean {
     return !this.ended && this.reusable && this.exchange === undefined;
@@ -300,14 +294,21 @@
     }
   }
 
-  private handlePeerEnd({endedByServer, closedInOrder}: Transport): void {
+  private handlePeerEnd({confirmClose}: Transport): void {
     const {exchange} = this;
-    this.endedInOrder = closedInOrder();
-    if (endedByServer() && exchange?.connectionClosed() === true) {
-      this.finish(exchange, false);
-    } else {
+    if (exchange?.head?.endsWithConnection !== true) {
       this.fail('interrupted', 'closed by the server');
+      return;
     }
+    confirmClose((inOrder) => {
+      this.contain(() => {
+        if (!inOrder) {
+          this.fail('interrupted', 'reset by the server');
+        } else if (exchange === this.exchange && exchange.connectionClosed()) {
+          this.finish(exchange, false);
+        }
+      });
+    });
   }
 
   private fail(
--- a/packages/entry-host/src/upstream/dial.ts
+++ b/packages/entry-host/src/upstream/dial.ts
@@ -25,10 +25,11 @@
 export interface Transport {
   readonly stream: ServerStream;
   readonly path: ServerPath;
-  /** Whether the stream ended as the server closed it; asked at its end. */
-  readonly endedByServer: () => boolean;
-  /** Whether the connection was closed in order; asked at its end. */
-  readonly closedInOrder: () => boolean;
+  /**
+   * Finds out, at the end of the stream, whether the server closed the connection
+   * in order. Does not call back if the connection fails before that is known.
+   */
+  readonly confirmClose: (callback: (inOrder: boolean) => void) => void;
 }
 
 /** Why no connection was established. */
@@ -96,10 +97,9 @@
       observer.connected({
         stream: socket,
         path: 'direct',
-        endedByServer: () => true,
-        // The runtime reports a reset as the end of the stream if it reads the
-        // bytes before it at the same time, but a reset socket has no peer.
-        closedInOrder: () => socket.remoteAddress !== undefined,
+        confirmClose: (callback) => {
+          confirmClose(socket, callback);
+        },
       });
     };
     const handleError = ({message, code}: NodeJS.ErrnoException) => {
@@ -124,3 +124,22 @@
       socket.destroy();
     };
   };
+
+/**
+ * The runtime reports a reset as the end of the stream if it finds the last bytes
+ * and the reset at once; but a reset socket has no peer.
+ */
+const confirmClose = (
+  socket: Socket,
+  callback: (inOrder: boolean) => void,
+): void => {
+  const isReset = socket.remoteAddress === undefined;
+  if (isReset || socket.writableLength === 0) {
+    callback(!isReset);
+    return;
+  }
+  // A server that is gone resets the connection once it gets the rest.
+  socket.once('finish', () => {
+    callback(true);
+  });
+};
--- a/packages/entry-host/src/upstream/pool.ts
+++ b/packages/entry-host/src/upstream/pool.ts
@@ -17,11 +17,6 @@
 export interface ExchangeHandle {
   /** How the server is reached; undefined until it is. */
   readonly path: ServerPath | undefined;
-  /**
-   * Whether the end of the connection came in order, not as a reset; undefined
-   * until it has come.
-   */
-  readonly closedInOrder: boolean | undefined;
   pause(): void;
   resume(): void;
   cancel(): void;
