Take the end of a leaving server for no end of its streams

Callers of a stream without a length saw it end as complete before its last event (ORDER, in chunks) when its server, which had said that it leaves, ended with the stream in progress: one that is removed at short notice does so.

Cause: the check of a server that has closed its connection takes a refusal of one that leaves for its planned end, after its last answer. For a stream that need not be so, and nothing else tells.

Now such a stream counts as broken off: a resumable one goes on at another server, which answers at once if nothing follows. Plain answers are written at once and are still delivered.

--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -77,6 +77,16 @@
   retryAfterMs: UNCONFIRMED_RETRY_MS,
 } as const;
 
+/**
+ * What must be found of a server for its answer without a length to count as
+ * broken off. A server that leaves ends with its streams in progress, but only
+ * after its last plain answers, which it writes at once.
+ */
+const UNFINISHED_AFTER = {
+  plain: new Set<CloseEvidence>(['gone']),
+  stream: new Set<CloseEvidence>(['gone', 'leaving']),
+} as const;
+
 /** Number of the latest handler; makes the names of timers unique. */
 let serial = 0;
 
@@ -379,7 +389,9 @@
     this.uncheckedEnd = end;
     this.lastCloseEvidence = await this.parts.crashes.checkClose(server);
     this.uncheckedEnd = undefined;
-    return this.lastCloseEvidence === 'gone'
+    const {plain, stream} = UNFINISHED_AFTER;
+    const unfinished = this.route.kind === 'stream' ? stream : plain;
+    return unfinished.has(this.lastCloseEvidence)
       ? brokenOff('the server was gone after the end of its connection')
       : end;
   }
