Believe a peer that finds a crashed server gone as well

Callers of streams without a length saw them end as complete before their last event (ORDER, in chunks) when all servers crashed at once.

Cause: a refused connection after the end of an answer counts only if one of three other servers accepts one, as else the host's own links may be cut. Where all of them have crashed none does, and the answer was taken for whole, though peers had been asked for a connection and had found the server gone too.

A probe now tells whether a peer confirmed the refusal ('closed'); that needs no other server. A host that has no peer to ask judges as before. The test of a server that has ended asks for 'closed' in place of 'refused', which is more.

--- a/packages/entry-host/src/crashes/crash-detector.ts
+++ b/packages/entry-host/src/crashes/crash-detector.ts
@@ -125,8 +125,9 @@
 
   /**
    * Finds out whether a server lives on after the end of one of its connections.
-   * It is gone if it is not about to leave and refuses connections while other
-   * servers accept them: without these the host's own links may be cut.
+   * It is gone if it is not about to leave and refuses connections, those of a
+   * peer too, or while other servers accept them: else the host's own links may
+   * be cut.
    */
   checkClose(server: Server): Promise<CloseEvidence> {
     const {key} = server;
@@ -147,13 +148,13 @@
 
   private async probeAfterClose(server: Server): Promise<CloseEvidence> {
     const result = await this.probe(server);
-    if (result !== 'refused') {
+    if (result === 'open' || result === 'silent') {
       return result;
     }
     if (this.isLeaving(server)) {
       return 'leaving';
     }
-    if (!(await this.reachesOthers(server))) {
+    if (result !== 'closed' && !(await this.reachesOthers(server))) {
       return 'unconfirmed';
     }
     this.recordUnreachable(server);
@@ -224,7 +225,7 @@
           return;
         }
         interruption.probing = false;
-        if (result === 'refused') {
+        if (result === 'refused' || result === 'closed') {
           this.confirm(interruption);
         }
       });
--- a/packages/entry-host/src/relay/server-dialer.ts
+++ b/packages/entry-host/src/relay/server-dialer.ts
@@ -61,8 +61,9 @@
           stream.destroy();
           resolve('open');
         },
-        failed: ({refused}) => {
-          resolve(refused ? 'refused' : 'silent');
+        failed: ({refused, confirmedByPeer = false}) => {
+          const refusal = confirmedByPeer ? 'closed' : 'refused';
+          resolve(refused ? refusal : 'silent');
         },
       });
     });
@@ -144,7 +145,8 @@
         settle();
         // A refusal that a peer does not confirm may be one of the link.
         const refused = directFailure.refused && relayResult.type !== 'silent';
-        observer.failed({...directFailure, refused});
+        const confirmedByPeer = relayResult.type === 'refused';
+        observer.failed({...directFailure, refused, confirmedByPeer});
       }
     };
     const startRelay = () => {
@@ -308,4 +310,5 @@
   reason: type === 'refused' ? 'unreachable' : 'connect-timeout',
   detail: `peers found the server ${type}`,
   refused: type === 'refused',
+  confirmedByPeer: type === 'refused',
 });
--- a/packages/entry-host/src/test/crashes/crash-detector_test.ts
+++ b/packages/entry-host/src/test/crashes/crash-detector_test.ts
@@ -109,10 +109,11 @@
 for (const [result, evidence] of [
   ['open', 'open'],
   ['refused', 'gone'],
+  ['closed', 'gone'],
   // A machine that is off or cut off closes nothing in order.
   ['silent', 'silent'],
 ] as const) {
-  test(`what a closed connection shows of its server: ${evidence}`, async (t) => {
+  test(`what a closed connection shows of its server, then ${result}: ${evidence}`, async (t) => {
     const {detector, finish} = createDetector(result);
     const server = createServer();
     const answers = [detector.checkClose(server), detector.checkClose(server)];
--- a/packages/entry-host/src/test/relay/relay_test.ts
+++ b/packages/entry-host/src/test/relay/relay_test.ts
@@ -294,7 +294,7 @@
     connect,
   );
   await new Promise((resolve) => server.close(resolve));
-  t.is(await dialer.check(known), 'refused');
+  t.is(await dialer.check(known), 'closed');
   t.false(context.paths.usesRelay(known));
 });
 
--- a/packages/entry-host/src/upstream/dial.ts
+++ b/packages/entry-host/src/upstream/dial.ts
@@ -38,6 +38,8 @@
   readonly detail: string;
   /** Whether no process listens at the server's address. */
   readonly refused: boolean;
+  /** Whether a peer found that as well. */
+  readonly confirmedByPeer?: boolean;
 }
 
 /** Receives the result of a connection attempt. */
@@ -50,10 +52,10 @@
 export type Dial = (observer: DialObserver) => () => void;
 
 /**
- * What a connection attempt shows: a process listens, none does, or there is no
- * response, as behind a partition.
+ * What a connection attempt shows: a process listens, none does, none does for a
+ * peer either, or there is no response, as behind a partition.
  */
-export type ProbeResult = 'open' | 'refused' | 'silent';
+export type ProbeResult = 'open' | 'refused' | 'closed' | 'silent';
 
 /** Opens a TCP socket; tests replace it. */
 export type ConnectSocket = (options: TcpNetConnectOpts) => Socket;
