Take an undelimited answer for interrupted in the older data path

Callers of basilworksd would get a part of an answer as the whole: found by looking for the cause of the incident wherever answers are read. Its HTTP client reports the end of an answer without a length and chunks also where the connection was reset, at once or 50 ms later, and shows no socket that could be asked for its peer.

So such an answer counts as interrupted: an execution is resumed at its offset, a call to a plain service ends as unknown, a write as unknown. Engines and services of this path send a length or chunks.

The store client of the entry hosts was looked at as well: a part of an answer is no JSON there, and a status of 000 is an error.

--- a/packages/daemon/src/platform/exchange.ts
+++ b/packages/daemon/src/platform/exchange.ts
@@ -123,6 +123,7 @@
   private controller: Dispatcher.DispatchController | undefined;
   private sent = false;
   private ended = false;
+  private endsWithConnection = false;
 
   constructor(
     private readonly listener: ExchangeListener,
@@ -165,6 +166,7 @@
       if (this.releaseAtHead) {
         this.release();
       }
+      this.endsWithConnection = !isDelimited(status, headers);
       this.listener.onHead(status, headers);
     }
   }
@@ -179,7 +181,10 @@
   }
 
   onResponseEnd(): void {
-    if (!this.ended) {
+    if (this.endsWithConnection) {
+      // The dispatcher reports a reset in the same way.
+      this.fail('interrupted', 'nothing marks the end of the answer');
+    } else if (!this.ended) {
       this.finish();
       this.listener.onEnd();
     }
@@ -204,3 +209,12 @@
     this.release();
   }
 }
+
+/** Statuses whose answers have no body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether an answer has an end of its own (RFC 9112, 6.3). */
+const isDelimited = (status: number, headers: IncomingHttpHeaders): boolean =>
+  BODILESS_STATUSES.has(status) ||
+  headers['content-length'] !== undefined ||
+  headers['transfer-encoding'] !== undefined;
--- a/packages/daemon/src/test/platform/platform_test.ts
+++ b/packages/daemon/src/test/platform/platform_test.ts
@@ -145,6 +145,30 @@
   t.like(outcome, {kind: 'unknown', deliveredBytes: 4});
 });
 
+/** Sends half of an answer that only the end of its connection delimits. */
+const unframedHalf = (response: ServerResponse, reset: () => void): void => {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+  response.writeHead(200, GOOD_HEAD);
+  response.write('half');
+  // After the runtime has written it.
+  process.nextTick(reset);
+};
+
+for (const delayMs of [0, 50]) {
+  // Guards against a part of an answer that passes for the whole: the HTTP client
+  // reports a reset as the end of an answer that has neither a length nor chunks.
+  test(`an answer without a length that is reset is unknown: after ${delayMs} ms`, async (t) => {
+    const engine = await serve(t, ({socket}, response) => {
+      unframedHalf(response, () => {
+        setTimeout(() => socket.resetAndDestroy(), delayMs);
+      });
+    });
+    const {outcome} = await execute(engine);
+    t.like(outcome, {kind: 'unknown', deliveredBytes: 4});
+  });
+}
+
 test('an answer that never begins is unknown at the timeout', async (t) => {
   const answers = [respond(200, {}, GOOD_HEAD), () => undefined];
   const engine = await serve(t, (request, response) => {
