Guard the parser against odd statuses and header names

On other systems callers got answers with the status 000, and answers whose head had a blank or a control character in the name of a field. This parser refuses both already: the seven cases passed before, and no code is changed.

--- a/packages/entry-host/src/test/upstream/response-parser_test.ts
+++ b/packages/entry-host/src/test/upstream/response-parser_test.ts
@@ -118,6 +118,13 @@
   ],
   ['an unknown encoding', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip'],
   ['a space before the colon', 'HTTP/1.1 200 OK\r\nContent-Length : 1'],
+  ['the status 000', 'HTTP/1.1 000 OK\r\nContent-Length: 1'],
+  ['a status below 100', 'HTTP/1.1 099 OK\r\nContent-Length: 1'],
+  ['a blank in a header name', 'HTTP/1.1 200 OK\r\na b: c'],
+  ['a tab in a header name', 'HTTP/1.1 200 OK\r\na\tb: c'],
+  ['a control character in a header name', 'HTTP/1.1 200 OK\r\na\x01b: c'],
+  ['a header line without a name', 'HTTP/1.1 200 OK\r\n: c'],
+  ['a folded header line', 'HTTP/1.1 200 OK\r\na: b\r\n c: d'],
   ['a negative length', 'HTTP/1.1 200 OK\r\nContent-Length: -1'],
 ] as const) {
   test(`rejects ${name}`, (t) => {
