Let the check of a server outlast the time of the route

Callers of a stream without a length saw it end as complete before its last event (ORDER, in chunks) if its server crashed and the time of the route ended within the check whether it lives, which takes up to a second where connections are slow.

Cause: an answer in hand was delivered at that time, so that its check does not cost a whole one. Of an answer that is passed on as it comes, nothing is left to deliver but the assertion that it is complete.

Now only answers that the caller has not begun to get are delivered then; the others wait for the check, which is bounded by the time-outs of connections.

Evidence: the test (check of 350 ms and more, route of 600 ms) failed before, complete after event 3 of 12, and passes now. The test of a plain answer that outlasts the check passes as before.

--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -688,6 +688,10 @@
     }
     const mayBeAtServer = this.runs > 0 || this.send !== undefined;
     const {send, uncheckedEnd} = this;
+    if (uncheckedEnd?.type === 'answered' && this.answer.headersSent) {
+      // The caller has all of it; the check decides whether that is the end.
+      return;
+    }
     if (uncheckedEnd?.type === 'answered') {
       // Ready in time; only the check of its end is late.
       this.complete();
