Take a server whose address has a new instance for gone

Cause: the check whether the server lives connects to its address, where the new start accepts. The host knows better as soon as it has read the new entry.

Now an address that another instance has is no sign of life. That needs the new entry in the host's view: a start that is younger than its first heartbeat still passes for the old one.

--- a/packages/entry-host/src/crashes/crash-detector.ts
+++ b/packages/entry-host/src/crashes/crash-detector.ts
@@ -127,7 +127,7 @@
    * Finds out whether a server lives on after the end of one of its connections.
    * It is gone if it is not about to leave and refuses connections, those of a
    * peer too, or while other servers accept them: else the host's own links may
-   * be cut.
+   * be cut. It is gone as well if another instance has its address.
    */
   checkClose(server: Server): Promise<CloseEvidence> {
     const {key} = server;
@@ -148,7 +148,10 @@
 
   private async probeAfterClose(server: Server): Promise<CloseEvidence> {
     const result = await this.probe(server);
-    if (result === 'open' || result === 'silent') {
+    if (result === 'open') {
+      return this.isReplaced(server) ? 'gone' : 'open';
+    }
+    if (result === 'silent') {
       return result;
     }
     if (this.isLeaving(server)) {
@@ -161,6 +164,16 @@
     return 'gone';
   }
 
+  /** Whether another server instance is known at the same address. */
+  private isReplaced({key, entry: {host, port}}: Server): boolean {
+    return this.context.servers
+      .all()
+      .some(
+        ({key: otherKey, entry}) =>
+          otherKey !== key && entry.host === host && entry.port === port,
+      );
+  }
+
   private isLeaving({key, entry, notices}: Server): boolean {
     const {servers} = this.context;
     const current = servers.all().find((known) => known.key === key);
