Count only a later start at a server's address as its successor

Read again: entries of other writers, or older ones of a restored store, may have the address of a server that lives; each stream of it without a length would have broken off. Only an entry of a later start shows that the server is gone.

The end of a connection that a relay broke off is no longer logged as a reset. Both cases have a test.

--- a/packages/entry-host/src/crashes/crash-detector.ts
+++ b/packages/entry-host/src/crashes/crash-detector.ts
@@ -127,7 +127,7 @@
    * Finds out whether a server lives on after the end of one of its connections.
    * It is gone if it is not about to leave and refuses connections, those of a
    * peer too, or while other servers accept them: else the host's own links may
-   * be cut. It is gone as well if another instance has its address.
+   * be cut. It is gone as well if a later start has its address.
    */
   checkClose(server: Server): Promise<CloseEvidence> {
     const {key} = server;
@@ -164,13 +164,15 @@
     return 'gone';
   }
 
-  /** Whether another server instance is known at the same address. */
-  private isReplaced({key, entry: {host, port}}: Server): boolean {
+  /** Whether a server that started later is known at the same address. */
+  private isReplaced({entry: {host, port, startedAtWallMs}}: Server): boolean {
     return this.context.servers
       .all()
       .some(
-        ({key: otherKey, entry}) =>
-          otherKey !== key && entry.host === host && entry.port === port,
+        ({entry}) =>
+          entry.host === host &&
+          entry.port === port &&
+          entry.startedAtWallMs > startedAtWallMs,
       );
   }
 
--- a/packages/entry-host/src/crashes/crash-guard.ts
+++ b/packages/entry-host/src/crashes/crash-guard.ts
@@ -6,7 +6,7 @@
  * What shows whether a server lives on after the end of one of its connections:
  * it accepts connections or is silent; or it refuses them, having said that it
  * leaves, as other servers do to this host, or while peers confirm that or other
- * servers accept connections. Where another instance has its address it is gone.
+ * servers accept connections. Where a later start has its address it is gone.
  */
 export type CloseEvidence =
   'open' | 'silent' | 'leaving' | 'unconfirmed' | 'gone';
--- a/packages/entry-host/src/test/crashes/crash-detector_test.ts
+++ b/packages/entry-host/src/test/crashes/crash-detector_test.ts
@@ -48,7 +48,7 @@
     const lost = crashes.map(({sends}) => sends.map(({requestId: id}) => id));
     return {lost, completed};
   };
-  return {detector, send, finish, time: fleet.time};
+  return {detector, send, finish, time: fleet.time, context};
 };
 
 test('a server that refuses connections after it interrupted sends has crashed', async (t) => {
@@ -121,3 +121,26 @@
     t.deepEqual(await Promise.all(answers), [evidence, evidence]);
   });
 }
+
+// Guards against a stream that looks complete as its server crashed and is back,
+// and against blaming a server for an older entry at its address, as another
+// writer or a restored store may show.
+for (const [start, startedAtWallMs, evidence] of [
+  ['a later', 2_000, 'gone'],
+  ['an earlier', 1, 'open'],
+] as const) {
+  test(`${start} start at the address of a server shows that it is ${evidence}`, async (t) => {
+    const {detector, finish, context} = createDetector('open');
+    const server = createServer();
+    const entry = {...server.entry, startedAtWallMs: 1_000};
+    const other = {...entry, id: 'other', startedAtWallMs};
+    context.servers.update(
+      [{entry: other, revision: 1}],
+      undefined,
+      context.clock.now(),
+    );
+    const answer = detector.checkClose({...server, entry});
+    await finish();
+    t.is(await answer, evidence);
+  });
+}
--- a/packages/entry-host/src/upstream/connection.ts
+++ b/packages/entry-host/src/upstream/connection.ts
@@ -303,7 +303,7 @@
     confirmClose((inOrder) => {
       this.contain(() => {
         if (!inOrder) {
-          this.fail('interrupted', 'reset by the server');
+          this.fail('interrupted', 'not closed in order');
         } else if (exchange === this.exchange && exchange.connectionClosed()) {
           this.finish(exchange, false);
         }
