--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -79,8 +79,8 @@
 
 /**
  * What must be found of a server for its answer without a length to count as
- * broken off. A server that leaves ends with its streams in progress, but only
- * after its last plain answers, which it writes at once.
+ * broken off. A server that leaves may end with a stream in progress; a plain
+ * answer is usually written at once, so that its end is taken for the planned one.
  */
 const UNFINISHED_AFTER = {
   plain: new Set<CloseEvidence>(['gone']),
