--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -41,7 +41,7 @@
     return operation === 'load' ? 200 : 400;
   }
   if (loadsModel) {
-    return 409;
+    return 202;
   }
   loadsModel = true;
   sequence += 1;
