Review case 8: streams of a machine that loses power are never taken up

A machine of three loses power for 3.5 s. Meanwhile a server of another software version is added. The clients of the machine take their 24 streams up at the other two hosts, up to four times each.

LOST is broken. Without the loss of power (TROUBLE=0) it holds. The server may come 0.5, 1.5 or 3 s after the loss (once each).

Cause: hosts tell others, and the store, where streams began only once they know two versions. A host that is lost before that leaves no trace, and the new version counts for streams that began before it was on record.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0 leaves the kill out.
+cd "$(dirname "$0")/../.." || exit 2
+exec timeout 115 node review/8/case.mjs
