Let the cases of the second review end with 2 where they can't run

A missing stand-in, an error of Node.js or a SIGTERM ended a case with the exit code of a broken rule, and left stopped processes behind. Now a case ends all that it started, and run.sh turns any other end into a 2.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,4 +2,9 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # TROUBLE=0 leaves the kill and the loss of the server out.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout 115 node review/7/case.mjs
+timeout 115 node review/7/case.mjs
+case $? in
+0) exit 0 ;;
+10) exit 1 ;;
+*) exit 2 ;;
+esac
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -8,7 +8,7 @@
 import {fileURLToPath} from 'node:url';
 
 import {attempt, readStream} from '../lib-2/client.mjs';
-import {Deployment, HOST_NAME, SERVICE} from '../lib-2/deployment.mjs';
+import {BROKEN, Deployment, HOST_NAME, SERVICE} from '../lib-2/deployment.mjs';
 
 const HERE = dirname(fileURLToPath(import.meta.url));
 const TROUBLE = process.env.TROUBLE !== '0';
@@ -125,7 +125,7 @@
 try {
   const result = judge(await run(deployment));
   ({verdict} = result);
-  code = result.broken ? 1 : 0;
+  code = result.broken ? BROKEN : 0;
 } catch (error) {
   verdict.push(String(error.stack));
 }
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -23,6 +23,10 @@
 export const SERVICE = 'assist';
 export const HOST_NAME = 'desk.example';
 export const BEAT_MS = 1_200;
+/** Time after which a case has not run. */
+const LONGEST_RUN_MS = 110_000;
+/** Exit code of a case whose rule was broken; `run.sh` makes it a 1. */
+export const BROKEN = 10;
 /** Time of an answer of the store, as the sheets of all sites say. */
 const STORE_ANSWER_MS = 4;
 
@@ -71,6 +75,24 @@
   #directory = mkdtempSync(join(tmpdir(), 'review-2-'));
   #lapses = [];
 
+  constructor() {
+    // Whatever ends this process, it ends those that it started.
+    const giveUp = () => {
+      this.#endAll();
+      process.exit(2);
+    };
+    process.once('SIGTERM', giveUp);
+    process.once('SIGINT', giveUp);
+    process.once('uncaughtException', giveUp);
+    setTimeout(giveUp, LONGEST_RUN_MS).unref();
+  }
+
+  #endAll() {
+    for (const {child} of [...this.hosts, ...this.engines]) {
+      child.kill('SIGKILL');
+    }
+  }
+
   /** Adds a line to the record. */
   note(what) {
     const at = ((Date.now() - this.#startedAt) / 1_000).toFixed(3);
@@ -274,9 +296,7 @@
   /** Ends all processes and writes the record. */
   stop(recordFile, verdict) {
     this.#lapses.forEach(clearTimeout);
-    for (const {child} of [...this.hosts, ...this.engines]) {
-      child.kill('SIGKILL');
-    }
+    this.#endAll();
     this.link?.close();
     this.store.close();
     writeFileSync(
