--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -201,7 +201,7 @@
       engine.registered = Date.now();
     };
     this.engines.push(engine);
-    await listens;
+    engine.address = (await listens).address;
     return engine;
   }
 
--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -120,6 +120,11 @@
   let next = Number(message.headers['last-event-id'] ?? 0) + 1;
   running += 1;
   say({event: 'runs', requestId, from: next, at: Date.now()});
+  if (options.unframed === true) {
+    // Neither a length nor chunks: the answer ends with its connection.
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+  }
   response.setHeader('Content-Type', 'text/event-stream');
   response.setHeader('X-Basilworks-Server-Signature', `${id}.${requestId}`);
   response.setHeader('X-Basilworks-Weight-Versions', '1');
@@ -237,7 +242,7 @@
     call.end(JSON.stringify({metadata: {name: id}, spec}));
   });
 
-server.listen(0, '127.0.0.1', () => {
+server.listen(options.port ?? 0, '127.0.0.1', () => {
   address = `127.0.0.1:${server.address().port}`;
   say({event: 'listens', address});
 });
