Log where a stream that is taken up may go on

Of a refused take-up only the reason was on record, and of one that went on nothing but the version of its server: logs could not tell a stream whose version was remembered from one that may go on anywhere, nor a view that was not confirmed in time from keepers that know nothing.

No behaviour changes.

--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -183,8 +183,7 @@
 
   /** Sends the request until it has its final answer. */
   private async serve(): Promise<void> {
-    const mayGoOn = (await this.continuation?.find()) ?? true;
-    if (!mayGoOn && !this.isFinished()) {
+    if (!(await this.mayGoOn()) && !this.isFinished()) {
       this.endWithoutServer(UNKNOWN_STREAM);
     }
     while (!this.finished) {
@@ -215,6 +214,21 @@
     }
   }
 
+  /** Whether it is known where a stream that is taken up may go on. */
+  private async mayGoOn(): Promise<boolean> {
+    const {continuation} = this;
+    if (continuation?.takesUp !== true) {
+      return true;
+    }
+    const mayGoOn = await continuation.find();
+    this.parts.context.logger.info('stream taken up', {
+      requestId: this.request.id,
+      ...continuation.logFields,
+      elapsedMs: this.elapsedMs(),
+    });
+    return mayGoOn;
+  }
+
   /** Ends one request for a fault that no type describes, and logs it. */
   private failUnexpectedly(error: unknown): void {
     const {logger} = this.parts.context;
--- a/packages/entry-host/src/front/stream-continuation.ts
+++ b/packages/entry-host/src/front/stream-continuation.ts
@@ -26,16 +26,31 @@
     private readonly request: StreamRequest,
   ) {}
 
+  /** Whether the caller has received events of the stream. */
+  get takesUp(): boolean {
+    return this.request.takesUp;
+  }
+
+  /** Details of a stream that is taken up, for the log. */
+  get logFields() {
+    const {version} = this;
+    return {
+      resumes: this.request.resumes,
+      service: this.request.service,
+      softwareVersion:
+        version?.type === 'known' ? version.softwareVersion : undefined,
+      basis: version?.basis,
+    };
+  }
+
   /**
    * Finds out where a stream that the caller takes up may go on; false if no
    * host knows and it may be one of several versions.
    */
   async find(): Promise<boolean> {
-    const {takesUp, service, resumes = ''} = this.request;
-    if (takesUp) {
-      this.version = await this.guard.versionOf(service, resumes);
-    }
-    return this.version?.type !== 'unknown';
+    const {service, resumes = ''} = this.request;
+    this.version = await this.guard.versionOf(service, resumes);
+    return this.version.type !== 'unknown';
   }
 
   /** Whether the stream may begin or go on at a server. */
@@ -51,7 +66,7 @@
       return;
     }
     const {softwareVersion} = entry;
-    this.version = {type: 'known', softwareVersion};
+    this.version = {type: 'known', softwareVersion, basis: 'remembered'};
     const requestId = this.streamId;
     this.guard.recordBegan(entry.service, {requestId, softwareVersion});
   }
--- a/packages/entry-host/src/streams/stream-versions.ts
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -41,11 +41,16 @@
 /** Prefix of the names of the records of hosts. */
 const HOST_RECORDS = hostRecordName('');
 
+/** What the version at which a stream may go on was found by, for the log. */
+export type StreamVersionBasis =
+  'remembered' | 'one version' | 'keeper' | 'views not confirmed' | 'no keeper';
+
 /** Where a stream may go on: at one version, at any, or it is not known. */
-export type StreamVersion =
+export type StreamVersion = {readonly basis: StreamVersionBasis} & (
   | {readonly type: 'known'; readonly softwareVersion: string}
   | {readonly type: 'any'}
-  | {readonly type: 'unknown'};
+  | {readonly type: 'unknown'}
+);
 
 /** Knows at which software versions streams begin and go on. */
 export interface StreamVersionGuard {
@@ -64,7 +69,7 @@
   mayBegin: () => true,
   recordBegan: () => undefined,
   recordEnded: () => undefined,
-  versionOf: () => Promise.resolve({type: 'any'}),
+  versionOf: () => Promise.resolve({type: 'any', basis: 'one version'}),
 };
 
 /**
@@ -156,21 +161,24 @@
   async versionOf(service: string, requestId: string): Promise<StreamVersion> {
     const own = this.origins.get(requestId);
     if (own !== undefined) {
-      return {type: 'known', softwareVersion: own};
+      return {type: 'known', softwareVersion: own, basis: 'remembered'};
     }
-    if (
-      this.hasOneVersion(service) &&
-      (await this.knowsAllVersions()) &&
-      this.hasOneVersion(service)
-    ) {
-      return {type: 'any'};
+    const hadOneVersion = this.hasOneVersion(service);
+    const confirmed = hadOneVersion && (await this.knowsAllVersions());
+    if (confirmed && this.hasOneVersion(service)) {
+      return {type: 'any', basis: 'one version'};
     }
     await this.journal.load();
     const softwareVersion =
       this.origins.get(requestId) ?? (await this.queryKeepers(requestId));
-    return softwareVersion === undefined
-      ? {type: 'unknown'}
-      : {type: 'known', softwareVersion};
+    if (softwareVersion !== undefined) {
+      return {type: 'known', softwareVersion, basis: 'keeper'};
+    }
+    const unconfirmed = hadOneVersion && !confirmed;
+    return {
+      type: 'unknown',
+      basis: unconfirmed ? 'views not confirmed' : 'no keeper',
+    };
   }
 
   /** Applies what another host reports. */
