Keep a stream that is taken up at the sole version there

Cause: where a host had confirmed that one version may have begun a stream, it answered 'any version', and the request kept that for its later sends. When its first server was lost before an event, it was sent again to a version that had joined in the meantime.

Change: the sole version is the answer, and 'any version' is gone: what is known when the question is asked holds for the stream however long the request waits and however often it is sent. A host records each stream that goes on there, whatever its version was found by: it was left out where keepers had told it. The default guard of a listener refuses what it can't know.

--- a/packages/entry-host/src/front/front-listener.ts
+++ b/packages/entry-host/src/front/front-listener.ts
@@ -36,7 +36,7 @@
   ViewGate,
   type ViewSource,
 } from '../store/index.js';
-import {ANY_STREAM_VERSION, type StreamVersionGuard} from '../streams/index.js';
+import {NO_STREAM_GUARD, type StreamVersionGuard} from '../streams/index.js';
 import {type Admission, NO_QUOTAS, type QuotaGate} from '../tenants/index.js';
 import {headerValue, type UpstreamPools} from '../upstream/index.js';
 import {CallerAnswer} from './caller-answer.js';
@@ -124,7 +124,7 @@
     private readonly quotas: QuotaGate = NO_QUOTAS,
     private readonly crashes: CrashGuard = NO_CRASH_GUARD,
     configurationSource: ViewSource = NO_VIEW_SOURCE,
-    private readonly streams: StreamVersionGuard = ANY_STREAM_VERSION,
+    private readonly streams: StreamVersionGuard = NO_STREAM_GUARD,
   ) {
     this.authenticator = new CallerAuthenticator(context);
     this.configurationGate = new ViewGate(
--- a/packages/entry-host/src/front/stream-continuation.ts
+++ b/packages/entry-host/src/front/stream-continuation.ts
@@ -20,6 +20,7 @@
 export class StreamContinuation {
   /** Where the stream may go on; undefined until that is known. */
   private version: StreamVersion | undefined;
+  private hasEvent = false;
 
   constructor(
     private readonly guard: StreamVersionGuard,
@@ -62,9 +63,10 @@
 
   /** Records that an event of a server was passed on to the caller. */
   recordEvent({entry}: Server): void {
-    if (this.version?.type === 'known') {
+    if (this.hasEvent) {
       return;
     }
+    this.hasEvent = true;
     const {softwareVersion} = entry;
     this.version = {type: 'known', softwareVersion, basis: 'remembered'};
     const requestId = this.streamId;
--- a/packages/entry-host/src/streams/stream-versions.ts
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -45,10 +45,9 @@
 export type StreamVersionBasis =
   'remembered' | 'one version' | 'keeper' | 'views not confirmed' | 'no keeper';
 
-/** Where a stream may go on: at one version, at any, or it is not known. */
+/** The version at which a stream may go on. */
 export type StreamVersion = {readonly basis: StreamVersionBasis} & (
   | {readonly type: 'known'; readonly softwareVersion: string}
-  | {readonly type: 'any'}
   | {readonly type: 'unknown'}
 );
 
@@ -64,12 +63,12 @@
   versionOf(service: string, requestId: string): Promise<StreamVersion>;
 }
 
-/** A guard for deployments with one software version. */
-export const ANY_STREAM_VERSION: StreamVersionGuard = {
+/** Remembers no streams, so that none is taken up. */
+export const NO_STREAM_GUARD: StreamVersionGuard = {
   mayBegin: () => true,
   recordBegan: () => undefined,
   recordEnded: () => undefined,
-  versionOf: () => Promise.resolve({type: 'any', basis: 'one version'}),
+  versionOf: () => Promise.resolve({type: 'unknown', basis: 'no keeper'}),
 };
 
 /**
@@ -163,10 +162,12 @@
     if (own !== undefined) {
       return {type: 'known', softwareVersion: own, basis: 'remembered'};
     }
-    const hadOneVersion = this.hasOneVersion(service);
+    const hadOneVersion = this.soleVersion(service) !== undefined;
     const confirmed = hadOneVersion && (await this.knowsAllVersions());
-    if (confirmed && this.hasOneVersion(service)) {
-      return {type: 'any', basis: 'one version'};
+    const sole = confirmed ? this.soleVersion(service) : undefined;
+    if (sole !== undefined) {
+      // Others may join before the stream goes on.
+      return {type: 'known', softwareVersion: sole, basis: 'one version'};
     }
     await this.journal.load();
     const softwareVersion =
@@ -193,8 +194,11 @@
     return this.origins.get(requestId);
   }
 
-  private hasOneVersion(service: string): boolean {
-    return this.versions.possible(service, this.context.clock.now()).size <= 1;
+  /** The version at which all streams of a service began, if there is one. */
+  private soleVersion(service: string): string | undefined {
+    const {clock} = this.context;
+    const [first, ...others] = this.versions.possible(service, clock.now());
+    return others.length === 0 ? first : undefined;
   }
 
   /**
--- a/packages/entry-host/src/test/front/slow-caller-harness.ts
+++ b/packages/entry-host/src/test/front/slow-caller-harness.ts
@@ -12,7 +12,7 @@
 
 import type {EntryHostContext} from '../../context.js';
 import {type CrashGuard, NO_CRASH_GUARD} from '../../crashes/index.js';
-import {ANY_STREAM_VERSION} from '../../streams/index.js';
+import {NO_STREAM_GUARD} from '../../streams/index.js';
 import {CallerAnswer} from '../../front/caller-answer.js';
 import {RequestBufferTracker} from '../../front/request-buffer-tracker.js';
 import {
@@ -219,7 +219,7 @@
         withdraw: () => false,
       } as unknown as RequestHandlerParts['budget'],
       crashes,
-      streams: ANY_STREAM_VERSION,
+      streams: NO_STREAM_GUARD,
       authenticator: {mayStillSend: () => true},
     };
   }
--- /dev/null
+++ b/packages/entry-host/src/test/streams/versions-that-join_test.ts
@@ -0,0 +1,77 @@
+import type {Server} from '@basilworks/dispatch';
+import test from 'ava';
+
+import {StreamContinuation} from '../../front/stream-continuation.js';
+import {createHost, SERVICE} from './host-with-streams.js';
+
+const serverOf = (softwareVersion: string): Server =>
+  ({entry: {service: SERVICE, softwareVersion}}) as unknown as Server;
+
+/** A stream that is taken up at a host that knows version v1 only. */
+const takeUpAtOneVersion = async () => {
+  const host = createHost(1_000);
+  const continuation = new StreamContinuation(host.streams, {
+    service: SERVICE,
+    requestId: 'r2',
+    resumes: 'r1',
+    takesUp: true,
+  });
+  const found = await continuation.find();
+  return {...host, continuation, found};
+};
+
+// Guards against streams with events of two software versions: a request that
+// took up a stream while there was one version was sent again, after its server
+// was lost, to a version that had joined in the meantime.
+test('a stream taken up at the sole version stays there when another one joins', async (t) => {
+  const {world, continuation, found, readStore, fleet} =
+    await takeUpAtOneVersion();
+  t.true(found);
+  t.true(continuation.allows(serverOf('v1')));
+  world.recorded = ['v1', 'v2'];
+  world.serving = ['v1', 'v2'];
+  readStore();
+  t.false(continuation.allows(serverOf('v2')));
+  t.true(continuation.allows(serverOf('v1')));
+  fleet.close();
+});
+
+// The old version may be gone altogether by the next send.
+test('a stream taken up at the sole version never goes on at its successor', async (t) => {
+  const {world, continuation, readStore, fleet} = await takeUpAtOneVersion();
+  world.recorded = ['v2'];
+  world.serving = ['v2'];
+  readStore();
+  t.false(continuation.allows(serverOf('v2')));
+  fleet.close();
+});
+
+// Guards against streams that can't be taken up a second time: the host at which
+// they went on has to know their version, as the one that began them may be gone.
+test('a host remembers a stream that went on there', async (t) => {
+  const {world, streams, continuation, readStore, fleet} =
+    await takeUpAtOneVersion();
+  continuation.recordEvent(serverOf('v1'));
+  world.recorded = ['v1', 'v2'];
+  world.serving = ['v1', 'v2'];
+  readStore();
+  t.is(streams.originOf('r1'), 'v1');
+  fleet.close();
+});
+
+test('a host remembers a stream of a keeper that went on there', async (t) => {
+  const {world, streams, readStore, fleet} = createHost(1_000);
+  world.recorded = ['v1', 'v2'];
+  world.serving = ['v1', 'v2'];
+  readStore();
+  const continuation = new StreamContinuation(streams, {
+    service: SERVICE,
+    requestId: 'r2',
+    resumes: 'r1',
+    takesUp: true,
+  });
+  t.true(await continuation.find());
+  continuation.recordEvent(serverOf('v2'));
+  t.is(streams.originOf('r1'), 'v2');
+  fleet.close();
+});
