Leave out the servers of other versions at each choice

Callers may have seen: streams of two software versions where a request waited for a permit, or its server was replaced meanwhile, and was then sent to a server that had joined.

Cause: the servers at which a stream may not begin or go on were left out once, before the first choice of a selection; a later choice took servers that had joined since.

Change: they are left out before each choice. The test, in which the only server with a permit joins during the wait, failed before ('server' for 'none').

--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -156,12 +156,13 @@
     await this.confirmViews(request);
     let mayChooseAgain = true;
     const excluded = new Set(selection.tried);
-    if (allows !== undefined) {
-      this.excludeOthers(service, allows, excluded);
-    }
     const callerLeft = () => signal.aborted;
     let shortestRetryMs = this.excludeDenied(service, excluded);
     for (;;) {
+      if (allows !== undefined) {
+        // Others may have joined while the request waited.
+        this.excludeOthers(service, allows, excluded);
+      }
       const chosen = await this.choose({...selection, tried: excluded});
       if (chosen.type === 'none') {
         return shortestRetryMs === undefined
--- a/packages/entry-host/src/test/front/server-selection_test.ts
+++ b/packages/entry-host/src/test/front/server-selection_test.ts
@@ -71,19 +71,23 @@
   createListener: (controls: {
     readonly versions: AdapterVersions;
     readonly startLeaving: (id: string) => void;
+    /** Adds a server. */
+    readonly join: (id: string) => void;
     /** Closes the caller's connection. */
     readonly disconnect: () => void;
   }) => PrepareListener,
   permits: Permits = GRANT_ALL,
   answerOf = residentAnswer,
   route: Partial<Route> = {},
+  allows?: (server: Server) => boolean,
 ) => {
   const fleet = new FleetSimulation(1);
   const {context: hostContext} = fleet.startHost('h0');
   const context = {...hostContext, platform: PLATFORM};
   const at = context.clock.now();
+  const ids = new Set(['s0', 's1', 's2']);
   const updateServers = (leavingId?: string) => {
-    const entries = ['s0', 's1', 's2'].map((id) => ({
+    const entries = [...ids].map((id) => ({
       entry: entry(id, id === leavingId),
       revision: 1,
     }));
@@ -98,6 +102,10 @@
   const onPrepare = createListener({
     versions,
     startLeaving: updateServers,
+    join: (id) => {
+      ids.add(id);
+      updateServers();
+    },
     disconnect,
   });
   const prepared: (readonly [string, number])[] = [];
@@ -132,6 +140,7 @@
     patienceMs: 2_000,
     latencyBudgetMs: 600,
     tried: new Set(),
+    allows,
     firstSend: true,
     signal: abort.signal,
   });
@@ -207,6 +216,29 @@
 
 // Requests for rare adapters were held until their callers gave up after four
 // seconds, as the last attempt waited for half of the time until the timeout.
+// Guards against streams that begin or go on at a software version which joined
+// while their requests waited: servers were left out before the first choice only.
+test('a server that joins during the wait is left out like the others of its version', async (t) => {
+  let join: (id: string) => void = () => undefined;
+  const {selection} = await select(
+    (controls) => {
+      join = controls.join;
+      return () => undefined;
+    },
+    denyPermits((id) => {
+      if (id === 's3') {
+        return undefined;
+      }
+      join('s3');
+      return 700;
+    }),
+    residentAnswer,
+    {},
+    ({entry: {id}}) => id !== 's3',
+  );
+  t.is(selection.type, 'none');
+});
+
 test('no attempt waits longer than half of the patience of the caller', async (t) => {
   const waitsMs: number[] = [];
   const {selection} = await select(
