Let all questions of a view share the next read

Cause: questions that arrive during a read wait for it and need the next one. ViewGate.confirm let only the first of them go on; the others found that one's read in progress and failed without waiting for it.

Change: a question gives up only if the read that it waited for did not end in time; otherwise it joins the next, whoever began it. The wait is two reads at most, as it was for the first question, and there is one read at a time.

--- a/packages/entry-host/src/store/view-gate.ts
+++ b/packages/entry-host/src/store/view-gate.ts
@@ -95,9 +95,10 @@
       return true;
     }
     if (!this.isUnavailable) {
-      await this.refresh(since);
-      if (!this.isConfirmed(since) && !this.isReading) {
-        // That read had begun before `since`.
+      const ended = await this.refresh(since);
+      if (ended && !this.isConfirmed(since)) {
+        // That read had begun before `since`. Of all that waited for it, one
+        // starts the next, and the others share that.
         await this.refresh(since);
       }
     }
@@ -119,10 +120,10 @@
   }
 
   /**
-   * Waits for the read in progress if it began after `since`, or for a new one
-   * if that is due.
+   * Waits for the read in progress, or for a new one if that is due. Returns
+   * whether it ended in time.
    */
-  private async refresh(since: Instant): Promise<void> {
+  private async refresh(since: Instant): Promise<boolean> {
     const {timers, signal, clock} = this.context;
     const at = clock.now();
     const waitMs = Math.min(
@@ -138,9 +139,13 @@
       answered.abort();
     };
     signal.addEventListener('abort', stop, {once: true});
-    await Promise.race([this.pending, sleep(timers, waitMs, answered.signal)]);
+    const ended = await Promise.race([
+      this.pending.then(() => true),
+      sleep(timers, waitMs, answered.signal).then(() => false),
+    ]);
     signal.removeEventListener('abort', stop);
     answered.abort();
+    return ended;
   }
 
   /** Whether a read has to begin for a question that was asked at `since`. */
