Let streams of a lost host go on at the default version

Cause: hosts told others where streams began only once that mattered, with two versions, and only after the first event. A host that is lost before leaves no trace, and the others could not tell that from one of the newer version.

Evidence: 'stream taken up' said 'no keeper' 96 times of 96. On virtual time the lost host never knew of a second version.

Change: silence has a meaning. The record of a service's versions names a default, the first that was on record; it changes once its version has had no servers for as long as a stream may go on. A stream begins at another version only once two of its keepers have confirmed that they remember it, which is asked before the request is sent. A host asks up to eight others for a stream that it doesn't know; if all but two of them (all but one where not all hosts are asked) would know and don't, it began at the default: two had confirmed it otherwise. A host would know if it has run for as long as a stream may go on, or since it read a record with the default alone. The store needn't be read for it. Reports after the first event and journals stay as they were for the rest. A record of an older build has no default, and keepers confirm all streams then.

--- a/packages/dispatch/src/fleet/records.ts
+++ b/packages/dispatch/src/fleet/records.ts
@@ -47,6 +47,11 @@
   type: z.literal('software-versions'),
   service: z.string(),
   versions: z.array(z.string()),
+  /**
+   * The version at which a stream began that no host was told of. Streams of the
+   * others begin once keepers have acknowledged them.
+   */
+  defaultVersion: z.string().optional(),
 });
 export type SoftwareVersionsRecord = z.infer<
   typeof softwareVersionsRecordSchema
--- a/packages/dispatch/src/streams/software-versions.ts
+++ b/packages/dispatch/src/streams/software-versions.ts
@@ -2,6 +2,13 @@
 
 import {STREAM_RETENTION_MS} from './stream-origins.js';
 
+/** The software versions of a service on record. */
+export interface RecordedVersions {
+  readonly versions: readonly string[];
+  /** The version at which a stream began that no host was told of. */
+  readonly defaultVersion?: string | undefined;
+}
+
 /**
  * The software versions at which streams of a service may have begun: those on
  * record and those of its servers. What two versions write does not fit
@@ -9,6 +16,7 @@
  */
 export class SoftwareVersions {
   private recorded = new Map<string, ReadonlySet<string>>();
+  private defaults = new Map<string, string>();
   private present = new Map<string, ReadonlySet<string>>();
   /**
    * When versions last had servers, by service; for versions on record that had
@@ -18,12 +26,20 @@
 
   /** Replaces the versions on record, by service. */
   applyRecorded(
-    recorded: ReadonlyMap<string, readonly string[]>,
+    recorded: ReadonlyMap<string, RecordedVersions>,
     at: Instant,
   ): void {
-    this.recorded = new Map(
-      [...recorded].map(([service, versions]) => [service, new Set(versions)]),
-    );
+    this.recorded = new Map();
+    this.defaults = new Map();
+    for (const [service, {versions, defaultVersion}] of recorded) {
+      this.recorded.set(service, new Set(versions));
+      // All streams that may go on began at the sole version.
+      const [sole, ...others] = versions;
+      const known = others.length === 0 ? sole : defaultVersion;
+      if (known !== undefined && versions.includes(known)) {
+        this.defaults.set(service, known);
+      }
+    }
     this.recordSeen(at);
   }
 
@@ -65,14 +81,48 @@
     );
   }
 
-  /** Versions to put on record in place of those there; undefined if none. */
-  due(service: string, at: Instant): readonly string[] | undefined {
-    const recorded = this.recorded.get(service) ?? new Set<string>();
+  /**
+   * The version at which a stream began that no host was told of; undefined if
+   * there is none, and hosts are told of each stream.
+   */
+  defaultOf(service: string): string | undefined {
+    return this.defaults.get(service);
+  }
+
+  /** Whether a version has servers. */
+  isServing(service: string, version: string): boolean {
+    return this.present.get(service)?.has(version) === true;
+  }
+
+  /** Whether streams have begun at the default version only until now. */
+  hasBegunAtDefaultOnly(service: string): boolean {
+    const version = this.defaults.get(service);
+    return (
+      version !== undefined &&
+      this.recorded.get(service)?.size === 1 &&
+      this.isServing(service, version)
+    );
+  }
+
+  /** What to put on record in place of what is there; undefined if nothing. */
+  due(service: string, at: Instant): RecordedVersions | undefined {
+    const recorded = this.recorded.get(service);
     const wanted = this.recent(service, at);
-    return wanted.length === recorded.size &&
-      wanted.every((version) => recorded.has(version))
-      ? undefined
-      : [...wanted].sort();
+    if (
+      wanted.length === (recorded?.size ?? 0) &&
+      wanted.every((version) => recorded?.has(version) === true)
+    ) {
+      return undefined;
+    }
+    const versions = [...wanted].sort();
+    const known = this.defaults.get(service);
+    if (known === undefined) {
+      return {versions};
+    }
+    // Where the default has left, its streams have ended, and hosts were told of
+    // all others.
+    const defaultVersion = versions.includes(known) ? known : versions[0];
+    return {versions, defaultVersion};
   }
 
   /** Versions that have had servers within the time of a stream. */
--- a/packages/dispatch/src/streams/stream-origins.ts
+++ b/packages/dispatch/src/streams/stream-origins.ts
@@ -16,8 +16,21 @@
   readonly softwareVersion: string;
 }
 
+/** What a host knows of a stream that another one is asked to take up. */
+export interface StreamAnswer {
+  /** Version of the software that began it; undefined if not known. */
+  readonly softwareVersion?: string | undefined;
+  /**
+   * Whether the host remembers all streams of the service that may go on and
+   * that it acknowledged.
+   */
+  readonly witness: boolean;
+}
+
 /** The software versions at which recent streams began. */
 export class StreamOrigins {
+  /** When a stream was last forgotten before its time. */
+  private droppedAt: Instant | undefined;
   private readonly origins = new Map<
     string,
     {readonly softwareVersion: string; readonly at: Instant}
@@ -42,6 +55,14 @@
     return this.origins.get(requestId)?.softwareVersion;
   }
 
+  /** Whether no stream that may go on has been forgotten. */
+  isComplete(at: Instant): boolean {
+    return (
+      this.droppedAt === undefined ||
+      elapsedMs(this.droppedAt, at) >= STREAM_RETENTION_MS
+    );
+  }
+
   /** All streams that are remembered, oldest first. */
   all(): readonly StreamOrigin[] {
     return [...this.origins].map(([requestId, {softwareVersion}]) => ({
@@ -58,6 +79,7 @@
         return;
       }
       this.origins.delete(requestId);
+      this.droppedAt = expired ? this.droppedAt : at;
     }
   }
 }
--- a/packages/dispatch/src/test/streams/software-versions_test.ts
+++ b/packages/dispatch/src/test/streams/software-versions_test.ts
@@ -15,13 +15,16 @@
   new Map([[SERVICE, new Set(versions)]]);
 
 const recorded = (...versions: readonly string[]) =>
-  new Map([[SERVICE, versions]]);
+  new Map([[SERVICE, {versions}]]);
 
 test('a new version is put on record before streams begin at it', (t) => {
   const versions = new SoftwareVersions();
   versions.applyRecorded(recorded('v1'), at(0));
   versions.applyPresent(present('v1', 'v2'), at(0));
-  t.deepEqual(versions.due(SERVICE, at(0)), ['v1', 'v2']);
+  t.deepEqual(versions.due(SERVICE, at(0)), {
+    versions: ['v1', 'v2'],
+    defaultVersion: 'v1',
+  });
   t.true(versions.mayBegin(SERVICE, 'v1'));
   t.false(versions.mayBegin(SERVICE, 'v2'));
   versions.applyRecorded(recorded('v1', 'v2'), at(0));
@@ -42,7 +45,9 @@
   versions.applyRecorded(recorded('v1', 'v2'), at(0));
   versions.applyPresent(present('v2'), at(0));
   t.is(versions.due(SERVICE, at(STREAM_RETENTION_MS - 1)), undefined);
-  t.deepEqual(versions.due(SERVICE, at(STREAM_RETENTION_MS)), ['v2']);
+  t.deepEqual(versions.due(SERVICE, at(STREAM_RETENTION_MS)), {
+    versions: ['v2'],
+  });
   // A version that comes back is kept from then on.
   versions.applyPresent(present('v1', 'v2'), at(STREAM_RETENTION_MS));
   versions.applyPresent(present('v2'), at(STREAM_RETENTION_MS + 1));
@@ -67,7 +72,7 @@
         versions.applyPresent(present(...serving), at(nowMs));
         const due = versions.due(SERVICE, at(nowMs));
         if (writes && due !== undefined) {
-          versions.applyRecorded(recorded(...due), at(nowMs));
+          versions.applyRecorded(new Map([[SERVICE, due]]), at(nowMs));
         }
         nowMs += pauseMs;
         for (const version of serving) {
--- a/packages/entry-host/src/front/request-handler.ts
+++ b/packages/entry-host/src/front/request-handler.ts
@@ -205,6 +205,11 @@
         this.endWithoutServer(selection);
         break;
       }
+      const mayBegin = await this.announceStream(selection.server);
+      if (this.isFinished() || !mayBegin) {
+        this.parts.selector.withdrawPrompt(selection);
+        continue;
+      }
       const result = await this.sendTo(selection);
       this.possiblyRan ||= mayHaveRun(result);
       if (this.isFinished()) {
@@ -229,6 +234,11 @@
     return mayGoOn;
   }
 
+  /** Whether a resumable stream may begin at a server, as others know of it. */
+  private announceStream(server: Server): Promise<boolean> {
+    return this.continuation?.announce(server) ?? Promise.resolve(true);
+  }
+
   /** Ends one request for a fault that no type describes, and logs it. */
   private failUnexpectedly(error: unknown): void {
     const {logger} = this.parts.context;
--- a/packages/entry-host/src/front/server-selection.ts
+++ b/packages/entry-host/src/front/server-selection.ts
@@ -240,7 +240,7 @@
   }
 
   /** Reports that an announced prompt will not be sent. */
-  private withdrawPrompt({
+  withdrawPrompt({
     server: {key: server},
     announcedAs: requestId,
   }: Pick<FoundServer, 'server' | 'announcedAs'>): void {
--- a/packages/entry-host/src/front/stream-continuation.ts
+++ b/packages/entry-host/src/front/stream-continuation.ts
@@ -21,6 +21,10 @@
   /** Where the stream may go on; undefined until that is known. */
   private version: StreamVersion | undefined;
   private hasEvent = false;
+  /** What keepers were last told of where the stream is about to begin. */
+  private latest:
+    | {readonly softwareVersion: string; readonly isAcknowledged: boolean}
+    | undefined;
 
   constructor(
     private readonly guard: StreamVersionGuard,
@@ -61,6 +65,33 @@
       : this.guard.mayBegin(entry.service, entry.softwareVersion);
   }
 
+  /**
+   * Has other hosts remember that the stream is about to begin at a server; false
+   * if it must not.
+   */
+  async announce({entry}: Server): Promise<boolean> {
+    if (this.version !== undefined) {
+      return true;
+    }
+    const {service, softwareVersion} = entry;
+    const {latest} = this;
+    if (this.isAcknowledgedAt(softwareVersion)) {
+      return true;
+    }
+    // Keepers may be told although they don't confirm it.
+    this.latest = {softwareVersion, isAcknowledged: false};
+    const answer = await this.guard.announce(
+      service,
+      {requestId: this.streamId, softwareVersion},
+      latest !== undefined,
+    );
+    this.latest =
+      answer === 'needless'
+        ? undefined
+        : {softwareVersion, isAcknowledged: answer === 'acknowledged'};
+    return answer !== 'refused';
+  }
+
   /** Records that an event of a server was passed on to the caller. */
   recordEvent({entry}: Server): void {
     if (this.hasEvent) {
@@ -70,7 +101,11 @@
     const {softwareVersion} = entry;
     this.version = {type: 'known', softwareVersion, basis: 'remembered'};
     const requestId = this.streamId;
-    this.guard.recordBegan(entry.service, {requestId, softwareVersion});
+    this.guard.recordBegan(
+      entry.service,
+      {requestId, softwareVersion},
+      this.isAcknowledgedAt(softwareVersion),
+    );
   }
 
   /** Records that the stream reached its end. */
@@ -80,6 +115,14 @@
     }
   }
 
+  private isAcknowledgedAt(softwareVersion: string): boolean {
+    const {latest} = this;
+    return (
+      latest?.isAcknowledged === true &&
+      latest.softwareVersion === softwareVersion
+    );
+  }
+
   /** Id of the request that began the stream. */
   private get streamId(): string {
     return this.request.resumes ?? this.request.requestId;
--- a/packages/entry-host/src/peers/peer-exchange.ts
+++ b/packages/entry-host/src/peers/peer-exchange.ts
@@ -69,6 +69,7 @@
   | 'queryCompletions'
   | 'announceQuarantine'
   | 'reportStreams'
+  | 'announceStreams'
   | 'queryStream'
   | 'isUnresponsive'
   | 'close'
--- a/packages/entry-host/src/peers/peer-link.ts
+++ b/packages/entry-host/src/peers/peer-link.ts
@@ -5,6 +5,7 @@
   IssuerUpdate,
   PrepareAnswer,
   PrepareRequest,
+  StreamAnswer,
   StreamOrigin,
 } from '@basilworks/dispatch';
 import {fleet} from '@basilworks/protocol';
@@ -28,8 +29,8 @@
  */
 const PERMIT_TIMEOUT_MS = 120;
 
-/** Time-out of questions where a stream began, milliseconds. */
-const STREAM_QUERY_TIMEOUT_MS = 200;
+/** Time-out of calls about streams to their keepers, milliseconds. */
+const STREAM_TIMEOUT_MS = 200;
 
 /** Time-out of calls about crashes of servers, milliseconds. */
 const CRASH_TIMEOUT_MS = 400;
@@ -233,22 +234,38 @@
     return response?.$case === 'quarantine';
   }
 
-  /** Tells the peer where streams began. */
+  /** Tells the peer where streams began, without a confirmation. */
   reportStreams(origins: readonly StreamOrigin[]): void {
-    // Not acknowledged: a stream that no host knows is not taken up.
-    this.write({$case: 'streamReport', value: {origins: [...origins]}});
+    this.write({
+      $case: 'streamReport',
+      value: {origins: [...origins], acknowledge: false},
+    });
   }
 
-  /** Asks where a stream began; undefined if the peer doesn't know in time. */
-  async queryStream(requestId: string): Promise<string | undefined> {
+  /** Tells the peer where streams are about to begin; false if unconfirmed. */
+  async announceStreams(origins: readonly StreamOrigin[]): Promise<boolean> {
     const response = await this.call(
-      {$case: 'streamQuery', value: {requestId}},
-      STREAM_QUERY_TIMEOUT_MS,
+      {
+        $case: 'streamReport',
+        value: {origins: [...origins], acknowledge: true},
+      },
+      STREAM_TIMEOUT_MS,
       {toleratesMiss: true},
     );
-    return response?.$case === 'streamQuery'
-      ? response.value.softwareVersion
-      : undefined;
+    return response?.$case === 'streamReport';
+  }
+
+  /** Asks where a stream began; undefined if no response arrives in time. */
+  async queryStream(
+    service: string,
+    requestId: string,
+  ): Promise<StreamAnswer | undefined> {
+    const response = await this.call(
+      {$case: 'streamQuery', value: {service, requestId}},
+      STREAM_TIMEOUT_MS,
+      {toleratesMiss: true},
+    );
+    return response?.$case === 'streamQuery' ? response.value : undefined;
   }
 
   /** Reports what changed at servers to the peer, their issuer. */
--- a/packages/entry-host/src/peers/peer-service.ts
+++ b/packages/entry-host/src/peers/peer-service.ts
@@ -4,6 +4,7 @@
   IssuerUpdate,
   PrepareAnswer,
   PrepareRequest,
+  StreamAnswer,
   StreamOrigin,
 } from '@basilworks/dispatch';
 import {fleet} from '@basilworks/protocol';
@@ -72,7 +73,7 @@
 /** Remembers where streams began. */
 export interface StreamKeeper {
   applyOrigins(origins: readonly StreamOrigin[]): void;
-  originOf(requestId: string): string | undefined;
+  answer(service: string, requestId: string): StreamAnswer;
 }
 
 type Conversation = ServerDuplexStream<fleet.PeerRequest, fleet.PeerResponse>;
@@ -244,11 +245,14 @@
       this.crashes.announce(keys);
       this.call.write({serial, response: {$case: 'quarantine', value: {}}});
     },
-    streamReport: (_serial, {origins}) => {
+    streamReport: (serial, {origins, acknowledge}) => {
       this.streams.applyOrigins(origins);
+      if (acknowledge) {
+        this.call.write({serial, response: {$case: 'streamReport', value: {}}});
+      }
     },
-    streamQuery: (serial, {requestId}) => {
-      const value = {softwareVersion: this.streams.originOf(requestId)};
+    streamQuery: (serial, {service, requestId}) => {
+      const value = {...this.streams.answer(service, requestId)};
       this.call.write({serial, response: {$case: 'streamQuery', value}});
     },
     release: (_serial, {fromHost, releases, requests, prefilled, gaps}) => {
--- /dev/null
+++ b/packages/entry-host/src/streams/stream-keepers.ts
@@ -0,0 +1,211 @@
+import {elapsedMs, type Instant, rankByRendezvous} from '@basilworks/core';
+import {
+  STREAM_RETENTION_MS,
+  type StreamAnswer,
+  type StreamOrigin,
+} from '@basilworks/dispatch';
+
+import type {EntryHostContext} from '../context.js';
+import type {PeerConnection} from '../peers/index.js';
+
+/** Hosts that remember where a stream began, besides the one that began it. */
+const KEEPERS = 3;
+
+/** Keepers that acknowledge a stream before it begins. */
+const ACKNOWLEDGEMENTS = 2;
+
+/**
+ * Hosts that are asked about a stream: its keepers by the membership of the host
+ * that began it, whatever hosts have joined or left since.
+ */
+const HOSTS_ASKED = 8;
+
+/** Hosts that may join until a question, without hiding a keeper from it. */
+const JOINED_HOSTS = 3;
+
+/** Delay of reports to keepers, which batches them, milliseconds. */
+const REPORT_DELAY_MS = 50;
+
+/** Delay of announcements, which batches them, milliseconds. */
+const ANNOUNCEMENT_DELAY_MS = 2;
+
+/** Streams in one report at most. */
+const MAXIMUM_REPORTED = 500;
+
+/** What the hosts that were asked about a stream know together. */
+export type KeptOrigin =
+  | {readonly type: 'known'; readonly softwareVersion: string}
+  /** No keeper acknowledged it. */
+  | {readonly type: 'not-announced'}
+  | {readonly type: 'unknown'};
+
+interface Announcement {
+  readonly origin: StreamOrigin;
+  readonly settle: (confirmed: boolean) => void;
+}
+
+/** Tells other hosts where streams began, and asks them. */
+export class StreamKeepers {
+  /** When hosts were last live, by name. */
+  private readonly liveAt = new Map<string, Instant>();
+  private unreported: StreamOrigin[] = [];
+  private unannounced: Announcement[] = [];
+
+  constructor(
+    private readonly context: EntryHostContext,
+    private readonly linkTo: (host: string) => PeerConnection | undefined,
+  ) {}
+
+  /** Notes which hosts are live. */
+  review(): void {
+    const {membership, clock} = this.context;
+    const at = clock.now();
+    for (const {host} of membership.live()) {
+      this.liveAt.set(host, at);
+    }
+    for (const [host, liveAt] of this.liveAt) {
+      if (elapsedMs(liveAt, at) >= STREAM_RETENTION_MS) {
+        this.liveAt.delete(host);
+      }
+    }
+  }
+
+  /** Tells the keepers of streams that have begun, without a confirmation. */
+  report(origins: readonly StreamOrigin[]): void {
+    const scheduled = this.unreported.length > 0;
+    this.unreported.push(...origins);
+    if (!scheduled && this.unreported.length > 0) {
+      this.context.timers.after('streams/report', REPORT_DELAY_MS, () => {
+        this.sendReports();
+      });
+    }
+  }
+
+  /**
+   * Tells the keepers of a stream before it begins; false if too few of them
+   * confirmed that.
+   */
+  announce(origin: StreamOrigin): Promise<boolean> {
+    const {timers} = this.context;
+    return new Promise((settle) => {
+      this.unannounced.push({origin, settle});
+      if (this.unannounced.length === 1) {
+        timers.after('streams/announce', ANNOUNCEMENT_DELAY_MS, () => {
+          this.sendAnnouncements();
+        });
+      }
+    });
+  }
+
+  /** Asks the keepers where a stream began. */
+  ask(service: string, requestId: string): Promise<KeptOrigin> {
+    const {others, acknowledgements} = this.surroundings();
+    const asked = rankByRendezvous(requestId, others).slice(0, HOSTS_ASKED);
+    // Where all hosts are asked, so is the one that began the stream.
+    const silentAtMost =
+      asked.length === others.length ? acknowledgements : acknowledgements - 1;
+    return new Promise((resolve) => {
+      let witnesses = 0;
+      let answers = 0;
+      const settle = (answer: StreamAnswer | undefined) => {
+        answers += 1;
+        if (answer?.softwareVersion !== undefined) {
+          resolve({type: 'known', softwareVersion: answer.softwareVersion});
+          return;
+        }
+        witnesses += answer?.witness === true ? 1 : 0;
+        if (asked.length - witnesses <= silentAtMost) {
+          resolve({type: 'not-announced'});
+        } else if (answers === asked.length) {
+          resolve({type: 'unknown'});
+        }
+      };
+      if (asked.length === 0) {
+        resolve({type: 'not-announced'});
+      }
+      for (const host of asked) {
+        const answer = this.linkTo(host)?.queryStream(service, requestId);
+        void Promise.resolve(answer).then(settle);
+      }
+    });
+  }
+
+  /** Other hosts of the last minute, and how many of them acknowledge. */
+  private surroundings() {
+    this.review();
+    const {settings} = this.context;
+    const others = [...this.liveAt.keys()].filter(
+      (host) => host !== settings.host,
+    );
+    const acknowledgements = Math.min(ACKNOWLEDGEMENTS, others.length);
+    return {others, acknowledgements};
+  }
+
+  private sendReports(): void {
+    const origins = this.unreported;
+    this.unreported = [];
+    for (const [host, list] of this.byKeeper(origins)) {
+      for (let from = 0; from < list.length; from += MAXIMUM_REPORTED) {
+        const part = list.slice(from, from + MAXIMUM_REPORTED);
+        this.linkTo(host)?.reportStreams(part);
+      }
+    }
+  }
+
+  private sendAnnouncements(): void {
+    const announcements = this.unannounced;
+    this.unannounced = [];
+    const {acknowledgements} = this.surroundings();
+    const confirmed = new Map<string, number>();
+    const open = new Map(
+      announcements.map((announcement) => [
+        announcement.origin.requestId,
+        announcement,
+      ]),
+    );
+    const settle = (requestId: string, isConfirmed: boolean) => {
+      open.get(requestId)?.settle(isConfirmed);
+      open.delete(requestId);
+    };
+    const calls = [
+      ...this.byKeeper(announcements.map(({origin}) => origin)),
+    ].map(async ([host, origins]) => {
+      if ((await this.linkTo(host)?.announceStreams(origins)) !== true) {
+        return;
+      }
+      for (const {requestId} of origins) {
+        const count = 1 + (confirmed.get(requestId) ?? 0);
+        confirmed.set(requestId, count);
+        if (count >= acknowledgements) {
+          settle(requestId, true);
+        }
+      }
+    });
+    void Promise.all(calls).then(() => {
+      for (const requestId of [...open.keys()]) {
+        settle(requestId, acknowledgements === 0);
+      }
+    });
+  }
+
+  private byKeeper(
+    origins: readonly StreamOrigin[],
+  ): ReadonlyMap<string, readonly StreamOrigin[]> {
+    const {others} = this.surroundings();
+    const live = new Set(this.context.membership.live().map(({host}) => host));
+    const eligible =
+      others.length > HOSTS_ASKED ? HOSTS_ASKED - JOINED_HOSTS : others.length;
+    const byKeeper = new Map<string, StreamOrigin[]>();
+    for (const origin of origins) {
+      const keepers = rankByRendezvous(origin.requestId, others)
+        .slice(0, eligible)
+        .filter((host) => live.has(host));
+      for (const host of keepers.slice(0, KEEPERS)) {
+        const list = byKeeper.get(host) ?? [];
+        list.push(origin);
+        byKeeper.set(host, list);
+      }
+    }
+    return byKeeper;
+  }
+}
--- a/packages/entry-host/src/streams/stream-versions.ts
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -1,7 +1,10 @@
-import {elapsedMs, type Instant, rankByRendezvous} from '@basilworks/core';
+import {elapsedMs, type Instant} from '@basilworks/core';
 import {
   hostRecordName,
   SoftwareVersions,
+  type StoreKind,
+  STREAM_RETENTION_MS,
+  type StreamAnswer,
   type StreamOrigin,
   StreamOrigins,
 } from '@basilworks/dispatch';
@@ -15,16 +18,14 @@
   type ViewSources,
 } from '../store/index.js';
 import {StreamJournal} from './stream-journal.js';
+import {StreamKeepers} from './stream-keepers.js';
 import {VersionRecords} from './version-records.js';
 
-/** Hosts that remember where a stream began, besides the one that began it. */
-const KEEPERS = 3;
-
-/** Delay of reports to keepers, which batches them, milliseconds. */
-const REPORT_DELAY_MS = 50;
-
-/** Streams in one report at most. */
-const MAXIMUM_REPORTED = 500;
+/**
+ * Time for which streams begin at the default version only after keepers didn't
+ * acknowledge one, milliseconds.
+ */
+const UNACKNOWLEDGED_MS = 1_000;
 
 /** Interval of checks whether this host stood still, milliseconds. */
 const STANDSTILL_CHECK_MS = 500;
@@ -43,7 +44,13 @@
 
 /** What the version at which a stream may go on was found by, for the log. */
 export type StreamVersionBasis =
-  'remembered' | 'one version' | 'keeper' | 'views not confirmed' | 'no keeper';
+  | 'remembered'
+  | 'one version'
+  | 'keeper'
+  | 'default'
+  | 'journal'
+  | 'views not confirmed'
+  | 'no keeper';
 
 /** The version at which a stream may go on. */
 export type StreamVersion = {readonly basis: StreamVersionBasis} & (
@@ -51,12 +58,38 @@
   | {readonly type: 'unknown'}
 );
 
+/**
+ * How other hosts were told of a stream: they needn't be, enough of them confirmed
+ * it, or too few, which matters only if it could begin at the default version.
+ */
+export type Announcement =
+  'needless' | 'acknowledged' | 'unacknowledged' | 'refused';
+
 /** Knows at which software versions streams begin and go on. */
 export interface StreamVersionGuard {
   /** Whether a stream may begin at a version. */
   mayBegin(service: string, softwareVersion: string): boolean;
-  /** Records that a stream began. */
-  recordBegan(service: string, origin: StreamOrigin): void;
+  /**
+   * Has other hosts remember where a stream is about to begin, unless that follows
+   * from its version.
+   *
+   * @param wasAnnounced whether it was about to begin elsewhere before.
+   */
+  announce(
+    service: string,
+    origin: StreamOrigin,
+    wasAnnounced: boolean,
+  ): Promise<Announcement>;
+  /**
+   * Records that a stream began.
+   *
+   * @param wasAnnounced whether keepers were told of it before.
+   */
+  recordBegan(
+    service: string,
+    origin: StreamOrigin,
+    wasAnnounced: boolean,
+  ): void;
   /** Records that a stream reached its end, by the request that began it. */
   recordEnded(requestId: string): void;
   /** Finds out where a stream may go on, by the request that began it. */
@@ -66,6 +99,7 @@
 /** Remembers no streams, so that none is taken up. */
 export const NO_STREAM_GUARD: StreamVersionGuard = {
   mayBegin: () => true,
+  announce: () => Promise.resolve('needless'),
   recordBegan: () => undefined,
   recordEnded: () => undefined,
   versionOf: () => Promise.resolve({type: 'unknown', basis: 'no keeper'}),
@@ -74,7 +108,10 @@
 /**
  * Remembers at which software versions streams began. Where several versions
  * may have begun streams of a service, hosts tell keepers, chosen by the id of
- * the request, so that any host can find out where to go on.
+ * the request, so that any host can find out where to go on. Streams of all
+ * versions but the default begin once keepers have acknowledged them: one of
+ * which no keeper was told began at the default version, whatever became of the
+ * host where it did.
  */
 export class StreamVersions implements StreamVersionGuard {
   private readonly versions = new SoftwareVersions();
@@ -82,8 +119,11 @@
   private readonly records: VersionRecords;
   private readonly journal: StreamJournal;
   private readonly mixed = new Set<string>();
-  private unreported: StreamOrigin[] = [];
-  private reportScheduled = false;
+  private readonly keepers: StreamKeepers;
+  /** Services of which this host has remembered all streams since. */
+  private readonly witnessed = new Set<string>();
+  private unacknowledgedAt: Instant | undefined;
+  private readonly startedAt: Instant;
   /** Gates of the views that show which versions there are. */
   private readonly gates: readonly ViewGate[];
   private checkedAt: Instant;
@@ -92,11 +132,13 @@
 
   constructor(
     private readonly context: EntryHostContext,
-    private readonly linkTo: (host: string) => PeerConnection | undefined,
+    linkTo: (host: string) => PeerConnection | undefined,
     private readonly sourceOf: ViewSources = NO_VIEW_SOURCES,
   ) {
     this.checkedAt = context.clock.now();
     this.runningSince = this.checkedAt;
+    this.startedAt = this.checkedAt;
+    this.keepers = new StreamKeepers(context, linkTo);
     this.gates = (['records', 'servers'] as const).map((kind) =>
       createStrictGate(context, kind, sourceOf),
     );
@@ -127,29 +169,67 @@
       this.runningSince = at;
     }
     this.checkedAt = at;
+    this.keepers.review();
   }
 
   /** Applies the latest view of the records in the store. */
   applyRecords(): void {
     this.records.applyRecords();
-    this.reviewMixed();
+    this.reviewServices();
   }
 
   /** Applies the latest view of the servers. */
   applyServers(): void {
     this.records.applyServers();
-    this.reviewMixed();
+    this.reviewServices();
   }
 
   mayBegin(service: string, softwareVersion: string): boolean {
-    return this.versions.mayBegin(service, softwareVersion);
+    return (
+      this.versions.mayBegin(service, softwareVersion) &&
+      (!this.isUnacknowledged ||
+        !this.hasOtherDefault(service, softwareVersion))
+    );
+  }
+
+  async announce(
+    service: string,
+    origin: StreamOrigin,
+    wasAnnounced: boolean,
+  ): Promise<Announcement> {
+    const {softwareVersion} = origin;
+    const isDefault = softwareVersion === this.versions.defaultOf(service);
+    if (isDefault && !wasAnnounced) {
+      return 'needless';
+    }
+    const answer = this.keepers.announce(origin);
+    // After others had no answer it is sent, and nobody is expected to confirm it.
+    if (!this.isUnacknowledged && (await answer)) {
+      return 'acknowledged';
+    }
+    if (!this.isUnacknowledged) {
+      const {clock, logger} = this.context;
+      this.unacknowledgedAt = clock.now();
+      logger.info('stream not acknowledged by its keepers', {
+        requestId: origin.requestId,
+        service,
+        softwareVersion,
+      });
+    }
+    return this.hasOtherDefault(service, softwareVersion)
+      ? 'refused'
+      : 'unacknowledged';
   }
 
-  recordBegan(service: string, origin: StreamOrigin): void {
+  recordBegan(
+    service: string,
+    origin: StreamOrigin,
+    wasAnnounced: boolean,
+  ): void {
     this.origins.record(origin, this.context.clock.now());
     this.journal.recordBegan(origin);
-    if (this.mixed.has(service)) {
-      this.report([origin]);
+    if (this.mixed.has(service) && !wasAnnounced) {
+      this.keepers.report([origin]);
     }
   }
 
@@ -169,11 +249,18 @@
       // Others may join before the stream goes on.
       return {type: 'known', softwareVersion: sole, basis: 'one version'};
     }
+    const kept = await this.keepers.ask(service, requestId);
+    if (kept.type === 'known') {
+      return {...kept, basis: 'keeper'};
+    }
+    const softwareVersion = this.certainDefault(service);
+    if (kept.type === 'not-announced' && softwareVersion !== undefined) {
+      return {type: 'known', softwareVersion, basis: 'default'};
+    }
     await this.journal.load();
-    const softwareVersion =
-      this.origins.get(requestId) ?? (await this.queryKeepers(requestId));
-    if (softwareVersion !== undefined) {
-      return {type: 'known', softwareVersion, basis: 'keeper'};
+    const saved = this.origins.get(requestId);
+    if (saved !== undefined) {
+      return {type: 'known', softwareVersion: saved, basis: 'journal'};
     }
     const unconfirmed = hadOneVersion && !confirmed;
     return {
@@ -189,9 +276,68 @@
     }
   }
 
-  /** Returns where a stream began, for another host. */
-  originOf(requestId: string): string | undefined {
-    return this.origins.get(requestId);
+  /** Returns what this host knows of a stream, for another host. */
+  answer(service: string, requestId: string): StreamAnswer {
+    return {
+      softwareVersion: this.origins.get(requestId),
+      witness: this.isWitness(service),
+    };
+  }
+
+  /**
+   * The version at which a stream began that no keeper acknowledged; undefined if
+   * this host can't tell. The default changes only once its version has had no
+   * servers for as long as a stream may go on, so that views which show some may
+   * be as old as half of that.
+   */
+  private certainDefault(service: string): string | undefined {
+    const {views, clock} = this.context;
+    const at = clock.now();
+    const ageMs = Math.max(
+      views.ageMs('records', at),
+      views.ageMs('servers', at),
+    );
+    const version = this.versions.defaultOf(service);
+    return version !== undefined &&
+      this.versions.isServing(service, version) &&
+      ageMs < STREAM_RETENTION_MS / 2 &&
+      this.isWitness(service) &&
+      this.reachesMostHosts()
+      ? version
+      : undefined;
+  }
+
+  /**
+   * Whether this host remembers all streams of a service that may go on and that
+   * it acknowledged: it has run since before any stream began at another version
+   * than the default one, or for as long as a stream may go on.
+   */
+  private isWitness(service: string): boolean {
+    const at = this.context.clock.now();
+    return (
+      this.origins.isComplete(at) &&
+      (this.witnessed.has(service) ||
+        elapsedMs(this.startedAt, at) >= STREAM_RETENTION_MS)
+    );
+  }
+
+  /** Whether keepers didn't acknowledge a stream a short time ago. */
+  private get isUnacknowledged(): boolean {
+    return (
+      this.unacknowledgedAt !== undefined &&
+      elapsedMs(this.unacknowledgedAt, this.context.clock.now()) <
+        UNACKNOWLEDGED_MS
+    );
+  }
+
+  /** Whether another version is the default one and has servers. */
+  private hasOtherDefault(service: string, softwareVersion: string): boolean {
+    const version = this.versions.defaultOf(service);
+    return (
+      version !== undefined &&
+      version !== softwareVersion &&
+      this.versions.isServing(service, version)
+    );
   }
 
   /** The version at which all streams of a service began, if there is one. */
@@ -217,78 +363,54 @@
 
   /** Whether this host has the newest views of most hosts in an outage. */
   private sharesViews(): boolean {
-    const {views, clock, membership} = this.context;
     this.review();
-    const runningMs = elapsedMs(this.runningSince, clock.now());
+    const runningMs = elapsedMs(this.runningSince, this.context.clock.now());
     const failingMs = this.sourceOf('records').failingMs();
+    return (
+      Math.min(runningMs, failingMs) >= SHARED_VIEWS_MS &&
+      this.reachesMostHosts()
+    );
+  }
+
+  private reachesMostHosts(): boolean {
+    const {views, membership} = this.context;
     const items = views.get('records')?.snapshot.items ?? [];
     const hosts = items.filter(({name}) =>
       name.startsWith(HOST_RECORDS),
     ).length;
-    return (
-      Math.min(runningMs, failingMs) >= SHARED_VIEWS_MS &&
-      membership.live().length * 2 > hosts
-    );
+    return membership.live().length * 2 > hosts;
   }
 
-  /** Tells keepers of all recent streams once a service has two versions. */
-  private reviewMixed(): void {
+  /** Notes what the latest views show of each service. */
+  private reviewServices(): void {
     for (const service of this.versions.services()) {
-      const several =
-        this.versions.possible(service, this.context.clock.now()).size > 1;
-      if (several && !this.mixed.has(service)) {
-        this.mixed.add(service);
-        void this.journal.load();
-        this.report(this.origins.all());
-      } else if (!several) {
-        this.mixed.delete(service);
+      this.reviewMixed(service);
+      if (
+        this.versions.hasBegunAtDefaultOnly(service) &&
+        this.hasReadSinceStart('records') &&
+        this.hasReadSinceStart('servers')
+      ) {
+        this.witnessed.add(service);
       }
     }
   }
 
-  private report(origins: readonly StreamOrigin[]): void {
-    this.unreported.push(...origins);
-    if (!this.reportScheduled && this.unreported.length > 0) {
-      this.reportScheduled = true;
-      this.context.timers.after('streams/report', REPORT_DELAY_MS, () => {
-        this.reportScheduled = false;
-        this.sendReports();
-      });
-    }
-  }
-
-  private sendReports(): void {
-    const byKeeper = new Map<string, StreamOrigin[]>();
-    for (const origin of this.unreported) {
-      for (const host of this.keepersOf(origin.requestId)) {
-        const list = byKeeper.get(host) ?? [];
-        list.push(origin);
-        byKeeper.set(host, list);
-      }
-    }
-    this.unreported = [];
-    for (const [host, list] of byKeeper) {
-      for (let from = 0; from < list.length; from += MAXIMUM_REPORTED) {
-        const part = list.slice(from, from + MAXIMUM_REPORTED);
-        this.linkTo(host)?.reportStreams(part);
-      }
+  /** Tells keepers of all recent streams once a service has two versions. */
+  private reviewMixed(service: string): void {
+    const {size} = this.versions.possible(service, this.context.clock.now());
+    if (size <= 1) {
+      this.mixed.delete(service);
+    } else if (!this.mixed.has(service)) {
+      this.mixed.add(service);
+      void this.journal.load();
+      this.keepers.report(this.origins.all());
     }
   }
 
-  private async queryKeepers(requestId: string): Promise<string | undefined> {
-    const answers = await Promise.all(
-      this.keepersOf(requestId).map(async (host) =>
-        this.linkTo(host)?.queryStream(requestId),
-      ),
-    );
-    return answers.find((answer) => answer !== undefined);
-  }
-
-  private keepersOf(requestId: string): readonly string[] {
-    const {membership, settings} = this.context;
-    const hosts = membership.live().map(({host}) => host);
-    return rankByRendezvous(requestId, hosts)
-      .slice(0, KEEPERS)
-      .filter((host) => host !== settings.host);
+  /** Whether a view was current at a time since this host started. */
+  private hasReadSinceStart(kind: StoreKind): boolean {
+    const {views, clock} = this.context;
+    const at = clock.now();
+    return views.ageMs(kind, at) <= elapsedMs(this.startedAt, at);
   }
 }
--- a/packages/entry-host/src/streams/version-records.ts
+++ b/packages/entry-host/src/streams/version-records.ts
@@ -1,5 +1,6 @@
 import {chooseByRendezvous} from '@basilworks/core';
 import {
+  type RecordedVersions,
   type SoftwareVersions,
   softwareVersionsRecordName,
   decodeFleetRecord,
@@ -39,12 +40,12 @@
   /** Applies the latest view of the records in the store. */
   applyRecords(): void {
     const items = this.context.views.get('records')?.snapshot.items ?? [];
-    const recorded = new Map<string, readonly string[]>();
+    const recorded = new Map<string, RecordedVersions>();
     this.stored = new Map();
     for (const item of items) {
       const record = decodeFleetRecord(item);
       if (record?.type === 'software-versions') {
-        recorded.set(record.service, record.versions);
+        recorded.set(record.service, record);
         this.stored.set(record.service, item.revision);
       }
     }
@@ -84,7 +85,7 @@
 
   private async write(
     service: string,
-    versions: readonly string[],
+    {versions, defaultVersion}: RecordedVersions,
   ): Promise<void> {
     if (this.pending.has(service)) {
       return;
@@ -94,7 +95,12 @@
     const revision = this.stored.get(service);
     const result = await platform.store.write(
       softwareVersionsRecordName(service),
-      {type: 'software-versions', service, versions: [...versions]},
+      {
+        type: 'software-versions',
+        service,
+        versions: [...versions],
+        defaultVersion,
+      },
       revision,
     );
     this.pending.delete(service);
@@ -104,6 +110,7 @@
     logger.info('software versions recorded', {
       service,
       versions: versions.join(','),
+      defaultVersion,
       end,
     });
   }
--- a/packages/entry-host/src/test/streams/host-with-streams.ts
+++ b/packages/entry-host/src/test/streams/host-with-streams.ts
@@ -78,7 +78,9 @@
     responseMs: () => 4,
   });
   // A peer that keeps the origin of each stream.
-  const peer = {queryStream: () => Promise.resolve('v2')};
+  const peer = {
+    queryStream: () => Promise.resolve({softwareVersion: 'v2', witness: true}),
+  };
   const streams = new StreamVersions(
     context,
     () => peer as unknown as PeerConnection,
--- a/packages/entry-host/src/test/streams/versions-that-join_test.ts
+++ b/packages/entry-host/src/test/streams/versions-that-join_test.ts
@@ -55,7 +55,7 @@
   world.recorded = ['v1', 'v2'];
   world.serving = ['v1', 'v2'];
   readStore();
-  t.is(streams.originOf('r1'), 'v1');
+  t.is(streams.answer(SERVICE, 'r1').softwareVersion, 'v1');
   fleet.close();
 });
 
@@ -72,6 +72,6 @@
   });
   t.true(await continuation.find());
   continuation.recordEvent(serverOf('v2'));
-  t.is(streams.originOf('r1'), 'v2');
+  t.is(streams.answer(SERVICE, 'r1').softwareVersion, 'v2');
   fleet.close();
 });
--- a/packages/entry-host/src/test/views/fleet-simulation.ts
+++ b/packages/entry-host/src/test/views/fleet-simulation.ts
@@ -13,6 +13,8 @@
   ServerTable,
   STORE_KINDS,
   StoreViews,
+  type StreamAnswer,
+  type StreamOrigin,
 } from '@basilworks/dispatch';
 import {fleet} from '@basilworks/protocol';
 
@@ -30,6 +32,7 @@
   ServerTableUpdater,
   StoreReader,
 } from '../../index.js';
+import {StreamVersions} from '../../streams/index.js';
 import {StoreConnection, StoreModel} from './store-model.js';
 import {VirtualTime, VirtualTimers} from './virtual-time.js';
 
@@ -40,6 +43,7 @@
 const EXCHANGE_TIMEOUT_MS = 700;
 const PERMIT_TIMEOUT_MS = 120;
 const CRASH_TIMEOUT_MS = 400;
+const STREAM_TIMEOUT_MS = 200;
 
 /** Interval of removals of expired servers as in `EntryHost`, milliseconds. */
 const MAINTENANCE_PERIOD_MS = 250;
@@ -54,6 +58,8 @@
   readonly exchange: PeerExchange;
   readonly permits: SendPermits;
   readonly crashes: CrashMonitor;
+  /** Only in fleets that track streams. */
+  readonly streams: StreamVersions | undefined;
   /** Whether the host is cut off from all other hosts. */
   partitioned = false;
   /** Whether the host has stopped for good. */
@@ -136,6 +142,10 @@
         serverTableUpdater.applyLatestView();
       } else if (kind === 'records') {
         this.crashes.applyRecords();
+        this.streams?.applyRecords();
+      }
+      if (kind === 'servers') {
+        this.streams?.applyServers();
       }
     };
     this.storeReader = new StoreReader(this.context, onNewer, () => {
@@ -166,8 +176,20 @@
           peer.crashes.announce(keys);
           return true;
         }),
-      reportStreams: ignore,
-      queryStream: () => Promise.resolve(undefined),
+      reportStreams: (origins) => {
+        void simulation.tellStreams(this, to, whenRunning, origins);
+      },
+      announceStreams: (origins) =>
+        simulation.tellStreams(this, to, whenRunning, origins),
+      queryStream: (service, requestId) =>
+        simulation.callPeer<StreamAnswer | undefined>(
+          this,
+          to,
+          whenRunning,
+          undefined,
+          (peer) => peer.streams?.answer(service, requestId),
+          STREAM_TIMEOUT_MS,
+        ),
       isUnresponsive: false,
       close: ignore,
     }));
@@ -190,8 +212,20 @@
       (host) => this.exchange.linkTo(host),
       ({entry}) => Promise.resolve(simulation.probe(entry.port)),
     );
+    this.streams = simulation.layout.tracksStreams
+      ? new StreamVersions(
+          this.context,
+          (host) => this.exchange.linkTo(host),
+          (kind) => ({
+            refresh: () => this.storeReader.refresh(kind),
+            failingMs: () => this.storeReader.failingMs(kind),
+            responseMs: () => this.storeReader.responseMs(kind),
+          }),
+        )
+      : undefined;
     this.storeReader.start();
     this.crashes.start();
+    this.streams?.start();
     this.exchange.start();
     this.context.timers.every('maintenance', MAINTENANCE_PERIOD_MS, () => {
       serverTableUpdater.expire();
@@ -245,6 +279,8 @@
   readonly zones: number;
   /** Number of hosts on large machines in each zone. */
   readonly largeHostsPerZone: number;
+  /** Whether hosts keep streams at their software versions. */
+  readonly tracksStreams?: boolean;
   readonly newsBounds?: {
     readonly leavingServerMs: number;
     readonly configurationMs: number;
@@ -392,6 +428,27 @@
     return this.call(from, to, PERMIT_TIMEOUT_MS, answer, whenRunning);
   }
 
+  /** Tells a peer where streams began; false if it does not confirm that. */
+  tellStreams(
+    from: SimulatedHost,
+    to: string,
+    whenRunning: (run: () => void) => void,
+    origins: readonly StreamOrigin[],
+  ): Promise<boolean> {
+    const apply = ({streams}: SimulatedHost) => {
+      streams?.applyOrigins(origins);
+      return true;
+    };
+    return this.callPeer(
+      from,
+      to,
+      whenRunning,
+      false,
+      apply,
+      STREAM_TIMEOUT_MS,
+    );
+  }
+
   /** Calls a peer; resolves to `missed` if no response arrives in time. */
   async callPeer<Answer>(
     from: SimulatedHost,
@@ -399,10 +456,10 @@
     whenRunning: (run: () => void) => void,
     missed: Answer,
     answer: (peer: SimulatedHost) => Answer,
+    timeoutMs = CRASH_TIMEOUT_MS,
   ): Promise<Answer> {
     return (
-      (await this.call(from, to, CRASH_TIMEOUT_MS, answer, whenRunning)) ??
-      missed
+      (await this.call(from, to, timeoutMs, answer, whenRunning)) ?? missed
     );
   }
 
--- a/packages/entry-host/src/test/views/store-model.ts
+++ b/packages/entry-host/src/test/views/store-model.ts
@@ -61,6 +61,22 @@
     return {type: known === undefined ? 'written' : 'conflict', item};
   }
 
+  /** Replaces an object if its revision is the expected one. */
+  replace(
+    kind: StoreKind,
+    name: string,
+    value: unknown,
+    expectedRevision: number,
+  ): WriteOutcome {
+    const known = this.items.get(`${kind}/${name}`);
+    if (known?.revision !== expectedRevision) {
+      return {type: 'conflict', item: known};
+    }
+    this.put(kind, name, value);
+    const item = {name, revision: this.latestRevision, value};
+    return {type: 'written', item};
+  }
+
   remove(kind: StoreKind, name: string): void {
     if (this.items.delete(`${kind}/${name}`)) {
       this.latestRevision += 1;
@@ -175,14 +191,17 @@
     );
   }
 
-  /** Creates a record; none is replaced in simulations. */
   write(
     name: string,
     record: FleetRecord,
+    expectedRevision?: number,
   ): ResultAsync<WriteOutcome, StoreError> {
-    return this.call(WRITE_TIMEOUT_MS, () =>
-      Promise.resolve(ok(this.store.create('records', name, record))),
-    );
+    const {store} = this;
+    const write = () =>
+      expectedRevision === undefined
+        ? store.create('records', name, record)
+        : store.replace('records', name, record, expectedRevision);
+    return this.call(WRITE_TIMEOUT_MS, () => Promise.resolve(ok(write())));
   }
 
   remove(): ResultAsync<void, StoreError> {
