Return the failure of an answer to a relayed stream

Cause: a host that connects for a peer asked only whether the peer's stream was destroyed before it answered. One that is closed and not yet destroyed throws.

Evidence: a listener whose stream is closed in the turn in which the dial ends throws ERR_HTTP2_INVALID_STREAM on x86-64 as well, for both ends of the dial; one that is answered throws ERR_HTTP2_HEADERS_SENT.

Change: heads and trailers are sent by functions that return what the runtime refuses; no guard repeats its conditions. The listener takes its HTTP/2 server as a parameter, so that tests reach its streams.

--- a/packages/entry-host/src/relay/relay-listener.ts
+++ b/packages/entry-host/src/relay/relay-listener.ts
@@ -4,11 +4,12 @@
   type IncomingHttpHeaders,
   type Http2Session,
   type ServerHttp2Stream,
+  type ServerStreamResponseOptions,
 } from 'node:http2';
 
 import {ListenError} from '@basilworks/daemon';
 import type {Server} from '@basilworks/dispatch';
-import {ResultAsync} from 'neverthrow';
+import {Result, ResultAsync} from 'neverthrow';
 
 import type {EntryHostContext} from '../context.js';
 import {RecencyLimiter} from '../lib/recency-limiter.js';
@@ -50,7 +51,6 @@
 
 /** Relays connections of peers that can't reach servers. */
 export class RelayListener {
-  private readonly server: Http2Server;
   private readonly sessions = new Set<Http2Session>();
   private readonly idleSessions = new RecencyLimiter<Http2Session>(
     MAXIMUM_IDLE_SESSIONS,
@@ -73,11 +73,11 @@
         undefined,
         RELAY_CONNECT_TIMEOUT_MS,
       ),
-  ) {
-    this.server = createServer({
+    private readonly server: Http2Server = createServer({
       maxHeaderListPairs: MAXIMUM_HEADER_FIELDS,
       settings: {maxConcurrentStreams: MAXIMUM_RELAYED},
-    });
+    }),
+  ) {
     this.server.on('session', (session: Http2Session) => {
       this.sessions.add(session);
       this.idleSessions.add(session);
@@ -182,14 +182,16 @@
   stream: ServerHttp2Stream,
   {stream: connection, confirmClose}: Transport,
 ): void => {
-  if (stream.destroyed) {
+  const head = sendHead(stream, RELAY_STATUS.connected, {
+    waitForTrailers: true,
+  });
+  if (head.isErr()) {
     connection.destroy();
     return;
   }
   let closedInOrder = false;
-  stream.respond({':status': RELAY_STATUS.connected}, {waitForTrailers: true});
   stream.on('wantTrailers', () => {
-    stream.sendTrailers({[END_TRAILER]: '1'});
+    sendEnd(stream);
   });
   connection.on('error', () => {
     stream.destroy();
@@ -217,11 +219,30 @@
 };
 
 const respond = (stream: ServerHttp2Stream, status: number): void => {
-  if (!stream.destroyed) {
-    stream.respond({':status': status}, {endStream: true});
-  }
+  // A peer that is gone has no use for the answer.
+  sendHead(stream, status, {endStream: true}).unwrapOr(undefined);
 };
 
+/**
+ * Sends the head of an answer, if the stream still takes one: a peer may give it
+ * up at any moment, and what the runtime asks of a stream then is not public.
+ */
+const sendHead = Result.fromThrowable(
+  (
+    stream: ServerHttp2Stream,
+    status: number,
+    options: ServerStreamResponseOptions,
+  ): void => {
+    stream.respond({':status': status}, options);
+  },
+  String,
+);
+
+/** Tells the peer that the server closed its connection in order. */
+const sendEnd = Result.fromThrowable((stream: ServerHttp2Stream): void => {
+  stream.sendTrailers({[END_TRAILER]: '1'});
+}, String);
+
 const statusOf = ({refused, reason}: DialFailure): number =>
   refused || reason === 'unreachable'
     ? RELAY_STATUS.refused
