Ask nobody for a stream that has no name

Change: without a name only one version is an answer; a stream that begins bears the id of its own request; a stream with too few keepers is refused at once at a newer version and says nothing of others. The three tests failed before.

--- a/packages/entry-host/src/front/stream-continuation.ts
+++ b/packages/entry-host/src/front/stream-continuation.ts
@@ -53,7 +53,7 @@
    * host knows and it may be one of several versions.
    */
   async find(): Promise<boolean> {
-    const {service, resumes = ''} = this.request;
+    const {service, resumes} = this.request;
     this.version = await this.guard.versionOf(service, resumes);
     return this.version.type !== 'unknown';
   }
@@ -125,6 +125,7 @@
 
   /** Id of the request that began the stream. */
   private get streamId(): string {
-    return this.request.resumes ?? this.request.requestId;
+    const {takesUp, resumes, requestId} = this.request;
+    return takesUp ? (resumes ?? requestId) : requestId;
   }
 }
--- a/packages/entry-host/src/streams/stream-keepers.ts
+++ b/packages/entry-host/src/streams/stream-keepers.ts
@@ -39,9 +39,12 @@
   | {readonly type: 'not-announced'}
   | {readonly type: 'unknown'};
 
+/** Whether enough keepers confirmed a stream, or there are too few at all. */
+export type Receipt = 'acknowledged' | 'no-answer' | 'too-few';
+
 interface Announcement {
   readonly origin: StreamOrigin;
-  readonly settle: (confirmed: boolean) => void;
+  readonly settle: (receipt: Receipt) => void;
 }
 
 /** Tells other hosts where streams began, and asks them. */
@@ -81,11 +84,8 @@
     }
   }
 
-  /**
-   * Tells the keepers of a stream before it begins; false if too few of them
-   * confirmed that.
-   */
-  announce(origin: StreamOrigin): Promise<boolean> {
+  /** Tells the keepers of a stream before it begins. */
+  announce(origin: StreamOrigin): Promise<Receipt> {
     const {timers} = this.context;
     return new Promise((settle) => {
       this.unannounced.push({origin, settle});
@@ -156,34 +156,34 @@
     const announcements = this.unannounced;
     this.unannounced = [];
     const {acknowledgements} = this.surroundings();
+    const byKeeper = this.byKeeper(announcements.map(({origin}) => origin));
+    const asked = new Map<string, number>();
+    for (const {requestId} of [...byKeeper.values()].flat()) {
+      asked.set(requestId, 1 + (asked.get(requestId) ?? 0));
+    }
     const confirmed = new Map<string, number>();
-    const open = new Map(
-      announcements.map((announcement) => [
-        announcement.origin.requestId,
-        announcement,
-      ]),
-    );
-    const settle = (requestId: string, isConfirmed: boolean) => {
-      open.get(requestId)?.settle(isConfirmed);
-      open.delete(requestId);
-    };
-    const calls = [
-      ...this.byKeeper(announcements.map(({origin}) => origin)),
-    ].map(async ([host, origins]) => {
-      if ((await this.linkTo(host)?.announceStreams(origins)) !== true) {
-        return;
+    const isConfirmed = (requestId: string) =>
+      (confirmed.get(requestId) ?? 0) >= acknowledgements;
+    const settle = ({origin: {requestId}, settle: resolve}: Announcement) => {
+      if (isConfirmed(requestId)) {
+        resolve('acknowledged');
+      } else if ((asked.get(requestId) ?? 0) < acknowledgements) {
+        resolve('too-few');
       }
-      for (const {requestId} of origins) {
-        const count = 1 + (confirmed.get(requestId) ?? 0);
-        confirmed.set(requestId, count);
-        if (count >= acknowledgements) {
-          settle(requestId, true);
+    };
+    announcements.forEach(settle);
+    const calls = [...byKeeper].map(async ([host, origins]) => {
+      if ((await this.linkTo(host)?.announceStreams(origins)) === true) {
+        for (const {requestId} of origins) {
+          confirmed.set(requestId, 1 + (confirmed.get(requestId) ?? 0));
         }
+        announcements.forEach(settle);
       }
     });
     void Promise.all(calls).then(() => {
-      for (const requestId of [...open.keys()]) {
-        settle(requestId, acknowledgements === 0);
+      for (const {settle: resolve} of announcements) {
+        // Changes nothing for those that have a receipt.
+        resolve('no-answer');
       }
     });
   }
--- a/packages/entry-host/src/streams/stream-versions.ts
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -49,6 +49,7 @@
   | 'keeper'
   | 'default'
   | 'journal'
+  | 'not named'
   | 'views not confirmed'
   | 'no keeper';
 
@@ -92,8 +93,14 @@
   ): void;
   /** Records that a stream reached its end, by the request that began it. */
   recordEnded(requestId: string): void;
-  /** Finds out where a stream may go on, by the request that began it. */
-  versionOf(service: string, requestId: string): Promise<StreamVersion>;
+  /**
+   * Finds out where a stream may go on, by the request that began it, if its
+   * caller names that.
+   */
+  versionOf(
+    service: string,
+    requestId: string | undefined,
+  ): Promise<StreamVersion>;
 }
 
 /** Remembers no streams, so that none is taken up. */
@@ -203,11 +210,12 @@
       return 'needless';
     }
     const answer = this.keepers.announce(origin);
-    // After others had no answer it is sent, and nobody is expected to confirm it.
-    if (!this.isUnacknowledged && (await answer)) {
-      return 'acknowledged';
+    // After others had no answer, nobody is expected to confirm it.
+    const receipt = this.isUnacknowledged ? 'too-few' : await answer;
+    if (receipt === 'acknowledged') {
+      return receipt;
     }
-    if (!this.isUnacknowledged) {
+    if (receipt === 'no-answer' && !this.isUnacknowledged) {
       const {clock, logger} = this.context;
       this.unacknowledgedAt = clock.now();
       logger.info('stream not acknowledged by its keepers', {
@@ -237,8 +245,12 @@
     this.journal.recordEnded(requestId);
   }
 
-  async versionOf(service: string, requestId: string): Promise<StreamVersion> {
-    const own = this.origins.get(requestId);
+  async versionOf(
+    service: string,
+    requestId: string | undefined,
+  ): Promise<StreamVersion> {
+    const own =
+      requestId === undefined ? undefined : this.origins.get(requestId);
     if (own !== undefined) {
       return {type: 'known', softwareVersion: own, basis: 'remembered'};
     }
@@ -249,6 +261,9 @@
       // Others may join before the stream goes on.
       return {type: 'known', softwareVersion: sole, basis: 'one version'};
     }
+    if (requestId === undefined) {
+      return {type: 'unknown', basis: 'not named'};
+    }
     const kept = await this.keepers.ask(service, requestId);
     if (kept.type === 'known') {
       return {...kept, basis: 'keeper'};
--- a/packages/entry-host/src/test/streams/lost-hosts_test.ts
+++ b/packages/entry-host/src/test/streams/lost-hosts_test.ts
@@ -177,6 +177,46 @@
   t.deepEqual(await fleet.takeUpAll(['r']), [at('v1')]);
 });
 
+// Guards against a caller's mistake: nobody is told of a stream without a name.
+test('a stream whose caller does not name it goes on nowhere', async (t) => {
+  const fleet = await startFleet(t, 7, 'v1');
+  fleet.addServers('v2');
+  await fleet.pass(5_000);
+  const end = fleet.takeUp('h1', undefined);
+  await fleet.pass(1_000);
+  t.deepEqual(await end, REFUSED);
+});
+
+// Guards against streams that nobody knows by the name that their callers use: a
+// request without an event of its own was recorded as one that it named.
+test('a stream is known by the request that began it', async (t) => {
+  const fleet = await startFleet(t, 7, 'v1');
+  fleet.addServers('v2');
+  await fleet.pass(5_000);
+  const began = fleet.begin('h0', 'second', 'v2', 30, 'first');
+  await fleet.pass(60);
+  t.deepEqual(await began, at('v2'));
+  fleet.kill('h0');
+  t.deepEqual(await fleet.takeUpAll(['second']), [at('v2')]);
+});
+
+// Hosts that were replaced are no keepers, and hold up none of the others.
+test('streams begin at a newer version after most hosts were replaced', async (t) => {
+  const fleet = await startFleet(t, 30, 'v1');
+  fleet.addServers('v2');
+  await fleet.pass(5_000);
+  for (let index = 1; index < 18; index += 1) {
+    fleet.kill(`h${index}`);
+  }
+  await fleet.pass(6_000);
+  let began = 0;
+  for (const id of idsOf(40, 'newer')) {
+    const [end] = await beginAll(fleet, 'h0', [id], 'v2');
+    began += end?.type === 'at' ? 1 : 0;
+  }
+  t.true(began >= 20, `${began} of 40`);
+});
+
 test('the default changes once the streams of its version have ended', async (t) => {
   const fleet = await startFleet(t, 3, 'v2');
   fleet.addServers('v1');
--- a/packages/entry-host/src/test/streams/stream-fleet.ts
+++ b/packages/entry-host/src/test/streams/stream-fleet.ts
@@ -86,13 +86,14 @@
     requestId: string,
     softwareVersion: string,
     firstEventMs = 30,
+    resumes?: string,
   ): Promise<StreamEnd> {
     const {streams = NO_STREAM_GUARD, running} = this.fleet.host(host);
     const server = serverOf(softwareVersion);
     const continuation = new StreamContinuation(streams, {
       service: SERVICE,
       requestId,
-      resumes: undefined,
+      resumes,
       takesUp: false,
     });
     if (!running || !continuation.allows(server)) {
@@ -110,11 +111,11 @@
   }
 
   /** Takes a stream up at a host. */
-  async takeUp(host: string, resumes: string): Promise<StreamEnd> {
+  async takeUp(host: string, resumes: string | undefined): Promise<StreamEnd> {
     const {streams = NO_STREAM_GUARD} = this.fleet.host(host);
     const continuation = new StreamContinuation(streams, {
       service: SERVICE,
-      requestId: `${resumes}-${(this.serial += 1)}`,
+      requestId: `take-up-${(this.serial += 1)}`,
       resumes,
       takesUp: true,
     });
@@ -129,7 +130,9 @@
       return {type: 'refused'};
     }
     if (others.length > 0) {
-      throw new Error(`${resumes} may go on at ${allowed.join(' and ')}`);
+      throw new Error(
+        `${resumes ?? 'a stream'} may go on at ${allowed.join(' and ')}`,
+      );
     }
     continuation.recordEvent(serverOf(softwareVersion));
     return {type: 'at', softwareVersion};
