--- a/packages/entry-host/src/front/stream-continuation.ts
+++ b/packages/entry-host/src/front/stream-continuation.ts
@@ -22,7 +22,7 @@
   private version: StreamVersion | undefined;
   private hasEvent = false;
   /** What keepers were last told of where the stream is about to begin. */
-  private latest:
+  private announcement:
     | {readonly softwareVersion: string; readonly isAcknowledged: boolean}
     | undefined;
 
@@ -74,22 +74,22 @@
       return true;
     }
     const {service, softwareVersion} = entry;
-    const {latest} = this;
     if (this.isAcknowledgedAt(softwareVersion)) {
       return true;
     }
+    const wasAnnounced = this.announcement !== undefined;
     // Keepers may be told although they don't confirm it.
-    this.latest = {softwareVersion, isAcknowledged: false};
-    const answer = await this.guard.announce(
+    this.announcement = {softwareVersion, isAcknowledged: false};
+    const outcome = await this.guard.announce(
       service,
       {requestId: this.streamId, softwareVersion},
-      latest !== undefined,
+      wasAnnounced,
     );
-    this.latest =
-      answer === 'needless'
+    this.announcement =
+      outcome === 'needless'
         ? undefined
-        : {softwareVersion, isAcknowledged: answer === 'acknowledged'};
-    return answer !== 'refused';
+        : {softwareVersion, isAcknowledged: outcome === 'acknowledged'};
+    return outcome !== 'refused';
   }
 
   /** Records that an event of a server was passed on to the caller. */
@@ -116,10 +116,10 @@
   }
 
   private isAcknowledgedAt(softwareVersion: string): boolean {
-    const {latest} = this;
+    const {announcement} = this;
     return (
-      latest?.isAcknowledged === true &&
-      latest.softwareVersion === softwareVersion
+      announcement?.isAcknowledged === true &&
+      announcement.softwareVersion === softwareVersion
     );
   }
 
--- a/packages/entry-host/src/streams/stream-keepers.ts
+++ b/packages/entry-host/src/streams/stream-keepers.ts
@@ -11,7 +11,10 @@
 /** Hosts that remember where a stream began, besides the one that began it. */
 const KEEPERS = 3;
 
-/** Keepers that acknowledge a stream before it begins. */
+/**
+ * Keepers that acknowledge a stream before it begins. With the host that begins
+ * it three know it, so that one does after the loss of two.
+ */
 const ACKNOWLEDGEMENTS = 2;
 
 /**
@@ -101,7 +104,8 @@
   ask(service: string, requestId: string): Promise<KeptOrigin> {
     const {others, acknowledgements} = this.surroundings();
     const asked = rankByRendezvous(requestId, others).slice(0, HOSTS_ASKED);
-    // Where all hosts are asked, so is the one that began the stream.
+    // Few enough to leave one that would know of an acknowledged stream. The host
+    // that began it is surely among those asked only if all are.
     const silentAtMost =
       asked.length === others.length ? acknowledgements : acknowledgements - 1;
     return new Promise((resolve) => {
--- a/packages/entry-host/src/streams/stream-versions.ts
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -63,7 +63,7 @@
  * How other hosts were told of a stream: they needn't be, enough of them confirmed
  * it, or too few, which matters only if it could begin at the default version.
  */
-export type Announcement =
+export type AnnouncementOutcome =
   'needless' | 'acknowledged' | 'unacknowledged' | 'refused';
 
 /** Knows at which software versions streams begin and go on. */
@@ -80,7 +80,7 @@
     service: string,
     origin: StreamOrigin,
     wasAnnounced: boolean,
-  ): Promise<Announcement>;
+  ): Promise<AnnouncementOutcome>;
   /**
    * Records that a stream began.
    *
@@ -203,7 +203,7 @@
     service: string,
     origin: StreamOrigin,
     wasAnnounced: boolean,
-  ): Promise<Announcement> {
+  ): Promise<AnnouncementOutcome> {
     const {softwareVersion} = origin;
     const isDefault = softwareVersion === this.versions.defaultOf(service);
     if (isDefault && !wasAnnounced) {
--- a/packages/entry-host/src/test/streams/lost-hosts_test.ts
+++ b/packages/entry-host/src/test/streams/lost-hosts_test.ts
@@ -23,6 +23,14 @@
   return fleet;
 };
 
+/** A fleet beside servers of v1, the default, and of v2, on record for long. */
+const startMixedFleet = async (t: ExecutionContext, hosts = 7) => {
+  const fleet = await startFleet(t, hosts, 'v1');
+  fleet.addServers('v2');
+  await fleet.pass(5_000);
+  return fleet;
+};
+
 /** Begins streams at a host at once, and waits for their first events. */
 const beginAll = async (
   fleet: StreamFleet,
@@ -56,9 +64,7 @@
 // Guards against the same where a version joins long before a host is lost:
 // keepers were told after the first events, and the host was lost with them.
 test('streams of a host that is lost with their first events go on', async (t) => {
-  const fleet = await startFleet(t, 7, 'v1');
-  fleet.addServers('v2');
-  await fleet.pass(5_000);
+  const fleet = await startMixedFleet(t);
   const older = idsOf(30, 'older');
   const newer = idsOf(30, 'newer');
   const began = [
@@ -77,9 +83,7 @@
 });
 
 test('streams of a host that is lost with one of their keepers go on', async (t) => {
-  const fleet = await startFleet(t, 7, 'v1');
-  fleet.addServers('v2');
-  await fleet.pass(5_000);
+  const fleet = await startMixedFleet(t);
   const older = idsOf(30, 'older');
   const newer = idsOf(30, 'newer');
   await beginAll(fleet, 'h0', older, 'v1');
@@ -96,9 +100,7 @@
 
 // A host that started since can't tell that it was told of nothing.
 test('a stream whose keepers started again goes on at no other version', async (t) => {
-  const fleet = await startFleet(t, 7, 'v1');
-  fleet.addServers('v2');
-  await fleet.pass(5_000);
+  const fleet = await startMixedFleet(t);
   const ids = idsOf(20, 'newer');
   await beginAll(fleet, 'h0', ids, 'v2');
   for (const name of ['h0', 'h1', 'h2', 'h3', 'h4', 'h5', 'h6']) {
@@ -131,9 +133,7 @@
 });
 
 test('a host without keepers begins streams at the default version only', async (t) => {
-  const fleet = await startFleet(t, 7, 'v1');
-  fleet.addServers('v2');
-  await fleet.pass(5_000);
+  const fleet = await startMixedFleet(t);
   fleet.fleet.host('h0').partitioned = true;
   await fleet.pass(100);
   const newer = fleet.begin('h0', 'newer', 'v2');
@@ -147,9 +147,7 @@
 });
 
 test('a host without keepers serves on where the default has no servers', async (t) => {
-  const fleet = await startFleet(t, 7, 'v1');
-  fleet.addServers('v2');
-  await fleet.pass(5_000);
+  const fleet = await startMixedFleet(t);
   fleet.removeServers('v1');
   await fleet.pass(2_000);
   fleet.fleet.host('h0').partitioned = true;
@@ -160,9 +158,7 @@
 
 // A request whose first server brought no event may begin at another version.
 test('a stream that was about to begin elsewhere goes on where it began', async (t) => {
-  const fleet = await startFleet(t, 7, 'v1');
-  fleet.addServers('v2');
-  await fleet.pass(5_000);
+  const fleet = await startMixedFleet(t);
   await beginAll(fleet, 'h0', ['r'], 'v2');
   // Told again of the same request, as it began at the default after all.
   fleet.fleet
@@ -179,9 +175,7 @@
 
 // Guards against a caller's mistake: nobody is told of a stream without a name.
 test('a stream whose caller does not name it goes on nowhere', async (t) => {
-  const fleet = await startFleet(t, 7, 'v1');
-  fleet.addServers('v2');
-  await fleet.pass(5_000);
+  const fleet = await startMixedFleet(t);
   const end = fleet.takeUp('h1', undefined);
   await fleet.pass(1_000);
   t.deepEqual(await end, REFUSED);
@@ -190,9 +184,7 @@
 // Guards against streams that nobody knows by the name that their callers use: a
 // request without an event of its own was recorded as one that it named.
 test('a stream is known by the request that began it', async (t) => {
-  const fleet = await startFleet(t, 7, 'v1');
-  fleet.addServers('v2');
-  await fleet.pass(5_000);
+  const fleet = await startMixedFleet(t);
   const began = fleet.begin('h0', 'second', 'v2', 30, 'first');
   await fleet.pass(60);
   t.deepEqual(await began, at('v2'));
@@ -202,9 +194,7 @@
 
 // Hosts that were replaced are no keepers, and hold up none of the others.
 test('streams begin at a newer version after most hosts were replaced', async (t) => {
-  const fleet = await startFleet(t, 30, 'v1');
-  fleet.addServers('v2');
-  await fleet.pass(5_000);
+  const fleet = await startMixedFleet(t, 30);
   for (let index = 1; index < 18; index += 1) {
     fleet.kill(`h${index}`);
   }
@@ -235,9 +225,7 @@
 });
 
 test('streams of a lost host go on while the store is away', async (t) => {
-  const fleet = await startFleet(t, 7, 'v1');
-  fleet.addServers('v2');
-  await fleet.pass(5_000);
+  const fleet = await startMixedFleet(t);
   const older = idsOf(20, 'older');
   const newer = idsOf(20, 'newer');
   await beginAll(fleet, 'h0', newer, 'v2');
