Begin streams at newer versions while the default leaves

Cause: servers that leave counted as servers of the default, which is what a host without confirmations is to use instead. Only servers that don't leave count now.

Streams then begin at the newer version without a confirmation sooner than before, so that hosts may no longer conclude from 'nobody was told' that a stream began at the default: a host that saw the default without open servers is no witness until the service has one version again.

--- a/packages/dispatch/src/streams/software-versions.ts
+++ b/packages/dispatch/src/streams/software-versions.ts
@@ -18,6 +18,8 @@
   private recorded = new Map<string, ReadonlySet<string>>();
   private defaults = new Map<string, string>();
   private present = new Map<string, ReadonlySet<string>>();
+  /** Versions of servers that don't leave, by service. */
+  private open: ReadonlyMap<string, ReadonlySet<string>> = new Map();
   /**
    * When versions last had servers, by service; for versions on record that had
    * none since this host started, when it learned of them.
@@ -43,13 +45,18 @@
     this.recordSeen(at);
   }
 
-  /** Replaces the versions of servers, by service. */
+  /**
+   * Replaces the versions of servers, by service: those of all, and those of
+   * servers that don't leave.
+   */
   applyPresent(
     present: ReadonlyMap<string, ReadonlySet<string>>,
     at: Instant,
+    open = present,
   ): void {
     this.recordSeen(at);
     this.present = new Map(present);
+    this.open = open;
     this.recordSeen(at);
   }
 
@@ -89,9 +96,9 @@
     return this.defaults.get(service);
   }
 
-  /** Whether a version has servers. */
+  /** Whether a version has servers that don't leave. */
   isServing(service: string, version: string): boolean {
-    return this.present.get(service)?.has(version) === true;
+    return this.open.get(service)?.has(version) === true;
   }
 
   /** Whether streams have begun at the default version only until now. */
--- a/packages/entry-host/src/streams/stream-versions.ts
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -400,12 +400,19 @@
   private reviewServices(): void {
     for (const service of this.versions.services()) {
       this.reviewMixed(service);
+      const version = this.versions.defaultOf(service);
       if (
         this.versions.hasBegunAtDefaultOnly(service) &&
         this.hasReadSinceStart('records') &&
         this.hasReadSinceStart('servers')
       ) {
         this.witnessed.add(service);
+      } else if (
+        version !== undefined &&
+        !this.versions.isServing(service, version)
+      ) {
+        // Streams begin at other versions without a confirmation.
+        this.witnessed.delete(service);
       }
     }
   }
--- a/packages/entry-host/src/streams/version-records.ts
+++ b/packages/entry-host/src/streams/version-records.ts
@@ -1,6 +1,7 @@
 import {chooseByRendezvous} from '@basilworks/core';
 import {
   type RecordedVersions,
+  type ServerEntry,
   type SoftwareVersions,
   softwareVersionsRecordName,
   decodeFleetRecord,
@@ -56,12 +57,13 @@
   /** Applies the latest view of the servers. */
   applyServers(): void {
     const {servers, clock} = this.context;
-    const present = new Map<string, Set<string>>();
-    for (const {entry} of servers.all()) {
-      const versions = present.get(entry.service) ?? new Set();
-      present.set(entry.service, versions.add(entry.softwareVersion));
-    }
-    this.versions.applyPresent(present, clock.now());
+    const entries = servers.all().map(({entry}) => entry);
+    const open = entries.filter(({leaving}) => !leaving);
+    this.versions.applyPresent(
+      versionsByService(entries),
+      clock.now(),
+      versionsByService(open),
+    );
     this.review();
   }
 
@@ -115,3 +117,14 @@
     });
   }
 }
+
+const versionsByService = (
+  entries: readonly ServerEntry[],
+): ReadonlyMap<string, ReadonlySet<string>> => {
+  const byService = new Map<string, Set<string>>();
+  for (const {service, softwareVersion} of entries) {
+    const versions = byService.get(service) ?? new Set();
+    byService.set(service, versions.add(softwareVersion));
+  }
+  return byService;
+};
--- a/packages/entry-host/src/test/streams/lost-hosts_test.ts
+++ b/packages/entry-host/src/test/streams/lost-hosts_test.ts
@@ -256,26 +256,41 @@
   },
 );
 
+// Streams begin at another version without a confirmation while the default has
+// no servers; those that nobody was told of then began there.
+test('a stream of a time without the default goes on at no other version', async (t) => {
+  const fleet = await startMixedFleet(t);
+  fleet.removeServers('v1');
+  await fleet.pass(3_000);
+  fleet.fleet.host('h0').partitioned = true;
+  await fleet.pass(100);
+  const newer = fleet.begin('h0', 'newer', 'v2');
+  await fleet.pass(400);
+  t.deepEqual(await newer, at('v2'));
+  fleet.kill('h0');
+  fleet.addServers('v1');
+  await fleet.pass(3_000);
+  const [end] = await fleet.takeUpAll(['newer']);
+  t.notDeepEqual(end, at('v1'));
+});
+
 // Guards against streams that are refused though servers are open: the default
 // has only servers that leave, and too few hosts are left to confirm a stream.
-test.failing(
-  'streams begin at a newer version while the default leaves',
-  async (t) => {
-    const fleet = await startMixedFleet(t, 3);
-    for (const id of ['s1', 's2', 's3']) {
-      fleet.fleet.putServer(id, {
-        service: SERVICE,
-        softwareVersion: 'v1',
-        leaving: true,
-      });
-    }
-    fleet.kill('h1');
-    await fleet.pass(5_000);
-    const newer = fleet.begin('h0', 'newer', 'v2');
-    await fleet.pass(400);
-    t.deepEqual(await newer, at('v2'));
-  },
-);
+test('streams begin at a newer version while the default leaves', async (t) => {
+  const fleet = await startMixedFleet(t, 3);
+  for (const id of ['s1', 's2', 's3']) {
+    fleet.fleet.putServer(id, {
+      service: SERVICE,
+      softwareVersion: 'v1',
+      leaving: true,
+    });
+  }
+  fleet.kill('h1');
+  await fleet.pass(5_000);
+  const newer = fleet.begin('h0', 'newer', 'v2');
+  await fleet.pass(400);
+  t.deepEqual(await newer, at('v2'));
+});
 
 // Guards against streams that too few hosts know: two requests of one caller
 // with the same id were counted as two confirmations of one keeper.
