Remember streams at other versions than the default for longer

Cause: 'nobody was told of it' is the evidence that a stream began at the default, and hosts forget what they were told after a minute, or never knew it, as hosts that had run for a minute vouched as well. No id tells the age of a stream, and nothing bounds when a caller comes back.

Streams at other versions are now kept past their minute for as long as their version is possible and not the default. A host that had no room for one, or that started since a second version came, vouches for nothing. Hosts that have left keep their places among the eight that are asked: with them gone, a question would reach hosts of which none could have been a keeper.

--- a/packages/dispatch/src/streams/software-versions.ts
+++ b/packages/dispatch/src/streams/software-versions.ts
@@ -101,6 +101,20 @@
     return this.open.get(service)?.has(version) === true;
   }
 
+  /**
+   * Whether hosts were told of each stream that began at a version, in a service
+   * at least: it is not the default one there, or not known yet.
+   */
+  isException(version: string, at: Instant): boolean {
+    const services = this.services().filter((service) =>
+      this.possible(service, at).has(version),
+    );
+    return (
+      services.length === 0 ||
+      services.some((service) => this.defaults.get(service) !== version)
+    );
+  }
+
   /** Whether streams have begun at the default version only until now. */
   hasBegunAtDefaultOnly(service: string): boolean {
     const version = this.defaults.get(service);
--- a/packages/dispatch/src/streams/stream-origins.ts
+++ b/packages/dispatch/src/streams/stream-origins.ts
@@ -6,7 +6,10 @@
  */
 export const STREAM_RETENTION_MS = 60_000;
 
-/** Most streams that are remembered; the oldest are forgotten first. */
+/**
+ * Most streams that are remembered, of the recent ones and of those that are
+ * kept beyond their time; the oldest are forgotten first.
+ */
 const MAXIMUM_STREAMS = 50_000;
 
 /** The request that began a stream, and where. */
@@ -27,59 +30,92 @@
   readonly witness: boolean;
 }
 
-/** The software versions at which recent streams began. */
+interface RememberedOrigin {
+  readonly softwareVersion: string;
+  readonly at: Instant;
+}
+
+/**
+ * The software versions at which streams began: those of recent streams, and
+ * for longer where a host that has forgotten one would be wrong about it.
+ */
 export class StreamOrigins {
-  /** When a stream was last forgotten before its time. */
-  private droppedAt: Instant | undefined;
-  private readonly origins = new Map<
-    string,
-    {readonly softwareVersion: string; readonly at: Instant}
-  >();
+  private readonly recent = new Map<string, RememberedOrigin>();
+  /** Streams past their time whose version must be kept. */
+  private readonly kept = new Map<string, RememberedOrigin>();
+  /** Versions of kept streams that were forgotten for want of room. */
+  private readonly droppedVersions = new Set<string>();
+
+  constructor(
+    /** Whether streams of a version are kept beyond their time. */
+    private readonly mustKeep: (softwareVersion: string) => boolean = () =>
+      false,
+  ) {}
 
   /** Number of streams that are remembered. */
   get size(): number {
-    return this.origins.size;
+    return this.recent.size + this.kept.size;
   }
 
   record({requestId, softwareVersion}: StreamOrigin, at: Instant): void {
-    this.origins.delete(requestId);
-    this.origins.set(requestId, {softwareVersion, at});
+    this.remove(requestId);
+    this.recent.set(requestId, {softwareVersion, at});
     this.expire(at);
   }
 
   remove(requestId: string): void {
-    this.origins.delete(requestId);
+    this.recent.delete(requestId);
+    this.kept.delete(requestId);
   }
 
   get(requestId: string): string | undefined {
-    return this.origins.get(requestId)?.softwareVersion;
+    const origin = this.recent.get(requestId) ?? this.kept.get(requestId);
+    return origin?.softwareVersion;
   }
 
-  /** Whether no stream that may go on has been forgotten. */
-  isComplete(at: Instant): boolean {
-    return (
-      this.droppedAt === undefined ||
-      elapsedMs(this.droppedAt, at) >= STREAM_RETENTION_MS
-    );
+  /** Whether no stream that must be kept has been forgotten. */
+  get isComplete(): boolean {
+    return ![...this.droppedVersions].some(this.mustKeep);
   }
 
-  /** All streams that are remembered, oldest first. */
+  /** The recent streams, oldest first. */
   all(): readonly StreamOrigin[] {
-    return [...this.origins].map(([requestId, {softwareVersion}]) => ({
+    return [...this.recent].map(([requestId, {softwareVersion}]) => ({
       requestId,
       softwareVersion,
     }));
   }
 
+  /** Forgets the streams beyond their time that need not be kept any more. */
+  prune(): void {
+    for (const [requestId, {softwareVersion}] of this.kept) {
+      if (!this.mustKeep(softwareVersion)) {
+        this.kept.delete(requestId);
+      }
+    }
+  }
+
   /** Forgets streams that have ended; insertion order is that of time. */
   private expire(at: Instant): void {
-    for (const [requestId, origin] of this.origins) {
+    for (const [requestId, origin] of this.recent) {
       const expired = elapsedMs(origin.at, at) > STREAM_RETENTION_MS;
-      if (!expired && this.origins.size <= MAXIMUM_STREAMS) {
+      if (!expired && this.recent.size <= MAXIMUM_STREAMS) {
         return;
       }
-      this.origins.delete(requestId);
-      this.droppedAt = expired ? this.droppedAt : at;
+      this.recent.delete(requestId);
+      if (this.mustKeep(origin.softwareVersion)) {
+        this.keep(requestId, origin);
+      }
+    }
+  }
+
+  private keep(requestId: string, origin: RememberedOrigin): void {
+    this.kept.set(requestId, origin);
+    const [oldest] = this.kept;
+    if (this.kept.size > MAXIMUM_STREAMS && oldest !== undefined) {
+      const [oldestId, {softwareVersion}] = oldest;
+      this.kept.delete(oldestId);
+      this.droppedVersions.add(softwareVersion);
     }
   }
 }
--- a/packages/entry-host/src/streams/stream-keepers.ts
+++ b/packages/entry-host/src/streams/stream-keepers.ts
@@ -54,6 +54,8 @@
 export class StreamKeepers {
   /** When hosts were last live, by name. */
   private readonly liveAt = new Map<string, Instant>();
+  /** Hosts that may have been told of a stream, whether they still run or not. */
+  private readonly everLive = new Set<string>();
   private unreported: StreamOrigin[] = [];
   private unannounced: Announcement[] = [];
 
@@ -68,6 +70,7 @@
     const at = clock.now();
     for (const {host} of membership.live()) {
       this.liveAt.set(host, at);
+      this.everLive.add(host);
     }
     for (const [host, liveAt] of this.liveAt) {
       if (elapsedMs(liveAt, at) >= STREAM_RETENTION_MS) {
@@ -76,6 +79,15 @@
     }
   }
 
+  /** Forgets hosts that have left, where streams need no keepers any more. */
+  forgetLeft(): void {
+    for (const host of this.everLive) {
+      if (!this.liveAt.has(host)) {
+        this.everLive.delete(host);
+      }
+    }
+  }
+
   /** Tells the keepers of streams that have begun, without a confirmation. */
   report(origins: readonly StreamOrigin[]): void {
     const scheduled = this.unreported.length > 0;
@@ -102,7 +114,9 @@
 
   /** Asks the keepers where a stream began. */
   ask(service: string, requestId: string): Promise<KeptOrigin> {
-    const {others, acknowledgements} = this.surroundings();
+    const {acknowledgements} = this.surroundings();
+    // Those that have left take their places: they may have been its keepers.
+    const others = this.othersOf(this.everLive);
     const asked = rankByRendezvous(requestId, others).slice(0, HOSTS_ASKED);
     // Few enough to leave one that would know of an acknowledged stream. The host
     // that began it is surely among those asked only if all are.
@@ -137,14 +151,15 @@
   /** Other hosts of the last minute, and how many of them acknowledge. */
   private surroundings() {
     this.review();
-    const {settings} = this.context;
-    const others = [...this.liveAt.keys()].filter(
-      (host) => host !== settings.host,
-    );
+    const others = this.othersOf(this.liveAt.keys());
     const acknowledgements = Math.min(ACKNOWLEDGEMENTS, others.length);
     return {others, acknowledgements};
   }
 
+  private othersOf(hosts: Iterable<string>): readonly string[] {
+    return [...hosts].filter((host) => host !== this.context.settings.host);
+  }
+
   private sendReports(): void {
     const origins = this.unreported;
     this.unreported = [];
--- a/packages/entry-host/src/streams/stream-versions.ts
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -122,7 +122,9 @@
  */
 export class StreamVersions implements StreamVersionGuard {
   private readonly versions = new SoftwareVersions();
-  private readonly origins = new StreamOrigins();
+  private readonly origins = new StreamOrigins((version) =>
+    this.versions.isException(version, this.context.clock.now()),
+  );
   private readonly records: VersionRecords;
   private readonly journal: StreamJournal;
   private readonly mixed = new Set<string>();
@@ -323,17 +325,12 @@
   }
 
   /**
-   * Whether this host remembers all streams of a service that may go on and that
-   * it acknowledged: it has run since before any stream began at another version
-   * than the default one, or for as long as a stream may go on.
+   * Whether this host remembers all streams of a service that it acknowledged: it
+   * has run since before any stream began at another version than the default
+   * one. Callers may take a stream up at any time.
    */
   private isWitness(service: string): boolean {
-    const at = this.context.clock.now();
-    return (
-      this.origins.isComplete(at) &&
-      (this.witnessed.has(service) ||
-        elapsedMs(this.startedAt, at) >= STREAM_RETENTION_MS)
-    );
+    return this.origins.isComplete && this.witnessed.has(service);
   }
 
   /** Whether keepers didn't acknowledge a stream a short time ago. */
@@ -415,6 +412,10 @@
         this.witnessed.delete(service);
       }
     }
+    if (this.mixed.size === 0) {
+      this.origins.prune();
+      this.keepers.forgetLeft();
+    }
   }
 
   /** Tells keepers of all recent streams once a service has two versions. */
--- a/packages/entry-host/src/test/streams/lost-hosts_test.ts
+++ b/packages/entry-host/src/test/streams/lost-hosts_test.ts
@@ -243,18 +243,46 @@
 
 // Guards against streams with events of two versions: keepers forget a stream a
 // minute after it was announced, and say then that they were told of nothing.
-test.failing(
-  'a stream that is taken up late goes on at no other version',
-  async (t) => {
-    const fleet = await startMixedFleet(t);
-    await beginAll(fleet, 'h0', ['newer'], 'v2');
-    fleet.kill('h0');
-    await fleet.pass(61_000);
-    await beginAll(fleet, 'h1', idsOf(30, 'later'), 'v2');
-    const [end] = await fleet.takeUpAll(['newer']);
+test('a stream that is taken up late goes on at no other version', async (t) => {
+  const fleet = await startMixedFleet(t);
+  await beginAll(fleet, 'h0', ['newer'], 'v2');
+  fleet.kill('h0');
+  await fleet.pass(61_000);
+  await beginAll(fleet, 'h1', idsOf(30, 'later'), 'v2');
+  const [end] = await fleet.takeUpAll(['newer']);
+  t.notDeepEqual(end, at('v1'));
+});
+
+// Guards against the same once its keepers were replaced by hosts that were never
+// told of it, and have run for longer than a minute.
+test('a stream whose keepers were replaced long ago goes on at no other version', async (t) => {
+  const fleet = await startMixedFleet(t, 14);
+  const ids = idsOf(20, 'newer');
+  await beginAll(fleet, 'h0', ids, 'v2');
+  for (const name of ['h0', 'h1', 'h2', 'h3', 'h4', 'h5', 'h6']) {
+    fleet.kill(name);
+    await fleet.pass(2_000);
+    fleet.fleet.startHost(name);
+    await fleet.pass(2_000);
+  }
+  await fleet.pass(61_000);
+  for (const end of await fleet.takeUpAll(ids)) {
     t.notDeepEqual(end, at('v1'));
-  },
-);
+  }
+});
+
+test('hosts that were replaced hide no keeper that has left', async (t) => {
+  const fleet = await startMixedFleet(t, 16);
+  const ids = idsOf(200, 'newer');
+  await beginAll(fleet, 'h0', ids, 'v2');
+  for (const name of ['h0', 'h1', 'h2', 'h3', 'h4', 'h5', 'h6']) {
+    fleet.kill(name);
+  }
+  await fleet.pass(62_000);
+  for (const end of await fleet.takeUpAll(ids)) {
+    t.notDeepEqual(end, at('v1'));
+  }
+});
 
 // Streams begin at another version without a confirmation while the default has
 // no servers; those that nobody was told of then began there.
