Take no gap in one host's reads for an outage of the store

Cause: two seconds without a read by any host count as an outage, after which missing entries are kept for two seconds. Each host measured that by what reached it before its own next answer; the reads of others in between came half a second later and changed nothing. In a trace on virtual time such a host keeps reading for itself, as its own read has a later revision than those of the readers for the same entries.

Views now carry the time for which they were read without an outage, by whichever host, as a new optional field of the exchange. A host whose gap lies within that time of another one drops what it kept at once. The start counts back from the arrival of the message, so that it is never told too early.

'a host that missed the reads of others keeps no removed server' failed on (still sending 2.2 to 2.8 s after the removal, of 2 s) and passes (1.4 to 1.8 s).

--- a/packages/dispatch/src/fleet/store-views.ts
+++ b/packages/dispatch/src/fleet/store-views.ts
@@ -34,11 +34,21 @@
   readonly snapshot: Snapshot;
   /** Start of the latest read that confirmed the snapshot. */
   readonly freshAt: Instant;
+  /**
+   * Start of the time until `freshAt` in which it was read without an outage, by
+   * whichever host.
+   */
+  readonly steadySince: Instant;
   /**
    * End of the latest period in which neither this host nor a peer read it, or
    * when the store was found to have been restored from an older copy.
    */
   readonly outageEndedAt: Instant | undefined;
+  /**
+   * Start of that period; undefined if there was none that reads of other hosts
+   * may turn out to have interrupted.
+   */
+  readonly outageBeganAt: Instant | undefined;
   /**
    * Latest instant at which the snapshot before this one was known to be
    * current; undefined for the first one.
@@ -82,44 +92,77 @@
     return view === undefined ? Infinity : elapsedMs(view.freshAt, at);
   }
 
-  /** Applies a snapshot that was current at `freshAt`; true if it is newer. */
-  update(snapshot: Snapshot, freshAt: Instant, at: Instant): boolean {
+  /**
+   * Applies a snapshot that was read without an outage from `steadySince` to
+   * `freshAt`; true if the view has changed in more than its age.
+   */
+  update(
+    snapshot: Snapshot,
+    freshAt: Instant,
+    at: Instant,
+    steadySince = freshAt,
+  ): boolean {
     const known = this.views.get(snapshot.kind);
-    if (known !== undefined && snapshot.revision < known.snapshot.revision) {
-      return false;
+    if (known === undefined) {
+      this.views.set(snapshot.kind, {
+        snapshot,
+        freshAt,
+        steadySince,
+        outageEndedAt: undefined,
+        outageBeganAt: undefined,
+        changedAfter: undefined,
+      });
+      return true;
     }
-    const newer =
-      known === undefined || snapshot.revision > known.snapshot.revision;
-    this.views.set(
-      snapshot.kind,
-      known === undefined
-        ? {
-            snapshot,
-            freshAt,
-            outageEndedAt: undefined,
-            changedAfter: undefined,
-          }
-        : newer
-          ? replaceView(known, withKnownItems(snapshot, known), freshAt, at)
-          : confirmView(known, freshAt, at),
-    );
-    return newer;
+    const read = {freshAt, steadySince};
+    if (snapshot.revision < known.snapshot.revision) {
+      return this.apply(known, withoutFalseOutage(known, read));
+    }
+    if (snapshot.revision === known.snapshot.revision) {
+      return this.apply(known, confirmView(known, read, at));
+    }
+    const newer = withKnownItems(snapshot, known);
+    this.views.set(snapshot.kind, replaceView(known, newer, read, at));
+    return true;
   }
 
-  /** Records that the snapshot at `revision` was current at `freshAt`. */
+  /**
+   * Records that the snapshot at `revision` was current from `steadySince` to
+   * `freshAt`; true if the view has changed in more than its age.
+   */
   confirm(
     kind: StoreKind,
     revision: number,
     freshAt: Instant,
     at: Instant,
-  ): void {
+    steadySince = freshAt,
+  ): boolean {
     const known = this.views.get(kind);
-    if (known?.snapshot.revision === revision) {
-      this.views.set(kind, confirmView(known, freshAt, at));
+    if (known === undefined) {
+      return false;
     }
+    const read = {freshAt, steadySince};
+    const isCurrent = known.snapshot.revision === revision;
+    return this.apply(
+      known,
+      isCurrent
+        ? confirmView(known, read, at)
+        : withoutFalseOutage(known, read),
+    );
+  }
+
+  /** Whether an outage was found to have been none. */
+  private apply(known: StoreView, view: StoreView): boolean {
+    this.views.set(view.snapshot.kind, view);
+    return (
+      known.outageEndedAt !== undefined && view.outageEndedAt === undefined
+    );
   }
 }
 
+/** The time in which a host has read a snapshot without an outage. */
+type SteadyRead = Pick<StoreView, 'freshAt' | 'steadySince'>;
+
 /** Returns the snapshot with the known objects of items that are unchanged. */
 const withKnownItems = (snapshot: Snapshot, {snapshot: known}: StoreView) => {
   const knownByName = new Map(known.items.map((item) => [item.name, item]));
@@ -140,31 +183,77 @@
 const replaceView = (
   known: StoreView,
   snapshot: Snapshot,
-  freshAt: Instant,
+  read: SteadyRead,
   at: Instant,
 ): StoreView => {
   const changed = {...known, snapshot, changedAfter: known.freshAt};
-  const view = confirmView(changed, freshAt, at);
+  const {freshAt} = read;
   const restored = eraOf(snapshot.revision) > eraOf(known.snapshot.revision);
-  return restored ? {...view, freshAt, outageEndedAt: at} : view;
+  return restored
+    ? {
+        ...changed,
+        freshAt,
+        steadySince: freshAt,
+        outageEndedAt: at,
+        outageBeganAt: undefined,
+      }
+    : confirmView(changed, read, at);
 };
 
-/** Returns the view with a confirmation for `freshAt`, received at `at`. */
+/** Returns the view with a confirmation by a read, received at `at`. */
 const confirmView = (
-  view: StoreView,
-  freshAt: Instant,
+  known: StoreView,
+  {freshAt, steadySince}: SteadyRead,
   at: Instant,
 ): StoreView => {
+  const view = withoutFalseOutage(known, {freshAt, steadySince});
   if (elapsedMs(view.freshAt, freshAt) <= 0) {
     return view;
   }
-  // Uses the monotonic clock only: a wall clock step or a suspended host is
-  // not a store outage.
-  const gapMs = freshAt.monotonicMs - view.freshAt.monotonicMs;
-  const {outageEndedAt} = view;
-  return {
-    ...view,
-    freshAt,
-    outageEndedAt: gapMs > OUTAGE_GAP_MS ? at : outageEndedAt,
-  };
+  return isInterrupted(view.freshAt, steadySince)
+    ? {
+        ...view,
+        freshAt,
+        steadySince,
+        outageEndedAt: at,
+        outageBeganAt: view.freshAt,
+      }
+    : {
+        ...view,
+        freshAt,
+        steadySince: earlier(view.steadySince, steadySince),
+      };
 };
+
+/**
+ * Returns the view without its outage if another host read meanwhile, whatever
+ * revision it has.
+ */
+const withoutFalseOutage = (
+  view: StoreView,
+  {freshAt, steadySince}: SteadyRead,
+): StoreView => {
+  const {outageBeganAt} = view;
+  const wasRead =
+    outageBeganAt !== undefined &&
+    !isInterrupted(outageBeganAt, steadySince) &&
+    !isInterrupted(freshAt, view.steadySince);
+  return wasRead
+    ? {
+        ...view,
+        steadySince: earlier(outageBeganAt, steadySince),
+        outageEndedAt: undefined,
+        outageBeganAt: undefined,
+      }
+    : view;
+};
+
+/**
+ * Whether the time between two reads counts as an outage. Uses the monotonic
+ * clock only: a wall clock step or a suspended host is not a store outage.
+ */
+const isInterrupted = (from: Instant, to: Instant): boolean =>
+  to.monotonicMs - from.monotonicMs > OUTAGE_GAP_MS;
+
+const earlier = (one: Instant, other: Instant): Instant =>
+  one.monotonicMs <= other.monotonicMs ? one : other;
--- a/packages/dispatch/src/test/fleet/store-views_test.ts
+++ b/packages/dispatch/src/test/fleet/store-views_test.ts
@@ -95,3 +95,40 @@
   views.confirm(kind, 2, at(1_400), at(1_410));
   t.is(changedAfter(), 500);
 });
+
+// Guards against entries of removed servers that are kept as if the store had
+// been away: the host had missed what others read.
+test('an outage is none if another host read meanwhile', (t) => {
+  const views = new StoreViews();
+  const outageEndedAt = () => views.get('records')?.outageEndedAt;
+  views.update(snapshot(5), at(0), at(0));
+  t.true(views.update(snapshot(6), at(2_100), at(3_000)));
+  t.deepEqual(outageEndedAt(), at(3_000));
+  // A host that read before, and one that did after, don't show it.
+  t.false(views.confirm('records', 6, at(3_500), at(3_600), at(2_200)));
+  t.false(views.confirm('records', 6, at(90), at(3_600), at(-5_000)));
+  t.deepEqual(outageEndedAt(), at(3_000));
+  t.true(views.confirm('records', 6, at(2_900), at(3_600), at(-5_000)));
+  t.is(outageEndedAt(), undefined);
+  t.deepEqual(views.get('records')?.freshAt, at(3_500));
+  t.deepEqual(views.get('records')?.steadySince, at(-5_000));
+});
+
+test('a view that comes with its steady reads ends no outage', (t) => {
+  const views = new StoreViews();
+  views.update(snapshot(5), at(0), at(0));
+  views.update(snapshot(6), at(9_000), at(9_100), at(1_500));
+  t.is(views.get('records')?.outageEndedAt, undefined);
+  t.deepEqual(views.get('records')?.steadySince, at(0));
+  views.update(snapshot(7), at(13_000), at(13_100), at(12_000));
+  t.deepEqual(views.get('records')?.outageEndedAt, at(13_100));
+  t.deepEqual(views.get('records')?.steadySince, at(12_000));
+});
+
+test('the restoration of a store is an outage whatever others read', (t) => {
+  const views = new StoreViews();
+  views.update(snapshot(inEra(1, 90)), at(0), at(0));
+  views.update(snapshot(inEra(2, 40)), at(500), at(510));
+  views.confirm('records', inEra(2, 40), at(900), at(910), at(-9_000));
+  t.deepEqual(views.get('records')?.outageEndedAt, at(510));
+});
--- a/packages/entry-host/src/peers/view-codec.ts
+++ b/packages/entry-host/src/peers/view-codec.ts
@@ -66,6 +66,9 @@
   return value;
 };
 
+/** Longest time without an outage that is passed on, milliseconds. */
+const LONGEST_STEADY_MS = 3_600_000;
+
 const NO_ITEMS: EncodedItems = {items: undefined, deflatedItems: undefined};
 
 /** What a peer asks for. */
@@ -87,7 +90,7 @@
     if (view === undefined) {
       return [];
     }
-    const {snapshot, freshAt} = view;
+    const {snapshot, freshAt, steadySince} = view;
     const knownRevision =
       known.find((revision) => revision.kind === kind)?.at ?? -1;
     return [
@@ -99,6 +102,10 @@
           ? NO_ITEMS
           : snapshots.encode(snapshot, acceptsDeflate)),
         readBy: snapshot.readBy ?? '',
+        steadyMs: Math.min(
+          LONGEST_STEADY_MS,
+          Math.floor(Math.max(0, elapsedMs(steadySince, freshAt))),
+        ),
       },
     ];
   });
@@ -111,8 +118,9 @@
 
 /**
  * Applies the views of a peer's response. Ages count back from `requestedAt`,
- * which precedes the peer's read, so that views never appear fresher than they
- * are. Returns the kinds that were updated.
+ * which precedes the peer's answer, so that views never appear fresher than they
+ * are, and times without an outage from `at`, so that they never appear longer.
+ * Returns the kinds that were updated.
  */
 export const applyViews = (
   views: StoreViews,
@@ -121,16 +129,19 @@
   at: Instant,
 ): readonly Snapshot['kind'][] =>
   received.flatMap((view) => {
-    const {kind: name, at: revision, ageMs, readBy} = view;
+    const {kind: name, at: revision, ageMs, steadyMs = 0, readBy} = view;
     const kind = kindSchema.safeParse(name).data;
     if (kind === undefined) {
       return [];
     }
     const freshAt = instantBefore(requestedAt, ageMs);
+    const steadySince =
+      steadyMs === 0 ? freshAt : instantBefore(at, ageMs + steadyMs);
     const {items, deflatedItems} = view;
     if (items === undefined && deflatedItems === undefined) {
-      views.confirm(kind, revision, freshAt, at);
-      return [];
+      return views.confirm(kind, revision, freshAt, at, steadySince)
+        ? [kind]
+        : [];
     }
     const text = items ?? inflate(deflatedItems);
     const parsed = itemsSchema.safeParse(parseJson(text)).data;
@@ -138,7 +149,7 @@
       return [];
     }
     const snapshot = {kind, revision, items: parsed, readBy};
-    return views.update(snapshot, freshAt, at) ? [kind] : [];
+    return views.update(snapshot, freshAt, at, steadySince) ? [kind] : [];
   });
 
 /** Decompresses JSON; returns an empty text if that fails. */
--- a/packages/entry-host/src/test/views/lapsed-entries_test.ts
+++ b/packages/entry-host/src/test/views/lapsed-entries_test.ts
@@ -2,6 +2,7 @@
 
 import {
   startSevenHostFleet,
+  hostsExcept,
   LEAVING_BOUND_MS,
   hostsSendingTo,
   SERVER_IDS,
@@ -85,3 +86,22 @@
   }
   fleet.close();
 });
+
+// Guards against requests to a removed server: a host that had read nothing for
+// two seconds, while others did, took that for an outage of the store.
+test('a host that missed the reads of others keeps no removed server', async (t) => {
+  for (let missedMs = 2_100; missedMs <= 2_900; missedMs += 200) {
+    const fleet = await startSevenHostFleet();
+    const host = fleet.host(hostsExcept(fleet, fleet.readers())[0] ?? '');
+    host.partitioned = true;
+    host.storeConnection.fault = 'silent';
+    await fleet.time.advance(fleet.time.nowMs + missedMs);
+    fleet.store.remove('servers', 's1');
+    host.storeConnection.fault = 'none';
+    await fleet.time.advance(fleet.time.nowMs + 900);
+    host.partitioned = false;
+    await fleet.time.advance(fleet.time.nowMs + LEAVING_BOUND_MS - 900);
+    t.deepEqual(hostsSendingTo(fleet, 's1'), [], `missed ${missedMs} ms`);
+    fleet.close();
+  }
+});
