Ask who answers at the address of a server that closed a stream

Cause: a server counts as alive if its address accepts a connection and no later start is known there. The host reads the end long after it was sent; by then another start accepts, and its first entry takes 0.8 s.

Whoever accepts is asked by a health check that names the server: another start answers 421 or its own id at once. Without an answer in 100 ms, or without room in the server's rate limit, the connection decides as before.

--- a/packages/entry-host/src/crashes/crash-detector.ts
+++ b/packages/entry-host/src/crashes/crash-detector.ts
@@ -32,6 +32,12 @@
 /** Attempts a connection to a server, through a peer if need be. */
 export type Probe = (server: Server) => Promise<ProbeResult>;
 
+/** Whether a server is the one that an address was known for. */
+export type ServerIdentity = 'same' | 'other' | 'unknown';
+
+/** Asks whoever listens at a server's address whether it is that server. */
+export type Identify = (server: Server) => Promise<ServerIdentity>;
+
 /**
  * Delay before the first connection attempt, milliseconds: a process that ends
  * closes its connections and its listener in any order.
@@ -89,6 +95,7 @@
     private readonly context: EntryHostContext,
     private readonly observer: CrashObserver,
     private readonly probe: Probe,
+    private readonly identify: Identify,
   ) {}
 
   /** Records a send that its server interrupted. */
@@ -127,7 +134,8 @@
    * Finds out whether a server lives on after the end of one of its connections.
    * It is gone if it is not about to leave and refuses connections, those of a
    * peer too, or while other servers accept them: else the host's own links may
-   * be cut. It is gone as well if a later start has its address.
+   * be cut. It is gone as well if another one answers at its address: the host may
+   * read the end long after it was sent, and know of no later start yet.
    */
   checkClose(server: Server): Promise<CloseEvidence> {
     const {key} = server;
@@ -149,7 +157,9 @@
   private async probeAfterClose(server: Server): Promise<CloseEvidence> {
     const result = await this.probe(server);
     if (result === 'open') {
-      return this.isReplaced(server) ? 'gone' : 'open';
+      const isGone =
+        this.isReplaced(server) || (await this.identify(server)) === 'other';
+      return isGone ? 'gone' : 'open';
     }
     if (result === 'silent') {
       return result;
--- a/packages/entry-host/src/crashes/crash-monitor.ts
+++ b/packages/entry-host/src/crashes/crash-monitor.ts
@@ -8,7 +8,12 @@
 
 import type {EntryHostContext} from '../context.js';
 import type {KeyCompletion, PeerConnection} from '../peers/index.js';
-import {CrashDetector, type LostSend, type Probe} from './crash-detector.js';
+import {
+  CrashDetector,
+  type Identify,
+  type LostSend,
+  type Probe,
+} from './crash-detector.js';
 import type {CloseEvidence, CrashGuard} from './crash-guard.js';
 import {CrashInvestigator} from './crash-investigator.js';
 import {logCrash} from './crash-log.js';
@@ -31,6 +36,7 @@
     private readonly context: EntryHostContext,
     linkTo: (host: string) => PeerConnection | undefined,
     probe: Probe,
+    identify: Identify,
   ) {
     this.records = new QuarantineRecords(
       context,
@@ -63,6 +69,7 @@
         },
       },
       probe,
+      identify,
     );
   }
 
--- a/packages/entry-host/src/entry-host.ts
+++ b/packages/entry-host/src/entry-host.ts
@@ -39,7 +39,7 @@
 import {ok, Result} from 'neverthrow';
 
 import type {EntryHostContext} from './context.js';
-import {CrashMonitor} from './crashes/index.js';
+import {CrashMonitor, type ServerIdentity} from './crashes/index.js';
 import {FrontListener, ServerSelector, TenantShares} from './front/index.js';
 import {RateLimitedLogger} from './lib/rate-limited-logger.js';
 import type {RouteHandler} from './lib/route-listener.js';
@@ -67,6 +67,7 @@
 import {TenantQuotas} from './tenants/index.js';
 import {
   type ConnectSocket,
+  headerValue,
   ServerCaller,
   UpstreamPools,
 } from './upstream/index.js';
@@ -80,6 +81,12 @@
 /** Timeout of a health check, milliseconds. */
 const HEALTH_CHECK_TIMEOUT_MS = 500;
 
+/** Time within which another server at an address shows itself, milliseconds. */
+const IDENTIFICATION_TIMEOUT_MS = 100;
+
+/** Status with which a server answers a request for another one. */
+const MISDIRECTED = 421;
+
 /** Minimum interval between health checks of one server, milliseconds. */
 const HEALTH_CHECK_INTERVAL_MS = 1_000;
 
@@ -281,8 +288,11 @@
       linkTo,
     );
     this.quotas = new TenantQuotas(this.context, linkTo);
-    this.crashes = new CrashMonitor(this.context, linkTo, (server) =>
-      dialer.check(server),
+    this.crashes = new CrashMonitor(
+      this.context,
+      linkTo,
+      (server) => dialer.check(server),
+      (server) => this.identify(server),
     );
     this.streams = new StreamVersions(this.context, linkTo, viewSource);
     this.peerService = new FleetPeerService(
@@ -643,6 +653,38 @@
     logger.info('health check completed', {server: server.entry.id, status});
   }
 
+  /**
+   * Asks whoever listens at a server's address whether it is that server, if its
+   * rate limit allows. Another one refuses at once, while the server itself may
+   * have no slot for the answer.
+   */
+  private async identify(server: Server): Promise<ServerIdentity> {
+    const {platform} = this.context;
+    const {service, id} = server.entry;
+    const path = this.routes?.service(service)?.healthPath;
+    if (path === undefined) {
+      return 'unknown';
+    }
+    const permit = await this.permits.acquire(server, HEALTH_CHECK_PRIORITY);
+    if (!permit.granted) {
+      return 'unknown';
+    }
+    const answer = await this.serverCaller.call(
+      server,
+      'check',
+      {method: 'GET', path, body: ''},
+      IDENTIFICATION_TIMEOUT_MS,
+    );
+    if (answer instanceof Error) {
+      return 'unknown';
+    }
+    const name = platform.forwarding.headers.serverId.toLowerCase();
+    const answeredBy = headerValue(answer.rawHeaders, name) ?? id;
+    return answer.status === MISDIRECTED || answeredBy !== id
+      ? 'other'
+      : 'same';
+  }
+
   private readinessRoutes(): RouteHandlers {
     return {
       [this.context.platform.host.readyPath]: () => ({
--- a/packages/entry-host/src/test/crashes/crash-detector_test.ts
+++ b/packages/entry-host/src/test/crashes/crash-detector_test.ts
@@ -1,7 +1,11 @@
 import {ServerHealth, ServerNotices, type Server} from '@basilworks/dispatch';
 import test from 'ava';
 
-import {CrashDetector, type ServerCrash} from '../../crashes/index.js';
+import {
+  CrashDetector,
+  type ServerCrash,
+  type ServerIdentity,
+} from '../../crashes/index.js';
 import type {ProbeResult} from '../../upstream/index.js';
 import {FleetSimulation, serverEntry} from '../views/fleet-simulation.js';
 
@@ -17,7 +21,14 @@
 });
 
 /** A detector and the results of its connection attempts, the last repeated. */
-const createDetector = (...results: ProbeResult[]) => {
+const createDetector = (...results: ProbeResult[]) =>
+  createIdentifyingDetector('unknown', ...results);
+
+/** A detector and who answers at the addresses of servers. */
+const createIdentifyingDetector = (
+  identity: ServerIdentity,
+  ...results: ProbeResult[]
+) => {
   const fleet = new FleetSimulation(1);
   const {context} = fleet.startHost('h0');
   const crashes: ServerCrash[] = [];
@@ -35,6 +46,7 @@
       }
       return Promise.resolve(first);
     },
+    () => Promise.resolve(identity),
   );
   const {clock} = context;
   const send = (requestId: string) => ({
@@ -144,3 +156,18 @@
     t.is(await answer, evidence);
   });
 }
+
+// Guards against a stream that looks complete as its server crashed and is back,
+// while this host stood still and no entry tells of the new start yet.
+for (const [identity, evidence] of [
+  ['other', 'gone'],
+  ['same', 'open'],
+  ['unknown', 'open'],
+] as const) {
+  test(`a server at whose address the answer is from the ${identity} one is ${evidence}`, async (t) => {
+    const {detector, finish} = createIdentifyingDetector(identity, 'open');
+    const answer = detector.checkClose(createServer());
+    await finish();
+    t.is(await answer, evidence);
+  });
+}
--- a/packages/entry-host/src/test/views/fleet-simulation.ts
+++ b/packages/entry-host/src/test/views/fleet-simulation.ts
@@ -211,6 +211,7 @@
       this.context,
       (host) => this.exchange.linkTo(host),
       ({entry}) => Promise.resolve(simulation.probe(entry.port)),
+      () => Promise.resolve('unknown'),
     );
     this.streams = simulation.layout.tracksStreams
       ? new StreamVersions(
