Choose no version again at which a stream was refused

Cause: a refusal for want of live keepers, unlike one for want of their answers, left the version allowed, so that the next choice fell on it again. The request now remembers the versions at which it was refused; keepers follow from its id, so that the answer would stay the same.

--- a/packages/entry-host/src/front/stream-continuation.ts
+++ b/packages/entry-host/src/front/stream-continuation.ts
@@ -21,6 +21,8 @@
   /** Where the stream may go on; undefined until that is known. */
   private version: StreamVersion | undefined;
   private hasEvent = false;
+  /** Versions at which too few hosts can confirm that it is about to begin. */
+  private readonly refused = new Set<string>();
   /** What keepers were last told of where the stream is about to begin. */
   private announcement:
     | {readonly softwareVersion: string; readonly isAcknowledged: boolean}
@@ -62,7 +64,8 @@
   allows({entry}: Server): boolean {
     return this.version?.type === 'known'
       ? entry.softwareVersion === this.version.softwareVersion
-      : this.guard.mayBegin(entry.service, entry.softwareVersion);
+      : !this.refused.has(entry.softwareVersion) &&
+          this.guard.mayBegin(entry.service, entry.softwareVersion);
   }
 
   /**
@@ -89,6 +92,9 @@
       outcome === 'needless'
         ? undefined
         : {softwareVersion, isAcknowledged: outcome === 'acknowledged'};
+    if (outcome === 'refused') {
+      this.refused.add(softwareVersion);
+    }
     return outcome !== 'refused';
   }
 
--- a/packages/entry-host/src/test/streams/versions-that-join_test.ts
+++ b/packages/entry-host/src/test/streams/versions-that-join_test.ts
@@ -2,7 +2,9 @@
 import test from 'ava';
 
 import {StreamContinuation} from '../../front/stream-continuation.js';
+import {NO_STREAM_GUARD} from '../../streams/index.js';
 import {createHost, SERVICE} from './host-with-streams.js';
+import {StreamFleet} from './stream-fleet.js';
 
 const serverOf = (softwareVersion: string): Server =>
   ({entry: {service: SERVICE, softwareVersion}}) as unknown as Server;
@@ -75,3 +77,32 @@
   t.is(streams.answer(SERVICE, 'r1').softwareVersion, 'v2');
   fleet.close();
 });
+
+// Guards against requests that are held until they time out, and keep their host
+// busy: too few hosts could confirm a stream, and the same server was chosen
+// again and again.
+test('a version at which a stream can not begin is not chosen again', async (t) => {
+  const fleet = new StreamFleet(3);
+  await fleet.start('v1');
+  fleet.addServers('v2');
+  await fleet.pass(5_000);
+  fleet.kill('h1');
+  await fleet.pass(5_000);
+  const {streams = NO_STREAM_GUARD} = fleet.fleet.host('h0');
+  const continuation = new StreamContinuation(streams, {
+    service: SERVICE,
+    requestId: 'r1',
+    resumes: undefined,
+    takesUp: false,
+  });
+  t.true(continuation.allows(serverOf('v2')));
+  const mayBegin = continuation.announce(serverOf('v2'));
+  await fleet.pass(400);
+  t.false(await mayBegin);
+  t.false(continuation.allows(serverOf('v2')));
+  t.true(continuation.allows(serverOf('v1')));
+  const mayBeginAtDefault = continuation.announce(serverOf('v1'));
+  await fleet.pass(400);
+  t.true(await mayBeginAtDefault);
+  fleet.close();
+});
