Put no part in quarantine that nobody was asked about

Cause: the investigating host asks all others whether requests with the suspect parts complete, waits for every answer, and then put in quarantine whatever was suspect at that moment, with reports that had come meanwhile: also parts it had asked nobody about. A host that doesn't answer makes the wait 0.4 s.

Only parts that were asked about are put in quarantine now; if another one is more suspect by then, the hosts are asked again. The line of a quarantine tells how many hosts were asked and answered.

--- a/packages/entry-host/src/crashes/crash-investigator.ts
+++ b/packages/entry-host/src/crashes/crash-investigator.ts
@@ -83,7 +83,8 @@
       return;
     }
     this.investigating = true;
-    await this.queryCompletions(suspects.map(({key}) => key));
+    const queried = new Set(suspects.map(({key}) => key));
+    const answers = await this.queryCompletions([...queried]);
     this.investigating = false;
     // Each key in quarantine explains crashes that count for no other key.
     for (
@@ -91,7 +92,12 @@
       suspect !== undefined;
       [suspect] = this.suspects()
     ) {
-      this.putInQuarantine(suspect);
+      if (!queried.has(suspect.key)) {
+        // Reports that came meanwhile made it suspect; it may be above suspicion.
+        this.schedule();
+        return;
+      }
+      this.putInQuarantine(suspect, answers);
     }
   }
 
@@ -101,8 +107,11 @@
     return this.evidence.suspects(isQuarantined, at);
   }
 
-  /** Asks all live hosts, this one included, for completions of the keys. */
-  private async queryCompletions(keys: readonly string[]): Promise<void> {
+  /**
+   * Asks all live hosts, this one included, for completions of the keys. Returns
+   * how many others were asked and answered.
+   */
+  private async queryCompletions(keys: readonly string[]) {
     const {clock} = this.context;
     for (const key of keys) {
       const completedAt = this.completions.latest(key);
@@ -110,25 +119,32 @@
         this.evidence.recordCompletion(key, completedAt);
       }
     }
-    await Promise.all(
+    const answers = await Promise.all(
       this.otherHosts().map(async (host) => {
         const requestedAt = clock.now();
-        const found = (await this.linkTo(host)?.queryCompletions(keys)) ?? [];
-        for (const {key, ageMs} of found) {
+        const found = await this.linkTo(host)?.queryCompletions(keys);
+        for (const {key, ageMs} of found ?? []) {
           const completedAt = instantBefore(requestedAt, ageMs);
           this.evidence.recordCompletion(key, completedAt);
         }
+        return found !== undefined;
       }),
     );
+    const hostsAnswered = answers.filter(Boolean).length;
+    return {hostsAsked: answers.length, hostsAnswered};
   }
 
-  private putInQuarantine({key, crashes, presence}: Suspect): void {
+  private putInQuarantine(
+    {key, crashes, presence}: Suspect,
+    answers: {readonly hostsAsked: number; readonly hostsAnswered: number},
+  ): void {
     const {logger, metrics} = this.context;
     metrics.quarantines.inc();
     logger.warn('requests with a key crash servers and are refused', {
       key,
       crashes,
       presence: Math.round(presence * 100) / 100,
+      ...answers,
     });
     this.announce(key);
     this.records.add(key, crashes);
--- a/packages/entry-host/src/test/crashes/crashing-parts_test.ts
+++ b/packages/entry-host/src/test/crashes/crashing-parts_test.ts
@@ -94,6 +94,27 @@
   }
 });
 
+// Guards against a class of sound requests that is refused for minutes: its part
+// became suspect while the answers on others were awaited, and nobody was asked
+// whether it completes.
+test('no request is refused when servers crash while a host does not answer', async (t) => {
+  for (const seed of SEEDS) {
+    const simulation = new CrashSimulation(24, 60, seededRandom(seed));
+    await simulation.start();
+    const {time} = simulation.fleet;
+    simulation.sendSound(300, time.nowMs + 12_000);
+    await time.advance(time.nowMs + 5_000);
+    simulation.fleet.host('h20').freeze();
+    for (let index = 0; index < 12; index += 1) {
+      simulation.crashServers(1);
+      await time.advance(time.nowMs + 130);
+    }
+    await time.advance(time.nowMs + 4_000);
+    t.deepEqual([...simulation.refusedSoundKeys], [], `seed ${seed}`);
+    simulation.fleet.close();
+  }
+});
+
 // Guards against a quarantine that ends with the processes that know it.
 test('a quarantine outlives a kill of all hosts', async (t) => {
   const simulation = await startSimulation(7, 1);
