--- a/packages/daemon/src/test/resume_test.ts
+++ b/packages/daemon/src/test/resume_test.ts
@@ -75,13 +75,13 @@
   });
   await fleet.applyAdapters(['tug']);
   const head = await fleet.ask(fleet.hosts[0], {...CHAT, max_tokens: 50_000});
+  await head.body?.cancel();
   const running = () =>
     [...fleet.platform.engines.values()].reduce(
       (sum, engine) => sum + engine.report().running,
       0,
     );
   await waitFor(() => running() === 1);
-  await head.body?.cancel();
   await waitFor(() => running() === 0);
   t.is(running(), 0);
 });
