Forget streams of versions that have left

Found in reading the diff: a stream that is kept past its minute stayed for ever once its version had left, as an unknown version counts as one to keep.

Streams past their minute are kept only while a service has several versions, and all of them are forgotten once none has. 'streams of versions that have left are forgotten' failed before and passes.

--- a/packages/dispatch/src/streams/stream-origins.ts
+++ b/packages/dispatch/src/streams/stream-origins.ts
@@ -43,8 +43,8 @@
   private readonly recent = new Map<string, RememberedOrigin>();
   /** Streams past their time whose version must be kept. */
   private readonly kept = new Map<string, RememberedOrigin>();
-  /** Versions of kept streams that were forgotten for want of room. */
-  private readonly droppedVersions = new Set<string>();
+  /** Whether one of them was forgotten for want of room. */
+  private hasDropped = false;
 
   constructor(
     /** Whether streams of a version are kept beyond their time. */
@@ -75,7 +75,7 @@
 
   /** Whether no stream that must be kept has been forgotten. */
   get isComplete(): boolean {
-    return ![...this.droppedVersions].some(this.mustKeep);
+    return !this.hasDropped;
   }
 
   /** The recent streams, oldest first. */
@@ -86,13 +86,10 @@
     }));
   }
 
-  /** Forgets the streams beyond their time that need not be kept any more. */
-  prune(): void {
-    for (const [requestId, {softwareVersion}] of this.kept) {
-      if (!this.mustKeep(softwareVersion)) {
-        this.kept.delete(requestId);
-      }
-    }
+  /** Forgets the streams beyond their time, as no host can be wrong about them. */
+  forgetKept(): void {
+    this.kept.clear();
+    this.hasDropped = false;
   }
 
   /** Forgets streams that have ended; insertion order is that of time. */
@@ -113,9 +110,8 @@
     this.kept.set(requestId, origin);
     const [oldest] = this.kept;
     if (this.kept.size > MAXIMUM_STREAMS && oldest !== undefined) {
-      const [oldestId, {softwareVersion}] = oldest;
-      this.kept.delete(oldestId);
-      this.droppedVersions.add(softwareVersion);
+      this.kept.delete(oldest[0]);
+      this.hasDropped = true;
     }
   }
 }
--- a/packages/entry-host/src/streams/stream-versions.ts
+++ b/packages/entry-host/src/streams/stream-versions.ts
@@ -122,8 +122,10 @@
  */
 export class StreamVersions implements StreamVersionGuard {
   private readonly versions = new SoftwareVersions();
-  private readonly origins = new StreamOrigins((version) =>
-    this.versions.isException(version, this.context.clock.now()),
+  private readonly origins = new StreamOrigins(
+    (version) =>
+      this.mixed.size > 0 &&
+      this.versions.isException(version, this.context.clock.now()),
   );
   private readonly records: VersionRecords;
   private readonly journal: StreamJournal;
@@ -413,7 +415,7 @@
       }
     }
     if (this.mixed.size === 0) {
-      this.origins.prune();
+      this.origins.forgetKept();
       this.keepers.forgetLeft();
     }
   }
--- a/packages/entry-host/src/test/streams/lost-hosts_test.ts
+++ b/packages/entry-host/src/test/streams/lost-hosts_test.ts
@@ -302,6 +302,20 @@
   t.notDeepEqual(end, at('v1'));
 });
 
+// Guards against hosts that vouch for nothing after many releases: streams of
+// versions that have left were kept for ever, until there was no room.
+test('streams of versions that have left are forgotten', async (t) => {
+  const fleet = await startMixedFleet(t);
+  const ids = idsOf(30, 'newer');
+  await beginAll(fleet, 'h0', ids, 'v2');
+  fleet.removeServers('v2');
+  await fleet.pass(130_000);
+  t.like(fleet.recorded(), {versions: ['v1'], defaultVersion: 'v1'});
+  await beginAll(fleet, 'h0', ['last'], 'v1');
+  const {streams} = fleet.fleet.host('h0');
+  t.is(streams?.answer(SERVICE, 'newer-0').softwareVersion, undefined);
+});
+
 // Guards against streams that are refused though servers are open: the default
 // has only servers that leave, and too few hosts are left to confirm a stream.
 test('streams begin at a newer version while the default leaves', async (t) => {
